--- /dev/null
+++ b/connection/platform/log.go
@@ -0,0 +1,149 @@
+// Package platform adapts the services of the platform: the append-only log
+// over HTTP and the contract with the upstream beside the daemon.
+//
+// # Usage
+//
+//	lg := platform.NewHTTPLog(netip.MustParseAddrPort("127.0.0.1:7400"))
+//	offset, err := lg.Append(ctx, "config", data)
+//	if errors.Is(err, platform.ErrUnknown) {
+//		// the append may have taken effect; look for the record by its id
+//	}
+//	page, err := lg.Read(ctx, "config", offset, time.Now().Add(time.Second))
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of the log.
+var (
+	// ErrUnavailable means that the log did not take the request.
+	ErrUnavailable = errors.New("log is unavailable")
+	// ErrUnknown means that an append may or may not have taken effect.
+	ErrUnknown = errors.New("result of the append is unknown")
+	// ErrExpired means that records at the offset are no longer retained.
+	ErrExpired = errors.New("records have expired")
+)
+
+const (
+	// maxPage bounds the answer to a read, in bytes.
+	maxPage = 64 << 20
+	// pageRecords is the number of records that one read asks for.
+	pageRecords = 512
+	// waitMargin is the time beyond the end of a long poll that an answer may
+	// take before the connection is given up.
+	waitMargin = 2 * time.Second
+)
+
+// Log is an append-only log with streams; offsets start at 1.
+type Log interface {
+	// Append adds one record and returns its offset.
+	Append(ctx context.Context, stream string, data []byte) (int64, error)
+	// Read returns records from an offset; with none there it waits until the
+	// given time for the first. ErrExpired comes with the page's First set.
+	Read(ctx context.Context, stream string, from int64, until time.Time) (Page, error)
+}
+
+// Page is a run of records without gaps.
+type Page struct {
+	// First is the oldest offset that is retained, Next that of the next append.
+	First   int64   `json:"first"`
+	Next    int64   `json:"next"`
+	Records []Entry `json:"records"`
+}
+
+// Entry is one record of a stream.
+type Entry struct {
+	Offset int64     `json:"offset"`
+	At     time.Time `json:"at"`
+	Data   []byte    `json:"data"`
+}
+
+// httpLog is the adapter of the log's HTTP protocol.
+type httpLog struct {
+	base   url.URL
+	client *http.Client
+}
+
+// NewHTTPLog returns a log that is reached over HTTP at addr.
+func NewHTTPLog(addr netip.AddrPort) Log {
+	return &httpLog{
+		base:   url.URL{Scheme: "http", Host: addr.String()},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}},
+	}
+}
+
+// Append implements Log.
+func (l *httpLog) Append(ctx context.Context, stream string, data []byte) (offset int64, err error) {
+	defer func() { err = eris.Wrapf(err, "append to stream %q", stream) }()
+	u := l.base.JoinPath("streams", stream)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return 0, errors.Join(ErrUnknown, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPage))
+	switch {
+	case res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusServiceUnavailable:
+		return 0, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnavailable)
+	case err != nil:
+		return 0, errors.Join(ErrUnknown, err)
+	case res.StatusCode != http.StatusCreated:
+		return 0, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnknown)
+	}
+	var ans struct {
+		Offset int64 `json:"offset"`
+	}
+	if err = json.Unmarshal(body, &ans); err != nil {
+		return 0, errors.Join(ErrUnknown, err)
+	}
+	return ans.Offset, nil
+}
+
+// Read implements Log.
+func (l *httpLog) Read(ctx context.Context, stream string, from int64, until time.Time) (page Page, err error) {
+	defer func() { err = eris.Wrapf(err, "read stream %q", stream) }()
+	ctx, cancel := context.WithDeadline(ctx, until.Add(waitMargin))
+	defer cancel()
+	u := l.base.JoinPath("streams", stream)
+	u.RawQuery = url.Values{
+		"from":      {strconv.FormatInt(from, 10)},
+		"max":       {strconv.Itoa(pageRecords)},
+		"waitUntil": {strconv.FormatInt(until.UnixMilli(), 10)},
+	}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return Page{}, err
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return Page{}, errors.Join(ErrUnavailable, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK && res.StatusCode != http.StatusGone {
+		return Page{}, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnavailable)
+	}
+	if err = json.NewDecoder(io.LimitReader(res.Body, maxPage)).Decode(&page); err != nil {
+		return Page{}, errors.Join(ErrUnavailable, err)
+	}
+	if res.StatusCode == http.StatusGone {
+		return page, ErrExpired
+	}
+	return page, nil
+}
--- /dev/null
+++ b/request/request.go
@@ -0,0 +1,161 @@
+// Package request holds what lives for one call: the call itself, its answer
+// and the outcome that the caller is told.
+//
+// The subpackages decide on a call: route chooses the instance, admission
+// bounds the load of an instance, retry bounds further attempts, claim runs
+// keyed requests at most once and quarantine stops requests that crash
+// upstreams. The handlers are in entry and host.
+//
+// # Usage
+//
+//	call := request.Call{ID: id, Route: route.Name, Method: http.MethodGet, Path: "/slots", Deadline: deadline}
+//	ans, err := forwarder.Forward(ctx, instance, &call)
+//	var ref *request.Refusal
+//	if errors.As(err, &ref) && ref.Outcome == request.NotRun {
+//		// another instance may be tried
+//	}
+package request
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxBody bounds the body of a request, and the part of an answer that is
+// buffered before the caller sees any of it, in bytes.
+const MaxBody = 1 << 20
+
+// Headers between caller, entry, host and upstream.
+const (
+	// HeaderOutcome tells the caller what became of the request.
+	HeaderOutcome = "Kingcuppitch-Outcome"
+	// HeaderRequest carries the id of an attempt, which the host echoes.
+	HeaderRequest = "Kingcuppitch-Request"
+	// HeaderRoute carries the name of the route from entry to host.
+	HeaderRoute = "Kingcuppitch-Route"
+	// HeaderUpstreamVersion carries the upstream version that the entry chose.
+	HeaderUpstreamVersion = "Kingcuppitch-Upstream-Version"
+	// HeaderVersion carries the configuration version of the entry.
+	HeaderVersion = "Kingcuppitch-Version"
+	// HeaderReason carries the reason of a refusal.
+	HeaderReason = "Kingcuppitch-Reason"
+	// HeaderLoad, HeaderLimit and HeaderState report the instance's load.
+	HeaderLoad  = "Kingcuppitch-Load"
+	HeaderLimit = "Kingcuppitch-Limit"
+	HeaderState = "Kingcuppitch-State"
+	// HeaderTimeout carries the remaining time in milliseconds.
+	HeaderTimeout = "Request-Timeout-Ms"
+	// HeaderUpstreamRequest is echoed by the upstream.
+	HeaderUpstreamRequest = "Request-Id"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderKeyDate says when the caller first used its key.
+	HeaderKeyDate = "Idempotency-Key-Date"
+)
+
+// Outcome says whether a request ran.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// Ran means that the upstream answered.
+	Ran Outcome = "ran"
+	// NotRun means that no byte of the request reached an upstream.
+	NotRun Outcome = "notRun"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+	// Replayed means that the answer of an earlier run is repeated.
+	Replayed Outcome = "replayed"
+)
+
+// Reason is a machine-readable cause of a refusal.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonNoRoute       Reason = "noRoute"
+	ReasonNoInstance    Reason = "noInstance"
+	ReasonOverload      Reason = "overload"
+	ReasonLeaving       Reason = "leaving"
+	ReasonZoneOut       Reason = "zoneOut"
+	ReasonDeadline      Reason = "deadline"
+	ReasonQuarantined   Reason = "quarantined"
+	ReasonNotReady      Reason = "notReady"
+	ReasonTooLarge      Reason = "tooLarge"
+	ReasonMalformed     Reason = "malformed"
+	ReasonConnect       Reason = "connect"
+	ReasonConnection    Reason = "connectionLost"
+	ReasonMismatch      Reason = "answerMismatch"
+	ReasonTruncated     Reason = "answerTruncated"
+	ReasonWrongVersion  Reason = "wrongVersion"
+	ReasonKeyInUse      Reason = "keyInUse"
+	ReasonLogOut        Reason = "logUnavailable"
+	ReasonKeyExpired    Reason = "keyExpired"
+	ReasonInternalRoute Reason = "internalRoute"
+)
+
+// Refusal is an error that carries the outcome that the caller is told.
+type Refusal struct {
+	Outcome Outcome
+	Reason  Reason
+	Detail  string
+	// RetryAt is when another try is sensible; zero means at once.
+	RetryAt time.Time
+	// Status is the HTTP status; zero means 503.
+	Status int
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return string(r.Reason) + " (" + string(r.Outcome) + "): " + r.Detail
+}
+
+// Call is one request on its way to an upstream.
+type Call struct {
+	// ID is unique to one attempt.
+	ID         string
+	Route      string
+	Method     string
+	Path       string // with the query
+	Header     http.Header
+	Body       []byte
+	Deadline   time.Time
+	Idempotent bool
+	Class      string
+	// UpstreamVersion is the upstream version that the entry chose.
+	UpstreamVersion string
+	// Version is the configuration version of the entry.
+	Version int64
+}
+
+// Fingerprint returns a hash of what the upstream sees of the call.
+func (c *Call) Fingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(c.Method)
+	_, _ = d.WriteString("\n" + c.Path + "\n")
+	_, _ = d.Write(c.Body)
+	return d.Sum64()
+}
+
+// Load is what a host reports of its instance with each answer.
+type Load struct {
+	InFlight int
+	Limit    int
+	State    string
+}
+
+// Answer is the answer of an upstream.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body holds the whole body, or its first MaxBody bytes.
+	Body []byte
+	// Rest streams what follows Body; nil if Body is the whole body.
+	Rest    io.ReadCloser
+	Outcome Outcome
+	Load    Load
+}
--- /dev/null
+++ b/version/config/config.go
@@ -0,0 +1,205 @@
+// Package config holds the configuration that operators publish: routes, the
+// upstreams behind them with their versions, presets and availability zones.
+//
+// A configuration is valid as a whole or not at all: Validate checks every
+// field and that each reference resolves within the configuration. Diff gives
+// the changes between two configurations, and Apply makes them, so that a
+// record on the log carries only the resources that changed.
+//
+// # Usage
+//
+//	cfg, err := config.Parse(data)
+//	if err != nil {
+//		return err // names the key and the line
+//	}
+//	change := config.Diff(current, cfg)
+//	next := config.Apply(current, change)
+//	err = next.Validate()
+package config
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits of a configuration.
+const (
+	// MaxNameLength is the length of a resource name in bytes.
+	MaxNameLength = 63
+	// MaxSlots bounds the concurrent requests of an instance.
+	MaxSlots = 10_000
+	// MaxConnections bounds the connections to an instance.
+	MaxConnections = 100_000
+	// MaxAnswerWithin bounds the time limit of a route.
+	MaxAnswerWithin = 10 * time.Minute
+)
+
+// Config is a whole configuration; the zero value is empty and valid.
+type Config struct {
+	Zones     []Zone     `toml:"zones" json:"zones,omitempty"`
+	Upstreams []Upstream `toml:"upstreams" json:"upstreams,omitempty"`
+	Routes    []Route    `toml:"routes" json:"routes,omitempty"`
+	Presets   []Preset   `toml:"presets" json:"presets,omitempty"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name   string `toml:"name" json:"name"`
+	Region string `toml:"region" json:"region"`
+}
+
+// Upstream is a back end with its versions and the limits of each of its
+// instances.
+type Upstream struct {
+	Name string `toml:"name" json:"name"`
+	// Versions lists the names of the versions that may run.
+	Versions []string `toml:"versions" json:"versions"`
+	// Active is the version that receives traffic outside of a move.
+	Active string `toml:"active" json:"active"`
+	// Slots is the number of concurrent requests that a warm instance bears.
+	Slots int `toml:"slots" json:"slots"`
+	// ColdSlots is the number of concurrent requests in cold start.
+	ColdSlots int `toml:"coldSlots" json:"coldSlots"`
+	// Connections is the number of connections that an instance accepts.
+	Connections int `toml:"connections" json:"connections"`
+}
+
+// Route sends the requests that match it to an upstream.
+type Route struct {
+	Name string `toml:"name" json:"name"`
+	// Prefix is the path prefix that a request must have.
+	Prefix string `toml:"prefix" json:"prefix"`
+	// Methods lists the HTTP methods of the route; empty means all.
+	Methods  []string `toml:"methods" json:"methods,omitempty"`
+	Upstream string   `toml:"upstream" json:"upstream"`
+	// Idempotent says that a request may be repeated without harm.
+	Idempotent bool `toml:"idempotent" json:"idempotent"`
+	// Class is the priority class that presets name.
+	Class string `toml:"class" json:"class"`
+	// AnswerWithin bounds the time to answer a request.
+	AnswerWithin Duration `toml:"answerWithin" json:"answerWithin"`
+	// Internal routes are reachable only from callers within the mesh.
+	Internal bool `toml:"internal" json:"internal,omitempty"`
+}
+
+// Preset is a set of policies for a kind of day.
+type Preset struct {
+	Name string `toml:"name" json:"name"`
+	// Shed lists the priority classes in the order in which they are refused
+	// under overload.
+	Shed []string `toml:"shed" json:"shed,omitempty"`
+	// RetryPercent is the share of requests that may be retried.
+	RetryPercent int `toml:"retryPercent" json:"retryPercent"`
+	// CanaryPercent is the largest share of an unproven version.
+	CanaryPercent int `toml:"canaryPercent" json:"canaryPercent"`
+}
+
+// Duration is a length of time in TOML and JSON text, such as "1.5s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// Change is a set of resources to insert or replace and of names to delete.
+type Change struct {
+	Upserts Config `json:"upserts"`
+	Deletes Names  `json:"deletes"`
+}
+
+// Names lists resources by kind and name.
+type Names struct {
+	Zones     []string `json:"zones,omitempty"`
+	Upstreams []string `json:"upstreams,omitempty"`
+	Routes    []string `json:"routes,omitempty"`
+	Presets   []string `json:"presets,omitempty"`
+}
+
+// Kind is the kind of a resource.
+type Kind string
+
+// The kinds of resources.
+const (
+	KindZone     Kind = "zone"
+	KindUpstream Kind = "upstream"
+	KindRoute    Kind = "route"
+	KindPreset   Kind = "preset"
+)
+
+// Key names one resource.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the kind and the name, separated by a slash.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Keys returns the resources that the change touches, sorted.
+func (c Change) Keys() []Key {
+	var keys []Key
+	add := func(kind Kind, names []string) {
+		for _, n := range names {
+			keys = append(keys, Key{kind, n})
+		}
+	}
+	add(KindZone, append(names(c.Upserts.Zones, zoneName), c.Deletes.Zones...))
+	add(KindUpstream, append(names(c.Upserts.Upstreams, upstreamName), c.Deletes.Upstreams...))
+	add(KindRoute, append(names(c.Upserts.Routes, routeName), c.Deletes.Routes...))
+	add(KindPreset, append(names(c.Upserts.Presets, presetName), c.Deletes.Presets...))
+	slices.SortFunc(keys, func(a, b Key) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return slices.Compact(keys)
+}
+
+// Empty reports whether the change touches nothing.
+func (c Change) Empty() bool { return len(c.Keys()) == 0 }
+
+// Upstream returns the upstream with the given name.
+func (c *Config) Upstream(name string) (Upstream, bool) {
+	return find(c.Upstreams, upstreamName, name)
+}
+
+// Zone returns the availability zone with the given name.
+func (c *Config) Zone(name string) (Zone, bool) { return find(c.Zones, zoneName, name) }
+
+// Preset returns the preset with the given name.
+func (c *Config) Preset(name string) (Preset, bool) { return find(c.Presets, presetName, name) }
+
+// Route returns the route with the given name.
+func (c *Config) Route(name string) (Route, bool) { return find(c.Routes, routeName, name) }
+
+func zoneName(z Zone) string         { return z.Name }
+func upstreamName(u Upstream) string { return u.Name }
+func routeName(r Route) string       { return r.Name }
+func presetName(p Preset) string     { return p.Name }
+
+func names[T any](list []T, name func(T) string) []string {
+	out := make([]string, 0, len(list))
+	for _, v := range list {
+		out = append(out, name(v))
+	}
+	return out
+}
+
+func find[T any](list []T, name func(T) string, want string) (T, bool) {
+	for _, v := range list {
+		if name(v) == want {
+			return v, true
+		}
+	}
+	var zero T
+	return zero, false
+}
--- /dev/null
+++ b/version/record/record.go
@@ -0,0 +1,170 @@
+// Package record defines the records on the configuration stream of the log
+// and their JSON codec.
+//
+// A record is an envelope with an id, a kind and one body. The offset at which
+// the log stores a record is its version. The id identifies a record whose
+// append was repeated after its answer was lost.
+//
+// # Usage
+//
+//	rec := record.Record{ID: id, Kind: record.KindPreset, Preset: &record.Preset{Name: "peak", ActivateAt: at}}
+//	data, err := rec.Encode()
+//	rec, err = record.Decode(data)
+package record
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/rotisserie/eris"
+)
+
+// Stream is the name of the configuration stream on the log.
+const Stream = "config"
+
+// Format is the newest record format that this release reads.
+const Format = 1
+
+// MaxSize is the largest record in bytes.
+const MaxSize = 4 << 20
+
+// Kind is the kind of a record.
+type Kind string
+
+// The kinds of records.
+const (
+	KindPublish  Kind = "publish"
+	KindPreset   Kind = "preset"
+	KindZone     Kind = "zone"
+	KindMove     Kind = "move"
+	KindMoveStop Kind = "moveStop"
+	KindVerdict  Kind = "verdict"
+	KindMoveDone Kind = "moveDone"
+	KindSnapshot Kind = "snapshot"
+)
+
+// ErrNewer is returned for a record of a newer format or an unknown kind.
+var ErrNewer = errors.New("record of a newer release")
+
+// Record is one record of the configuration stream.
+type Record struct {
+	Format int    `json:"format"`
+	ID     string `json:"id"`
+	Kind   Kind   `json:"kind"`
+	// Base is the version that the author had seen.
+	Base   int64     `json:"base,omitempty"`
+	Author string    `json:"author,omitempty"`
+	At     time.Time `json:"at"`
+
+	Publish  *config.Change `json:"publish,omitempty"`
+	Preset   *Preset        `json:"preset,omitempty"`
+	Zone     *Zone          `json:"zone,omitempty"`
+	Move     *Move          `json:"move,omitempty"`
+	MoveStop *MoveEnd       `json:"moveStop,omitempty"`
+	Verdict  *MoveEnd       `json:"verdict,omitempty"`
+	MoveDone *MoveEnd       `json:"moveDone,omitempty"`
+	Snapshot *Snapshot      `json:"snapshot,omitempty"`
+}
+
+// Preset puts a preset in force.
+type Preset struct {
+	Name       string    `json:"name"`
+	ActivateAt time.Time `json:"activateAt"`
+}
+
+// Zone takes an availability zone out or brings it back.
+type Zone struct {
+	Name string `json:"name"`
+	Out  bool   `json:"out"`
+	// RampUntil is when a zone that comes back receives its full share.
+	RampUntil time.Time `json:"rampUntil"`
+}
+
+// Move moves the traffic of an upstream from one version to another.
+type Move struct {
+	Upstream string    `json:"upstream"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	StartAt  time.Time `json:"startAt"`
+	DoneBy   time.Time `json:"doneBy"`
+}
+
+// MoveEnd ends a move, which is named by the offset of its record.
+type MoveEnd struct {
+	Move     int64  `json:"move"`
+	Reason   string `json:"reason,omitempty"`
+	Evidence string `json:"evidence,omitempty"`
+}
+
+// Snapshot holds the state folded from all records up to and including UpTo.
+type Snapshot struct {
+	UpTo  int64           `json:"upTo"`
+	State json.RawMessage `json:"state"`
+}
+
+// Encode returns the JSON of r; a zero format is set to Format.
+func (r Record) Encode() (data []byte, err error) {
+	defer func() { err = eris.Wrap(err, "encode record") }()
+	if r.Format == 0 {
+		r.Format = Format
+	}
+	if err = r.check(); err != nil {
+		return nil, err
+	}
+	data, err = json.Marshal(r)
+	if err == nil && len(data) > MaxSize {
+		return nil, fmt.Errorf("%d bytes exceed the limit of %d bytes", len(data), MaxSize)
+	}
+	return data, err
+}
+
+// Decode reads a record; the error is ErrNewer where the format or the kind is
+// unknown to this release.
+func Decode(data []byte) (r Record, err error) {
+	defer func() { err = eris.Wrap(err, "decode record") }()
+	if len(data) > MaxSize {
+		return Record{}, fmt.Errorf("%d bytes exceed the limit of %d bytes", len(data), MaxSize)
+	}
+	var head struct {
+		Format int  `json:"format"`
+		Kind   Kind `json:"kind"`
+	}
+	if err = json.Unmarshal(data, &head); err != nil {
+		return Record{}, err
+	}
+	if head.Format > Format || !head.Kind.known() {
+		return Record{}, fmt.Errorf("format %d, kind %q: %w", head.Format, head.Kind, ErrNewer)
+	}
+	if err = json.Unmarshal(data, &r); err != nil {
+		return Record{}, err
+	}
+	return r, r.check()
+}
+
+func (k Kind) known() bool {
+	switch k {
+	case KindPublish, KindPreset, KindZone, KindMove, KindMoveStop, KindVerdict, KindMoveDone, KindSnapshot:
+		return true
+	}
+	return false
+}
+
+func (r Record) check() error {
+	if r.ID == "" {
+		return errors.New("id is empty")
+	}
+	bodies := map[Kind]bool{
+		KindPublish: r.Publish != nil, KindPreset: r.Preset != nil, KindZone: r.Zone != nil,
+		KindMove: r.Move != nil, KindMoveStop: r.MoveStop != nil, KindVerdict: r.Verdict != nil,
+		KindMoveDone: r.MoveDone != nil, KindSnapshot: r.Snapshot != nil,
+	}
+	for kind, present := range bodies {
+		if present != (kind == r.Kind) {
+			return fmt.Errorf("kind %q: body %q is %s", r.Kind, kind, map[bool]string{true: "unexpected", false: "missing"}[present])
+		}
+	}
+	return nil
+}
