--- /dev/null
+++ b/process/client/append.go
@@ -0,0 +1,201 @@
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"github.com/spf13/cobra"
+)
+
+// resultPending is the answer of a daemon whose deadline passed before it
+// folded the record.
+const resultPending = "pending"
+
+const (
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// recordFlags are the flags of all commands that append a record.
+type recordFlags struct {
+	id   string
+	wait bool
+}
+
+func (a *app) addRecordFlags(cmd *cobra.Command) *recordFlags {
+	f := new(recordFlags)
+	cmd.Flags().StringVar(&a.author, "author", userName(), "author of the record")
+	cmd.Flags().StringVar(&f.id, "id", "", "record `ID` of an earlier attempt whose result is unknown")
+	cmd.Flags().BoolVar(&f.wait, "wait", false, "wait until all daemons that the first one knows hold the version")
+	return f
+}
+
+// appendResult is what became of an appended record.
+type appendResult struct {
+	ID      string      `json:"id"`
+	Kind    record.Kind `json:"kind"`
+	Result  string      `json:"result"`
+	Version int64       `json:"version,omitempty"`
+	Reason  string      `json:"reason,omitempty"`
+	// Winner and WinnerAuthor name the version that overtook the record.
+	Winner       int64       `json:"winner,omitempty"`
+	WinnerAuthor string      `json:"winnerAuthor,omitempty"`
+	Wait         *waitResult `json:"wait,omitempty"`
+}
+
+func newID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails; crypto/rand ends the process instead
+	return hex.EncodeToString(b[:])
+}
+
+// submit appends rec, waits where asked to, and prints the result.
+func (a *app) submit(ctx context.Context, rec record.Record, f *recordFlags, done string) error {
+	rec.ID, rec.Author, rec.At = f.id, a.author, time.Now().UTC()
+	if rec.ID == "" {
+		rec.ID = newID()
+	}
+	start := time.Now()
+	res, err := a.append(ctx, rec)
+	if err != nil {
+		return err
+	}
+	if res.Result == string(fold.Refused) {
+		return &refusedError{res}
+	}
+	if f.wait {
+		res.Wait, err = a.waitForVersion(ctx, res.Version, start)
+		if err != nil {
+			return err
+		}
+	}
+	a.print(res, func(p *printer) {
+		p.line("accepted as version %d: %s", res.Version, done)
+		if res.Wait != nil {
+			res.Wait.text(p, res.Version)
+		}
+	})
+	if res.Wait != nil && len(res.Wait.Lagging) > 0 {
+		return exitf(ExitLagging, "version %d is not in force everywhere: %d of %d daemons lag",
+			res.Version, len(res.Wait.Lagging), res.Wait.Daemons)
+	}
+	return nil
+}
+
+// refusedError is a refusal of a record.
+type refusedError struct{ appendResult }
+
+func (e *refusedError) Error() string {
+	msg := "refused: " + e.Reason
+	switch {
+	case e.Winner == 0:
+	case e.WinnerAuthor == "":
+		msg += fmt.Sprintf("\nversion %d is in force instead", e.Winner)
+	default:
+		msg += fmt.Sprintf("\nversion %d by %s is in force instead", e.Winner, e.WinnerAuthor)
+	}
+	return msg
+}
+
+func (e *refusedError) Unwrap() error { return &exitError{ExitRefused, errors.New(e.Reason)} }
+
+// append sends the record to the daemons in order until one of them knows its
+// result. All attempts send the same bytes, so the id finds a record whose
+// earlier answer was lost.
+func (a *app) append(ctx context.Context, rec record.Record) (appendResult, error) {
+	data, err := rec.Encode()
+	if err != nil {
+		return appendResult{}, err
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
+	sent := false
+	for {
+		var errs []error
+		for _, d := range a.daemons {
+			res, err := d.append(ctx, data)
+			switch {
+			case err == nil && res.Result != resultPending:
+				return a.resolve(ctx, rec, res), nil
+			case err == nil:
+				sent = true
+				errs = append(errs, fmt.Errorf("%v: the record is not folded yet", d.addr))
+			case rejected(err):
+				return appendResult{ID: rec.ID, Kind: rec.Kind, Result: string(fold.Refused), Reason: err.Error()}, nil
+			default:
+				sent = sent || !notSent(err)
+				errs = append(errs, fmt.Errorf("append through %v: %w", d.addr, err))
+			}
+		}
+		err := errors.Join(errs...)
+		if !sent {
+			return appendResult{}, exitf(ExitUnreachable, "no daemon reachable: %w", err)
+		}
+		select {
+		case <-ctx.Done():
+			return appendResult{}, exitf(ExitUnknown,
+				"the result of record %s is unknown; repeat the command with --id %s: %w", rec.ID, rec.ID, err)
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+func (d *daemon) append(ctx context.Context, data []byte) (*wirev1.AppendResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	res, err := d.control.Append(ctx, connect.NewRequest(&wirev1.AppendRequest{
+		Record:           data,
+		DeadlineUnixNano: deadline.Add(-answerMargin).UnixNano(),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// rejected reports whether a daemon answered that it will never append the
+// record.
+func rejected(err error) bool {
+	if !connect.IsWireError(err) {
+		return false
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodePermissionDenied, connect.CodeUnimplemented:
+		return true
+	}
+	return false
+}
+
+// resolve completes the result with what the state knows: the first outcome of
+// a repeated id, and the author of the version that overtook the record.
+func (a *app) resolve(ctx context.Context, rec record.Record, res *wirev1.AppendResponse) appendResult {
+	out := appendResult{
+		ID: rec.ID, Kind: rec.Kind, Result: res.Result, Version: res.Offset, Reason: res.Reason, Winner: res.Winner,
+	}
+	if out.Result == string(fold.Accepted) {
+		return out
+	}
+	st, _, err := a.state(ctx)
+	if err != nil {
+		return out
+	}
+	if first, ok := st.Outcome(rec.ID); ok && out.Result == string(fold.Duplicate) {
+		out.Result, out.Version, out.Reason, out.Winner = string(first.Result), first.Offset, first.Reason, first.Winner
+	}
+	for _, t := range st.Touched {
+		if t.Version == out.Winner {
+			out.WinnerAuthor = t.Author
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/process/client/validate.go
@@ -0,0 +1,47 @@
+package client
+
+import (
+	"os"
+
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+func (a *app) newValidate() *cobra.Command {
+	return &cobra.Command{
+		Use:   "validate FILE",
+		Short: "Check a configuration file without a daemon",
+		Long: `validate reads a configuration file and reports all its problems, each with
+the key and, where it is known, the line. It needs no daemon.`,
+		Example: `  kingcuppitch validate examples/interviewBooking/config.toml`,
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			cfg, err := readConfig(args[0])
+			if err != nil {
+				return err
+			}
+			res := struct {
+				File      string `json:"file"`
+				Zones     int    `json:"zones"`
+				Upstreams int    `json:"upstreams"`
+				Routes    int    `json:"routes"`
+				Presets   int    `json:"presets"`
+			}{args[0], len(cfg.Zones), len(cfg.Upstreams), len(cfg.Routes), len(cfg.Presets)}
+			a.print(res, func(p *printer) {
+				p.line("%s is valid: %d zones, %d upstreams, %d routes, %d presets",
+					res.File, res.Zones, res.Upstreams, res.Routes, res.Presets)
+			})
+			return nil
+		},
+	}
+}
+
+func readConfig(path string) (cfg config.Config, err error) {
+	defer func() { err = eris.Wrap(err, path) }()
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return config.Config{}, err
+	}
+	return config.Parse(data)
+}
--- /dev/null
+++ b/process/client/wait.go
@@ -0,0 +1,133 @@
+package client
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"golang.org/x/sync/errgroup"
+)
+
+// waitPoll is the pause between two rounds of questions to daemons that lag.
+const waitPoll = 100 * time.Millisecond
+
+// waitResult says which daemons hold a version.
+type waitResult struct {
+	Daemons int        `json:"daemons"`
+	Seconds float64    `json:"seconds"`
+	Lagging []lagEntry `json:"lagging,omitempty"`
+}
+
+// lagEntry is a daemon that does not hold the version yet.
+type lagEntry struct {
+	Daemon  string `json:"daemon"`
+	Zone    string `json:"zone,omitempty"`
+	Address string `json:"address"`
+	Offset  int64  `json:"offset"`
+	Error   string `json:"error,omitempty"`
+}
+
+func (w *waitResult) text(p *printer, version int64) {
+	if len(w.Lagging) == 0 {
+		p.line("version %d is in force on all %d daemons after %.2f s", version, w.Daemons, w.Seconds)
+		return
+	}
+	p.line("after %.2f s version %d is in force on %d of %d daemons; these lag:",
+		w.Seconds, version, w.Daemons-len(w.Lagging), w.Daemons)
+	rows := [][]string{{"DAEMON", "ZONE", "ADDRESS", "OFFSET", "ERROR"}}
+	for _, l := range w.Lagging {
+		rows = append(rows, []string{l.Daemon, l.Zone, l.Address, decimal(l.Offset), l.Error})
+	}
+	p.table(rows)
+}
+
+// memberDaemons returns the daemons that a status lists, without those that
+// have left or are dead.
+func memberDaemons(res *wirev1.StatusResponse) []*wirev1.Member {
+	return slices.DeleteFunc(slices.Clone(res.Members), func(m *wirev1.Member) bool {
+		return m.PeerAddress == "" || m.State == "dead" || m.State == "left"
+	})
+}
+
+// waitForVersion asks all members until each reports an offset at or above
+// version, or until ctx ends.
+func (a *app) waitForVersion(ctx context.Context, version int64, start time.Time) (*waitResult, error) {
+	res, first, err := a.status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	pending := make(map[string]*lagEntry)
+	for _, m := range memberDaemons(res) {
+		pending[m.PeerAddress] = &lagEntry{Daemon: m.Name, Zone: m.Zone, Address: m.PeerAddress}
+	}
+	pending[first.addr.String()] = &lagEntry{Daemon: res.Daemon, Zone: res.Zone, Address: first.addr.String()}
+	w := &waitResult{Daemons: len(pending)}
+	connections := make(map[string]*daemon)
+	defer func() {
+		for _, d := range connections {
+			d.close()
+		}
+	}()
+	for {
+		var mu sync.Mutex
+		var g errgroup.Group
+		g.SetLimit(maxParallel)
+		for _, l := range sortedEntries(pending) {
+			d, ok := connections[l.Address]
+			if !ok {
+				addr, err := netip.ParseAddrPort(l.Address)
+				if err != nil {
+					l.Error = err.Error()
+					continue
+				}
+				d = newDaemon(addr)
+				connections[l.Address] = d
+			}
+			g.Go(func() error {
+				res, err := d.status(ctx)
+				if err != nil {
+					// An answer cut off by the end of the wait says nothing new.
+					if ctx.Err() == nil || l.Error == "" {
+						l.Error = err.Error()
+					}
+					return nil
+				}
+				l.Offset, l.Error = res.Offset, ""
+				if res.Offset >= version {
+					mu.Lock()
+					defer mu.Unlock()
+					delete(pending, l.Address)
+				}
+				return nil
+			})
+		}
+		_ = g.Wait()
+		w.Seconds = time.Since(start).Seconds()
+		if len(pending) == 0 {
+			return w, nil
+		}
+		select {
+		case <-ctx.Done():
+			for _, l := range sortedEntries(pending) {
+				w.Lagging = append(w.Lagging, *l)
+			}
+			return w, nil
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+func sortedEntries(m map[string]*lagEntry) []*lagEntry {
+	list := make([]*lagEntry, 0, len(m))
+	for _, l := range m {
+		list = append(list, l)
+	}
+	slices.SortFunc(list, func(a, b *lagEntry) int {
+		return strings.Compare(a.Daemon+" "+a.Address, b.Daemon+" "+b.Address)
+	})
+	return list
+}
