Report configuration and settings faults with key and line

The decode error handling stood twice. internal/tomlsource now decodes for both and knows the line of each key. A configuration fault has a type of its own, so that the client can list all faults.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -27,9 +27,8 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"github.com/kingcuppitch/kingcuppitch/internal/tomlsource"
 	"github.com/rotisserie/eris"
 )
 
@@ -68,48 +67,34 @@
 	return Parse(data)
 }
 
-// Parse reads the settings from TOML; unknown keys are refused.
+// Parse reads the settings from TOML; unknown keys are refused. The error joins
+// one error for each fault, with its key and line.
 func Parse(data []byte) (s Settings, err error) {
-	dec := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields()
-	if err = dec.Decode(&s); err != nil {
-		return Settings{}, describe(err)
+	lines, err := tomlsource.Decode(data, &s)
+	if err != nil && !tomlsource.OnlyUnknown(err) {
+		return Settings{}, err
 	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
-	return s, s.check(string(data))
-}
-
-func describe(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var errs []error
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			errs = append(errs, fmt.Errorf("line %d: unknown key %q", row, strings.Join(e.Key(), ".")))
-		}
-		return errors.Join(errs...)
-	}
-	var dec *toml.DecodeError
-	if errors.As(err, &dec) {
-		row, _ := dec.Position()
-		return fmt.Errorf("line %d: key %q: %w", row, strings.Join(dec.Key(), "."), dec)
+	if err = errors.Join(err, s.check(lines)); err != nil {
+		return Settings{}, err
 	}
-	return err
+	return s, nil
 }
 
 // check reports all problems together, each with its key and line.
-func (s *Settings) check(text string) error {
+func (s *Settings) check(lines tomlsource.Lines) error {
 	var errs []error
 	report := func(key, format string, args ...any) {
-		errs = append(errs, fmt.Errorf("%skey %q: %s", lineOf(text, key), key, fmt.Sprintf(format, args...)))
+		errs = append(errs, lines.Problem(key, format, args...))
 	}
-	for key, v := range map[string]string{"name": s.Name, "region": s.Region, "zone": s.Zone} {
-		if v == "" {
-			report(key, "is required")
+	for _, v := range []struct{ key, value string }{{"name", s.Name}, {"region", s.Region}, {"zone", s.Zone}} {
+		if v.value == "" {
+			report(v.key, "is required")
 		}
 	}
-	own := []struct {
+	addresses := []struct {
 		key  string
 		addr netip.AddrPort
 	}{
@@ -117,25 +102,43 @@
 		{"peerAddress", s.PeerAddress},
 		{"announceAddress", s.AnnounceAddress},
 		{"metricsAddress", s.MetricsAddress},
+		{"logAddress", s.LogAddress},
 	}
 	seen := make(map[netip.AddrPort]string)
-	for _, a := range own {
-		switch other, dup := seen[a.addr]; {
-		case !a.addr.IsValid() || a.addr.Port() == 0:
+	for _, a := range addresses {
+		if !a.addr.IsValid() || a.addr.Port() == 0 {
 			report(a.key, "an IP number and a port are required")
-		case dup:
+			continue
+		}
+		// 127.0.0.1 and ::ffff:127.0.0.1 are the same address.
+		addr := netip.AddrPortFrom(a.addr.Addr().Unmap(), a.addr.Port())
+		if other, ok := seen[addr]; ok {
 			report(a.key, "has the same address as %q", other)
+		} else {
+			seen[addr] = a.key
+		}
+		switch a.key {
+		case "callerAddress", "peerAddress", "logAddress":
+			// Members send the first two to each other, and 0.0.0.0 reaches
+			// nobody.
+			if addr.Addr().IsUnspecified() {
+				report(a.key, "%v is not the number of one interface", addr.Addr())
+			}
+		case "announceAddress":
+			// An announcement from elsewhere could replace the upstream.
+			if !addr.Addr().IsLoopback() {
+				report(a.key, "%v is not a loopback address", addr.Addr())
+			}
 		}
-		seen[a.addr] = a.key
 	}
-	if !s.LogAddress.IsValid() || s.LogAddress.Port() == 0 {
-		report("logAddress", "an IP number and a port are required")
-	} else if other, dup := seen[s.LogAddress]; dup {
-		report("logAddress", "has the same address as %q", other)
+	for i, a := range s.Seeds {
+		if !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() {
+			report(fmt.Sprintf("seeds[%d]", i), "an IP number and a port are required")
+		}
 	}
-	for _, a := range s.Seeds {
-		if !a.IsValid() || a.Port() == 0 {
-			report("seeds", "%v is not an IP number and a port", a)
+	for i, p := range s.InternalCallers {
+		if !p.IsValid() {
+			report(fmt.Sprintf("internalCallers[%d]", i), "a network such as 10.0.0.0/8 is required")
 		}
 	}
 	switch s.LogLevel {
@@ -145,13 +148,3 @@
 	}
 	return errors.Join(errs...)
 }
-
-func lineOf(text, key string) string {
-	for i, line := range strings.Split(text, "\n") {
-		name, _, ok := strings.Cut(line, "=")
-		if ok && strings.TrimSpace(name) == key {
-			return fmt.Sprintf("line %d: ", i+1)
-		}
-	}
-	return ""
-}
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -8,158 +9,256 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"github.com/kingcuppitch/kingcuppitch/internal/tomlsource"
 	"github.com/rotisserie/eris"
 )
 
-// Parse reads a configuration in TOML and validates it. Unknown keys are
-// refused with their name and line.
-func Parse(data []byte) (cfg Config, err error) {
-	defer func() { err = eris.Wrap(err, "parse configuration") }()
-	dec := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields()
-	if err = dec.Decode(&cfg); err != nil {
-		return Config{}, decodeError(err)
-	}
-	cfg = Apply(Config{}, Change{Upserts: cfg.checkedCopy(&err)})
-	if err != nil {
-		return Config{}, err
-	}
-	return cfg, cfg.Validate()
+// Problem is one fault of a configuration.
+type Problem struct {
+	// Line is the line in the file, from 1; zero means that it is not known.
+	Line int `json:"line,omitempty"`
+	// Kind and Name give the resource; both may be empty.
+	Kind Kind   `json:"kind,omitempty"`
+	Name string `json:"name,omitempty"`
+	// Key is the key within the resource, or its path in the file where the
+	// resource is not known.
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
 }
 
-// checkedCopy reports duplicate names, which Apply would silently merge.
-func (c Config) checkedCopy(err *error) Config {
-	*err = errors.Join(
-		duplicates(KindZone, names(c.Zones, zoneName)),
-		duplicates(KindUpstream, names(c.Upstreams, upstreamName)),
-		duplicates(KindRoute, names(c.Routes, routeName)),
-		duplicates(KindPreset, names(c.Presets, presetName)),
-	)
-	return c
+// Error implements error.
+func (p *Problem) Error() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", p.Line)
+	}
+	switch {
+	case p.Kind != "":
+		fmt.Fprintf(&b, "%s %q: ", p.Kind, p.Name)
+		if p.Key != "" {
+			b.WriteString(p.Key + ": ")
+		}
+	case p.Key != "":
+		fmt.Fprintf(&b, "key %q: ", p.Key)
+	}
+	b.WriteString(p.Message)
+	return b.String()
 }
 
-func duplicates(kind Kind, list []string) error {
-	seen := make(map[string]bool, len(list))
-	for _, n := range list {
-		if seen[n] {
-			return fmt.Errorf("%s %q is defined twice", kind, n)
+// Problems returns the problems that err joins or wraps, in the order of the
+// file.
+func Problems(err error) []*Problem {
+	if p, ok := err.(*Problem); ok { //nolint:errorlint // the cases below unwrap
+		return []*Problem{p}
+	}
+	switch u := err.(type) { //nolint:errorlint // the cases below unwrap
+	case interface{ Unwrap() error }:
+		return Problems(u.Unwrap())
+	case interface{ Unwrap() []error }:
+		var list []*Problem
+		for _, e := range u.Unwrap() {
+			list = append(list, Problems(e)...)
 		}
-		seen[n] = true
+		return list
 	}
 	return nil
 }
 
-func decodeError(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var msgs []error
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			msgs = append(msgs, fmt.Errorf("line %d: unknown key %q", row, strings.Join(e.Key(), ".")))
+// Parse reads a configuration in TOML and validates it. The error joins a
+// *Problem for each fault, with its key and, where it is known, its line.
+func Parse(data []byte) (cfg Config, err error) {
+	defer func() { err = eris.Wrap(err, "parse configuration") }()
+	lines, err := tomlsource.Decode(data, &cfg)
+	var found []*Problem
+	for _, p := range tomlsource.Problems(err) {
+		found = append(found, &Problem{Line: p.Line, Key: p.Key, Message: p.Message})
+	}
+	if err != nil && len(found) == 0 {
+		return Config{}, err
+	}
+	if err == nil || tomlsource.OnlyUnknown(err) {
+		for _, f := range cfg.faults() {
+			f.problem.Line = lines.Line(f.path())
+			found = append(found, &f.problem)
 		}
-		return errors.Join(msgs...)
 	}
-	var dec *toml.DecodeError
-	if errors.As(err, &dec) {
-		row, _ := dec.Position()
-		return fmt.Errorf("line %d: key %q: %w", row, strings.Join(dec.Key(), "."), dec)
+	if len(found) > 0 {
+		slices.SortStableFunc(found, func(a, b *Problem) int { return cmp.Compare(a.Line, b.Line) })
+		return Config{}, join(found)
 	}
-	return err
+	return Apply(Config{}, Change{Upserts: cfg}), nil
 }
 
-// Validate checks every field and that all references resolve within c.
+// Validate checks every field and that all references resolve within c. The
+// error joins a *Problem for each fault.
 func (c Config) Validate() error {
-	var errs []error
-	report := func(kind Kind, name, format string, args ...any) {
-		errs = append(errs, fmt.Errorf("%s %q: %s", kind, name, fmt.Sprintf(format, args...)))
+	var found []*Problem
+	for _, f := range c.faults() {
+		found = append(found, &f.problem)
 	}
-	for _, z := range c.Zones {
-		if msg := checkName(z.Name); msg != "" {
-			report(KindZone, z.Name, "%s", msg)
-		}
-		if msg := checkName(z.Region); msg != "" {
-			report(KindZone, z.Name, "region: %s", msg)
-		}
+	return join(found)
+}
+
+func join(list []*Problem) error {
+	errs := make([]error, 0, len(list))
+	for _, p := range list {
+		errs = append(errs, p)
+	}
+	return errors.Join(errs...)
+}
+
+// fault is a problem with the index of its resource in the list of its kind.
+type fault struct {
+	problem Problem
+	index   int
+}
+
+// path returns the place of the fault in a file.
+func (f *fault) path() string {
+	if f.problem.Kind == "" {
+		return f.problem.Key
 	}
-	for _, u := range c.Upstreams {
-		for _, msg := range u.problems() {
-			report(KindUpstream, u.Name, "%s", msg)
+	return fmt.Sprintf("%ss[%d].%s", f.problem.Kind, f.index, cmp.Or(f.problem.Key, "name"))
+}
+
+// report takes a fault of one resource; an empty key stands for its name.
+type report func(key, format string, args ...any)
+
+func (c Config) faults() (list []*fault) {
+	reporter := func(kind Kind, name string, index int) report {
+		return func(key, format string, args ...any) {
+			list = append(list, &fault{Problem{Kind: kind, Name: name, Key: key, Message: fmt.Sprintf(format, args...)}, index})
 		}
 	}
+	duplicates(KindZone, names(c.Zones, zoneName), reporter)
+	duplicates(KindUpstream, names(c.Upstreams, upstreamName), reporter)
+	duplicates(KindRoute, names(c.Routes, routeName), reporter)
+	duplicates(KindPreset, names(c.Presets, presetName), reporter)
+	for i, z := range c.Zones {
+		z.check(reporter(KindZone, z.Name, i))
+	}
+	upstreams := make(map[string]bool, len(c.Upstreams))
+	for i, u := range c.Upstreams {
+		upstreams[u.Name] = true
+		u.check(reporter(KindUpstream, u.Name, i))
+	}
 	classes := make(map[string]bool)
 	matches := make(map[string]string)
-	for _, r := range c.Routes {
+	for i, r := range c.Routes {
 		classes[r.Class] = true
-		for _, msg := range r.problems(&c) {
-			report(KindRoute, r.Name, "%s", msg)
-		}
+		report := reporter(KindRoute, r.Name, i)
+		r.check(upstreams, report)
 		for _, m := range r.matchKeys() {
 			if other, ok := matches[m]; ok {
-				report(KindRoute, r.Name, "matches the same requests as route %q", other)
+				report("prefix", "matches the same requests as route %q", other)
 			}
 			matches[m] = r.Name
 		}
 	}
-	for _, p := range c.Presets {
-		for _, msg := range p.problems(classes) {
-			report(KindPreset, p.Name, "%s", msg)
-		}
+	for i, p := range c.Presets {
+		p.check(classes, reporter(KindPreset, p.Name, i))
 	}
 	if len(c.Routes) > 0 && len(c.Presets) == 0 {
-		errs = append(errs, errors.New("no preset is defined"))
+		list = append(list, &fault{problem: Problem{Key: "presets", Message: "no preset is defined"}})
+	}
+	return list
+}
+
+func duplicates(kind Kind, list []string, reporter func(Kind, string, int) report) {
+	seen := make(map[string]bool, len(list))
+	for i, n := range list {
+		if seen[n] {
+			reporter(kind, n, i)("", "is defined twice")
+		}
+		seen[n] = true
 	}
-	return errors.Join(errs...)
 }
 
-func (u Upstream) problems() (msgs []string) {
+// repeated returns the first element that is in the list twice.
+func repeated(list []string) (string, bool) {
+	for i, s := range list {
+		if slices.Contains(list[:i], s) {
+			return s, true
+		}
+	}
+	return "", false
+}
+
+func (z Zone) check(report report) {
+	if msg := checkName(z.Name); msg != "" {
+		report("", "%s", msg)
+	}
+	if msg := checkName(z.Region); msg != "" {
+		report("region", "%s", msg)
+	}
+}
+
+func (u Upstream) check(report report) {
 	if msg := checkName(u.Name); msg != "" {
-		msgs = append(msgs, msg)
+		report("", "%s", msg)
 	}
 	if len(u.Versions) == 0 {
-		msgs = append(msgs, "versions: at least one is required")
+		report("versions", "at least one is required")
 	}
 	for _, v := range u.Versions {
 		if msg := checkName(v); msg != "" {
-			msgs = append(msgs, "versions: "+msg)
+			report("versions", "%s", msg)
 		}
 	}
+	if v, ok := repeated(u.Versions); ok {
+		report("versions", "%q is listed twice", v)
+	}
 	if !slices.Contains(u.Versions, u.Active) {
-		msgs = append(msgs, fmt.Sprintf("active: version %q is not listed in versions", u.Active))
+		report("active", "version %q is not listed in versions", u.Active)
 	}
 	if u.Slots < 1 || u.Slots > MaxSlots {
-		msgs = append(msgs, fmt.Sprintf("slots: %d is not between 1 and %d", u.Slots, MaxSlots))
+		report("slots", "%d is not between 1 and %d", u.Slots, MaxSlots)
 	}
 	if u.ColdSlots < 1 || u.ColdSlots > u.Slots {
-		msgs = append(msgs, fmt.Sprintf("coldSlots: %d is not between 1 and slots (%d)", u.ColdSlots, u.Slots))
+		report("coldSlots", "%d is not between 1 and slots (%d)", u.ColdSlots, u.Slots)
 	}
 	if u.Connections < u.Slots || u.Connections > MaxConnections {
-		msgs = append(msgs, fmt.Sprintf("connections: %d is not between slots (%d) and %d", u.Connections, u.Slots, MaxConnections))
+		report("connections", "%d is not between slots (%d) and %d", u.Connections, u.Slots, MaxConnections)
 	}
-	return msgs
 }
 
-func (r Route) problems(c *Config) (msgs []string) {
+func (r Route) check(upstreams map[string]bool, report report) {
 	if msg := checkName(r.Name); msg != "" {
-		msgs = append(msgs, msg)
+		report("", "%s", msg)
 	}
-	if !strings.HasPrefix(r.Prefix, "/") {
-		msgs = append(msgs, fmt.Sprintf("prefix: %q does not start with /", r.Prefix))
+	switch {
+	case !strings.HasPrefix(r.Prefix, "/"):
+		report("prefix", "%q does not start with /", r.Prefix)
+	case strings.ContainsAny(r.Prefix, "?# \t"):
+		// A path never has these characters, so the route would match nothing.
+		report("prefix", "%q has a character that is not part of a path", r.Prefix)
 	}
 	for _, m := range r.Methods {
-		if m == "" || strings.ToUpper(m) != m || m == http.MethodConnect {
-			msgs = append(msgs, fmt.Sprintf("methods: %q is not an upper-case HTTP method", m))
+		if !isMethod(m) {
+			report("methods", "%q is not an upper-case HTTP method", m)
 		}
 	}
-	if _, ok := c.Upstream(r.Upstream); !ok {
-		msgs = append(msgs, fmt.Sprintf("upstream: %q is not defined", r.Upstream))
+	if m, ok := repeated(r.Methods); ok {
+		report("methods", "%q is listed twice", m)
+	}
+	if !upstreams[r.Upstream] {
+		report("upstream", "%q is not defined", r.Upstream)
 	}
 	if msg := checkName(r.Class); msg != "" {
-		msgs = append(msgs, "class: "+msg)
+		report("class", "%s", msg)
 	}
 	if d := time.Duration(r.AnswerWithin); d < time.Millisecond || d > MaxAnswerWithin {
-		msgs = append(msgs, fmt.Sprintf("answerWithin: %v is not between 1ms and %v", d, MaxAnswerWithin))
+		report("answerWithin", "%v is not between 1ms and %v", d, MaxAnswerWithin)
+	}
+}
+
+func isMethod(m string) bool {
+	for _, r := range m {
+		if r < 'A' || r > 'Z' {
+			return false
+		}
 	}
-	return msgs
+	return m != "" && m != http.MethodConnect
 }
 
 func (r Route) matchKeys() []string {
@@ -170,25 +269,28 @@
 	for _, m := range r.Methods {
 		keys = append(keys, m+" "+r.Prefix)
 	}
-	return keys
+	slices.Sort(keys)
+	return slices.Compact(keys)
 }
 
-func (p Preset) problems(classes map[string]bool) (msgs []string) {
+func (p Preset) check(classes map[string]bool, report report) {
 	if msg := checkName(p.Name); msg != "" {
-		msgs = append(msgs, msg)
+		report("", "%s", msg)
 	}
 	for _, class := range p.Shed {
 		if !classes[class] {
-			msgs = append(msgs, fmt.Sprintf("shed: no route has class %q", class))
+			report("shed", "no route has class %q", class)
 		}
 	}
+	if class, ok := repeated(p.Shed); ok {
+		report("shed", "%q is listed twice", class)
+	}
 	if p.RetryPercent < 0 || p.RetryPercent > 100 {
-		msgs = append(msgs, fmt.Sprintf("retryPercent: %d is not between 0 and 100", p.RetryPercent))
+		report("retryPercent", "%d is not between 0 and 100", p.RetryPercent)
 	}
 	if p.CanaryPercent < 0 || p.CanaryPercent > 100 {
-		msgs = append(msgs, fmt.Sprintf("canaryPercent: %d is not between 0 and 100", p.CanaryPercent))
+		report("canaryPercent", "%d is not between 0 and 100", p.CanaryPercent)
 	}
-	return msgs
 }
 
 func checkName(s string) string {
