--- /dev/null
+++ b/connection/peer/peer.go
@@ -0,0 +1,121 @@
+// Package peer holds the connections from one daemon to others.
+//
+// Connections speak HTTP/2 without TLS. A connection on which nothing arrives
+// is pinged, and closed when the ping stays unanswered. Retire drops all
+// connections to a peer at once, since a path that lost track of one
+// connection has often lost the others too.
+//
+// # Usage
+//
+//	var pool peer.Pool
+//	res, err := pool.Client(addr).Do(req)
+//	if err != nil {
+//		pool.Retire(addr)
+//	}
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// pingAfter is the silence on a connection after which it is pinged.
+	pingAfter = time.Second
+	// pingTimeout is the time to answer a ping; a connection is closed after
+	// two seconds of silence in all.
+	pingTimeout = time.Second
+	// dialTimeout bounds a connection attempt.
+	dialTimeout = time.Second
+	// idleTimeout closes connections that were not used.
+	idleTimeout = time.Minute
+)
+
+// Pool holds HTTP/2 clients by peer address; the zero value is ready for use.
+type Pool struct {
+	// Traffic is told the bytes read and written on the connections; it may be
+	// nil.
+	Traffic func(read, written int)
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*http.Client
+}
+
+// Client returns the client of a peer.
+func (p *Pool) Client(addr netip.AddrPort) *http.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[addr]
+	if !ok {
+		c = &http.Client{Transport: p.transport()}
+		if p.clients == nil {
+			p.clients = make(map[netip.AddrPort]*http.Client)
+		}
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// Retire drops the connections to a peer; calls in flight on them go on until
+// their deadline, new calls open new connections.
+func (p *Pool) Retire(addr netip.AddrPort) {
+	p.mu.Lock()
+	c, ok := p.clients[addr]
+	delete(p.clients, addr)
+	p.mu.Unlock()
+	if ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// Close drops all connections that are idle.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.CloseIdleConnections()
+	}
+	p.clients = nil
+}
+
+func (p *Pool) transport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	t := &http.Transport{
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		Protocols:       new(http.Protocols),
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil || p.Traffic == nil {
+				return conn, err
+			}
+			return &countedConn{Conn: conn, traffic: p.Traffic}, nil
+		},
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	return t
+}
+
+// countedConn reports the bytes that cross a connection.
+type countedConn struct {
+	net.Conn
+	traffic func(read, written int)
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic(n, 0)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic(0, n)
+	return n, err
+}
--- /dev/null
+++ b/process/control/control.go
@@ -0,0 +1,518 @@
+// Package control holds the control state of a daemon: the folded
+// configuration, the members, and the merged sets on which daemons decide.
+//
+// One actor owns the state. Its core is pure: events, time and a random number
+// in, a reply and actions out. A runner carries out the actions and turns their
+// results into further events. Traffic reads an immutable Snapshot through an
+// atomic pointer and never waits for the actor.
+//
+// # Usage
+//
+//	ctl := control.New(control.WithSelf(self), control.WithLog(lg), control.WithSeeds(seeds...))
+//	mux.Handle(ctl.Handler())
+//	ctl.Start()
+//	defer ctl.Stop()
+//	snap := ctl.Snapshot()
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/kingcuppitch/kingcuppitch/connection/peer"
+	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/metrics"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"github.com/kingcuppitch/kingcuppitch/wire/v1/wirev1connect"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// tickPeriod is the period of the control tick.
+	tickPeriod = 250 * time.Millisecond
+	// gossipPeriod is the period of exchanges with a random peer.
+	gossipPeriod = time.Second
+	// rpcTimeout bounds a call to a peer.
+	rpcTimeout = 800 * time.Millisecond
+	// pollPeriod is how long a read of the log waits for a record.
+	pollPeriod = 2 * time.Second
+	// logRetryMin and logRetryMax bound the pause after a failed read.
+	logRetryMin = 100 * time.Millisecond
+	logRetryMax = 2 * time.Second
+	// maxActions bounds the actions under way at once.
+	maxActions = 64
+	// maxFetches bounds the fetches served at once, so that peers that return
+	// together do not take the daemon's processor from its calls.
+	maxFetches = 4
+	// askTimeout bounds the wait for the actor.
+	askTimeout = 2 * time.Second
+	// validPeriod is how long traffic trusts a snapshot after a control tick.
+	validPeriod = pausePeriod
+)
+
+// Control is the control side of one daemon.
+type Control interface {
+	// Start begins to read the log and to exchange with peers.
+	Start()
+	// Stop ends all activity of the control side.
+	Stop()
+	// Handler returns the path and the handler of the connect-go service.
+	Handler() (string, http.Handler)
+	// Snapshot returns the current view for traffic; it is never nil.
+	Snapshot() *Snapshot
+	// Announce takes an announcement of the upstream beside the daemon.
+	Announce(service, version, state string, incarnation uint64)
+	// Leave tells the peers that the daemon is about to stop.
+	Leave()
+}
+
+// Option configures a Control.
+type Option func(*control)
+
+// WithSelf sets the daemon's own member entry.
+func WithSelf(m membership.Member) Option { return func(c *control) { c.self = m } }
+
+// WithLog sets the log.
+func WithLog(l platform.Log) Option { return func(c *control) { c.log = l } }
+
+// WithSeeds sets the peer addresses to start from.
+func WithSeeds(addrs ...netip.AddrPort) Option { return func(c *control) { c.seeds = addrs } }
+
+// WithServices restricts the services whose members the daemon follows; none
+// means all services that routes name.
+func WithServices(names ...string) Option { return func(c *control) { c.services = names } }
+
+// WithMetrics sets the counters.
+func WithMetrics(s *metrics.Set) Option { return func(c *control) { c.metrics = s } }
+
+// WithTimeline sets the time line of events.
+func WithTimeline(t *timeline.Timeline) Option { return func(c *control) { c.events = t } }
+
+// WithLogger sets the logger of the actor system.
+func WithLogger(l *slog.Logger) Option { return func(c *control) { c.logger = l } }
+
+type control struct {
+	self     membership.Member
+	log      platform.Log
+	seeds    []netip.AddrPort
+	services []string
+	metrics  *metrics.Set
+	events   *timeline.Timeline
+	logger   *slog.Logger
+
+	system  *actor.ActorSystem
+	pid     *actor.PID
+	peers   peer.Pool
+	view    atomic.Pointer[Snapshot]
+	valid   atomic.Int64
+	reader  atomic.Bool
+	kick    chan struct{}
+	slots   chan struct{}
+	fetches chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	changed notifier
+}
+
+// New returns a Control that is not started.
+func New(opts ...Option) Control {
+	c := &control{
+		metrics: new(metrics.Set), events: new(timeline.Timeline), logger: slog.New(slog.DiscardHandler),
+		kick: make(chan struct{}, 1), slots: make(chan struct{}, maxActions), fetches: make(chan struct{}, maxFetches),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.peers.Traffic = func(read, written int) {
+		c.metrics.Add("control.bytesIn", int64(read))
+		c.metrics.Add("control.bytesOut", int64(written))
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return c.logger }))
+	core := newCore(c.self, c.metrics, c.events)
+	core.services = c.services
+	c.publish(core, time.Now())
+	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) { c.receive(ctx, core) }))
+	return c
+}
+
+// receive runs on the actor; it is the only code that touches the core.
+func (c *control) receive(ctx actor.Context, core *core) {
+	switch ctx.Message().(type) {
+	case *actor.Started, *actor.Stopping, *actor.Stopped, *actor.Restarting:
+		return
+	}
+	now := time.Now()
+	reply, actions := core.handle(ctx.Message(), now, rand.Float64())
+	if _, ok := ctx.Message().(tick); ok {
+		c.valid.Store(now.Add(validPeriod).UnixNano())
+	}
+	if core.dirty {
+		c.publish(core, now)
+	}
+	if ctx.Sender() != nil {
+		if reply == nil {
+			reply = struct{}{}
+		}
+		ctx.Respond(reply)
+	}
+	for _, a := range actions {
+		c.run(a)
+	}
+}
+
+func (c *control) publish(core *core, now time.Time) {
+	core.dirty = false
+	c.view.Store(core.snapshot(now))
+	c.reader.Store(core.isReader())
+	c.changed.notify()
+}
+
+// Start implements Control.
+func (c *control) Start() {
+	c.loop(c.tickLoop)
+	c.loop(c.gossipLoop)
+	c.loop(c.tailLoop)
+	c.loop(c.seedLoop)
+}
+
+func (c *control) loop(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+// Stop implements Control.
+func (c *control) Stop() {
+	c.cancel()
+	c.wg.Wait()
+	c.peers.Close()
+	c.system.Root.Stop(c.pid)
+	c.system.Shutdown()
+}
+
+// Snapshot implements Control.
+func (c *control) Snapshot() *Snapshot {
+	s := c.view.Load()
+	if s.Serving && time.Now().UnixNano() > c.valid.Load() {
+		// The control tick is late: the process was paused or is starved, and
+		// the view may be older than one that was served before.
+		late := *s
+		late.Serving = false
+		return &late
+	}
+	return s
+}
+
+// Announce implements Control.
+func (c *control) Announce(service, version, state string, incarnation uint64) {
+	c.send(announced{service: service, version: version, state: state, incarnation: incarnation})
+}
+
+// Leave implements Control.
+func (c *control) Leave() { _, _ = ask[any](c, leaving{}) }
+
+func (c *control) send(ev any) { c.system.Root.Send(c.pid, ev) }
+
+// ask sends an event to the actor and waits for its reply.
+func ask[T any](c *control, ev any) (reply T, err error) {
+	defer func() { err = eris.Wrapf(err, "control event %T", ev) }()
+	res, err := c.system.Root.RequestFuture(c.pid, ev, askTimeout).Result()
+	if err != nil {
+		return reply, err
+	}
+	reply, ok := res.(T)
+	if !ok && res != nil {
+		return reply, fmt.Errorf("unexpected reply %T", res)
+	}
+	return reply, nil
+}
+
+func (c *control) tickLoop() {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-t.C:
+			c.send(tick{})
+		}
+	}
+}
+
+func (c *control) gossipLoop() {
+	for c.pause(jitter(gossipPeriod)) {
+		c.send(gossipDue{})
+	}
+}
+
+// seedLoop exchanges with the seeds until members are known, and again while
+// none is left.
+func (c *control) seedLoop() {
+	for {
+		if len(c.view.Load().Members) <= 1 {
+			for _, addr := range c.seeds {
+				if addr != c.self.Peer {
+					c.exchangeWithSeed(addr)
+				}
+			}
+		}
+		if !c.pause(jitter(gossipPeriod)) {
+			return
+		}
+	}
+}
+
+func (c *control) exchangeWithSeed(addr netip.AddrPort) {
+	v := c.view.Load()
+	req := &wirev1.ExchangeRequest{
+		From: toWire(v.Self), Offset: v.State.Offset,
+		Digests: []*wirev1.Digest{{Scope: membership.ZoneScope(v.Self.Zone)}},
+	}
+	for _, u := range v.State.Config.Upstreams {
+		req.Digests = append(req.Digests, &wirev1.Digest{Scope: membership.ServiceScope(u.Name)})
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, rpcTimeout)
+	defer cancel()
+	res, err := c.client(addr).Exchange(ctx, connect.NewRequest(req))
+	if err != nil {
+		c.metrics.Add("control.seedFailures", 1)
+		return
+	}
+	c.send(exchangeDone{to: fromWire(res.Msg.GetFrom()), res: res.Msg})
+}
+
+// tailLoop reads the log while this daemon is a reader, and once whenever the
+// core asks for it.
+func (c *control) tailLoop() {
+	pause := logRetryMin
+	for c.ctx.Err() == nil {
+		if !c.reader.Load() {
+			select {
+			case <-c.ctx.Done():
+				return
+			case <-c.kick:
+				// Daemons that lost contact together do not read together.
+				if !c.pause(time.Duration(rand.Int64N(int64(logRetryMin)))) {
+					return
+				}
+			case <-time.After(tickPeriod):
+				continue
+			}
+		}
+		if err := c.readOnce(); err != nil {
+			c.send(logFailed{err: err})
+			if !c.pause(jitter(pause)) {
+				return
+			}
+			pause = min(2*pause, logRetryMax)
+			continue
+		}
+		pause = logRetryMin
+	}
+}
+
+// readOnce reads from the folded offset to the end of the log.
+func (c *control) readOnce() error {
+	from := c.view.Load().State.Offset + 1
+	var got recordsArrived
+	for {
+		until := time.Now()
+		if len(got.entries) == 0 && c.reader.Load() && c.view.Load().Serving {
+			until = until.Add(pollPeriod)
+		}
+		page, err := c.log.Read(c.ctx, record.Stream, from, until)
+		if errors.Is(err, platform.ErrExpired) && page.First > from {
+			from = page.First
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		got.entries = append(got.entries, page.Records...)
+		got.next, got.first = page.Next, page.First
+		if n := len(page.Records); n > 0 {
+			from = page.Records[n-1].Offset + 1
+		}
+		if from >= page.Next || len(page.Records) == 0 {
+			break
+		}
+	}
+	_, err := ask[int64](c, got)
+	return err
+}
+
+// pause waits for d and reports whether the daemon goes on.
+func (c *control) pause(d time.Duration) bool {
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func (c *control) client(addr netip.AddrPort) wirev1connect.ControlClient {
+	return wirev1connect.NewControlClient(c.peers.Client(addr), "http://"+addr.String())
+}
+
+// run carries out an action of the core.
+func (c *control) run(action any) {
+	if _, ok := action.(readLog); ok {
+		select {
+		case c.kick <- struct{}{}:
+		default:
+		}
+		return
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		// Gossip repeats what is dropped here.
+		c.metrics.Add("control.droppedActions", 1)
+		return
+	}
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		defer func() { <-c.slots }()
+		ctx, cancel := context.WithTimeout(c.ctx, rpcTimeout)
+		defer cancel()
+		switch a := action.(type) {
+		case sendPush:
+			c.runPush(ctx, a)
+		case sendExchange:
+			c.runExchange(ctx, a)
+		case sendFetch:
+			c.runFetch(ctx, a)
+		case sendProbe:
+			c.runProbe(ctx, a)
+		case appendRecord:
+			c.runAppend(ctx, a)
+		}
+	}()
+}
+
+func (c *control) runPush(ctx context.Context, a sendPush) {
+	var wg sync.WaitGroup
+	for _, m := range a.to {
+		wg.Go(func() {
+			if _, err := c.client(m.Peer).Push(ctx, connect.NewRequest(a.req)); err != nil {
+				c.metrics.Add("control.pushFailures", 1)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (c *control) runExchange(ctx context.Context, a sendExchange) {
+	res, err := c.client(a.to.Peer).Exchange(ctx, connect.NewRequest(a.req))
+	switch {
+	case err == nil:
+		c.send(exchangeDone{to: a.to, res: res.Msg})
+	case !a.news && c.ctx.Err() == nil:
+		c.peers.Retire(a.to.Peer)
+		c.send(exchangeFailed{to: a.to})
+	}
+}
+
+func (c *control) runFetch(ctx context.Context, a sendFetch) {
+	res, err := c.client(a.to.Peer).Fetch(ctx, connect.NewRequest(&wirev1.FetchRequest{From: a.offset}))
+	if err != nil {
+		c.metrics.Add("control.fetchFailures", 1)
+		return
+	}
+	if data := res.Msg.GetSnapshot(); len(data) > 0 {
+		st, err := fold.DecodeState(data)
+		if err != nil {
+			c.metrics.Add("control.badSnapshots", 1)
+			return
+		}
+		c.send(stateArrived{state: st, zone: res.Msg.GetZone(), name: a.to.Name})
+	} else if len(res.Msg.GetRecords()) > 0 {
+		c.send(recordsArrived{entries: entriesFromWire(res.Msg.GetRecords()), source: a.to.Name})
+	}
+	c.send(offsetOffered{zone: res.Msg.GetZone(), offset: res.Msg.GetOffset()})
+}
+
+func (c *control) runProbe(ctx context.Context, a sendProbe) {
+	deadline, _ := ctx.Deadline()
+	alive := make(chan bool, len(a.via))
+	for _, m := range a.via {
+		go func() {
+			res, err := c.client(m.Peer).Probe(ctx, connect.NewRequest(&wirev1.ProbeRequest{
+				PeerAddress: a.target.Peer.String(), DeadlineUnixNano: deadline.UnixNano(),
+			}))
+			alive <- err == nil && res.Msg.GetAlive()
+		}()
+	}
+	ok := false
+	for range a.via {
+		ok = <-alive || ok
+	}
+	c.send(probeDone{to: a.target, alive: ok})
+}
+
+func (c *control) runAppend(ctx context.Context, a appendRecord) {
+	data, err := a.rec.Encode()
+	if err == nil {
+		_, err = c.log.Append(ctx, record.Stream, data)
+	}
+	if err != nil {
+		c.metrics.Add("control.appendFailures", 1)
+	}
+}
+
+func entriesFromWire(list []*wirev1.Record) []platform.Entry {
+	out := make([]platform.Entry, 0, len(list))
+	for _, r := range list {
+		out = append(out, platform.Entry{Offset: r.GetOffset(), Data: r.GetData()})
+	}
+	return out
+}
+
+// notifier wakes goroutines that wait for the next snapshot.
+type notifier struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func (n *notifier) wait() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ch == nil {
+		n.ch = make(chan struct{})
+	}
+	return n.ch
+}
+
+func (n *notifier) notify() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ch != nil {
+		close(n.ch)
+		n.ch = nil
+	}
+}
--- /dev/null
+++ b/process/control/core.go
@@ -0,0 +1,495 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/metrics"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+)
+
+const (
+	// readersPerZone is the number of daemons of a zone that tail the log.
+	readersPerZone = 3
+	// pushFanout is the number of peers to which news are forwarded.
+	pushFanout = 3
+	// keptRecords and keptBytes bound the raw records held for peers.
+	keptRecords = 2048
+	keptBytes   = 8 << 20
+	// contactPeriod is the time without contact to any peer after which a
+	// daemon reads the log itself.
+	contactPeriod = 3 * time.Second
+	// pausePeriod is the gap between two ticks from which the process counts
+	// as paused.
+	pausePeriod = 2 * time.Second
+	// offerZones is the number of availability zones whose peers must have
+	// offered their state before a daemon serves without the log.
+	offerZones = 2
+	// snapshotRecords is the number of records after which a snapshot is due.
+	snapshotRecords = 500
+	// snapshotMinRecords keeps a log with a short retention from filling up
+	// with snapshots.
+	snapshotMinRecords = 20
+	// announceTimeout is the silence after which the upstream beside the
+	// daemon counts as gone; it announces itself each second.
+	announceTimeout = 4 * time.Second
+)
+
+// Events of the core.
+type (
+	tick           struct{}
+	recordsArrived struct {
+		entries []platform.Entry
+		source  string
+		// next is the offset after the end of the log, where it was read.
+		next, first int64
+	}
+	logFailed    struct{ err error }
+	stateArrived struct {
+		state      *fold.State
+		zone, name string
+	}
+	offsetOffered struct {
+		zone   string
+		offset int64
+	}
+	gossipDue    struct{}
+	exchangeIn   struct{ req *wirev1.ExchangeRequest }
+	exchangeDone struct {
+		to  membership.Member
+		res *wirev1.ExchangeResponse
+	}
+	exchangeFailed struct{ to membership.Member }
+	probeDone      struct {
+		to    membership.Member
+		alive bool
+	}
+	announced struct {
+		service, version, state string
+		incarnation             uint64
+	}
+	leaving  struct{}
+	fetchIn  struct{ req *wirev1.FetchRequest }
+	statusIn struct{}
+)
+
+// Actions of the core, carried out by the runner.
+type (
+	sendPush struct {
+		to  []membership.Member
+		req *wirev1.PushRequest
+	}
+	sendExchange struct {
+		to  membership.Member
+		req *wirev1.ExchangeRequest
+		// news marks an exchange that only forwards changed entries.
+		news bool
+	}
+	sendFetch struct {
+		to     membership.Member
+		offset int64
+	}
+	sendProbe struct {
+		target membership.Member
+		via    []membership.Member
+	}
+	readLog      struct{}
+	appendRecord struct{ rec record.Record }
+)
+
+// core is the control state; handle is its only entry point.
+type core struct {
+	state    *fold.State
+	raw      []platform.Entry
+	rawBytes int
+	table    *membership.Table
+	decision decisions
+
+	metrics *metrics.Set
+	events  *timeline.Timeline
+
+	serving      bool
+	logReachable bool
+	// logFirst is the oldest offset retained by the log, logNext the next.
+	logFirst, logNext int64
+	lastSnapshot      int64
+	offers            map[string]int64
+	contactUntil      time.Time
+	upstreamUntil     time.Time
+	upstream          announced
+	// services restricts the followed services; empty means all.
+	services []string
+	lastTick time.Time
+	preset   string
+
+	dirty   bool
+	actions []any
+}
+
+func newCore(self membership.Member, set *metrics.Set, events *timeline.Timeline) *core {
+	return &core{
+		state: &fold.State{}, table: membership.NewTable(self), metrics: set, events: events,
+		offers: make(map[string]int64), dirty: true,
+	}
+}
+
+// handle applies one event and returns the reply to it, if any, and the
+// actions to carry out. rnd is a random number in [0,1).
+func (c *core) handle(ev any, now time.Time, rnd float64) (reply any, actions []any) {
+	c.actions = nil
+	switch ev := ev.(type) {
+	case tick:
+		c.onTick(now, rnd)
+	case recordsArrived:
+		reply = c.onRecords(ev, now, rnd)
+	case logFailed:
+		c.onLogFailed(now, ev)
+	case stateArrived:
+		c.adopt(now, ev.state, ev.name)
+	case offsetOffered:
+		c.onOffer(now, ev)
+	case gossipDue:
+		c.onGossip(rnd)
+	case exchangeIn:
+		reply = c.onExchange(now, rnd, ev.req)
+	case exchangeDone:
+		c.onExchangeDone(now, rnd, ev)
+	case exchangeFailed:
+		c.onExchangeFailed(rnd, ev.to)
+	case probeDone:
+		c.onProbe(now, rnd, ev)
+	case announced:
+		c.onAnnounced(now, rnd, ev)
+	case leaving:
+		c.table.Update(func(m *membership.Member) { m.State = membership.Leaving })
+		c.spread(rnd, []membership.Member{c.table.Self()})
+		c.dirty = true
+	case fetchIn:
+		reply = c.onFetch(ev.req)
+	case statusIn:
+		reply = c.status(now)
+	default:
+		reply = c.handleDecision(ev, now, rnd)
+	}
+	return reply, c.actions
+}
+
+func (c *core) act(a any) { c.actions = append(c.actions, a) }
+
+func (c *core) event(now time.Time, kind timeline.Kind, version int64, format string, args ...any) {
+	c.events.Add(now, kind, version, fmt.Sprintf(format, args...))
+}
+
+func (c *core) onTick(now time.Time, rnd float64) {
+	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > pausePeriod {
+		c.metrics.Add("control.pauses", 1)
+		c.event(now, timeline.KindPause, c.state.Offset, "process was paused for %v; catching up before new work", now.Sub(c.lastTick).Round(time.Millisecond))
+		c.serving = false
+		clear(c.offers)
+		c.dirty = true
+	}
+	c.lastTick = now
+	if dead := c.table.Tick(now); len(dead) > 0 {
+		for _, m := range dead {
+			c.event(now, timeline.KindMember, 0, "member %s (%s) is dead", m.Name, m.Zone)
+		}
+		c.spread(rnd, dead)
+		c.dirty = true
+	}
+	if !c.upstreamUntil.IsZero() && now.After(c.upstreamUntil) {
+		c.upstreamUntil = time.Time{}
+		c.onAnnounced(now, rnd, announced{service: c.upstream.service, version: c.upstream.version, state: string(membership.Starting), incarnation: c.upstream.incarnation})
+		c.upstreamUntil = time.Time{}
+	}
+	if p, ok := c.state.InForce(now); ok && p.Name != c.preset {
+		c.preset = p.Name
+		c.event(now, timeline.KindPreset, c.state.Version, "preset %s is in force", p.Name)
+	}
+	if !c.serving || now.After(c.contactUntil) && c.logReachable {
+		c.act(readLog{})
+	}
+	c.decide(now, rnd)
+}
+
+// onRecords folds records that arrived from the log or a peer and forwards
+// those that were new. It returns the offset that is folded.
+func (c *core) onRecords(ev recordsArrived, now time.Time, rnd float64) int64 {
+	if ev.next > 0 {
+		c.logNext, c.logFirst = ev.next, ev.first
+		if !c.logReachable {
+			c.logReachable = true
+			c.event(now, timeline.KindLog, c.state.Offset, "log is reachable")
+			c.dirty = true
+		}
+	}
+	c.adoptSnapshot(ev.entries, now)
+	st := c.state.Clone()
+	var fresh []platform.Entry
+	for _, e := range ev.entries {
+		if e.Offset != st.Offset+1 {
+			continue
+		}
+		c.report(now, st.Apply(e.Offset, e.Data))
+		c.keep(e)
+		fresh = append(fresh, e)
+		if rec, err := record.Decode(e.Data); err == nil && rec.Kind == record.KindSnapshot {
+			c.lastSnapshot = e.Offset
+		}
+	}
+	if len(fresh) > 0 {
+		c.setState(st)
+		c.push(rnd, fresh, ev.source)
+	}
+	if n := len(ev.entries); n > 0 && ev.entries[n-1].Offset > c.state.Offset {
+		c.metrics.Add("control.gaps", 1)
+		c.catchUp(ev.source)
+	}
+	if ev.next > 0 && c.state.Offset >= ev.next-1 && !c.serving {
+		c.startServing(now, "the log")
+	}
+	c.snapshotIfDue(now)
+	return c.state.Offset
+}
+
+// catchUp asks the peer that is ahead for what is missing, or reads the log.
+func (c *core) catchUp(source string) {
+	if m, ok := c.table.Get(source); ok && source != c.table.Self().Name {
+		c.act(sendFetch{to: m, offset: c.state.Offset + 1})
+		return
+	}
+	c.act(readLog{})
+}
+
+// adoptSnapshot takes the newest snapshot among the entries when the records
+// before them have expired.
+func (c *core) adoptSnapshot(entries []platform.Entry, now time.Time) {
+	if len(entries) == 0 || entries[0].Offset <= c.state.Offset+1 {
+		return
+	}
+	for i := len(entries) - 1; i >= 0; i-- {
+		rec, err := record.Decode(entries[i].Data)
+		if err != nil || rec.Kind != record.KindSnapshot || rec.Snapshot.UpTo < entries[0].Offset-1 {
+			continue
+		}
+		st, err := fold.DecodeState(rec.Snapshot.State)
+		if err != nil || st.Offset != rec.Snapshot.UpTo {
+			c.metrics.Add("control.badSnapshots", 1)
+			continue
+		}
+		c.adopt(now, st, "a snapshot on the log")
+		return
+	}
+}
+
+// adopt takes a whole state from a snapshot or a peer if it is newer.
+func (c *core) adopt(now time.Time, st *fold.State, source string) {
+	if st.Offset <= c.state.Offset {
+		return
+	}
+	c.raw, c.rawBytes = nil, 0
+	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s", st.Version, source)
+	c.setState(st)
+}
+
+// setState puts a state in force. The offset never decreases.
+func (c *core) setState(st *fold.State) {
+	if st.Offset < c.state.Offset {
+		return
+	}
+	c.state = st
+	c.dirty = true
+	follow := c.services
+	if len(follow) == 0 {
+		for _, u := range st.Config.Upstreams {
+			follow = append(follow, u.Name)
+		}
+	}
+	c.table.Follow(follow...)
+}
+
+func (c *core) report(now time.Time, out fold.Outcome) {
+	c.metrics.Add("control.records."+string(out.Result), 1)
+	switch {
+	case out.Newer:
+		c.metrics.Add("control.newerRecords", 1)
+		c.event(now, timeline.KindRefused, out.Offset, "record %d is of a newer release: %s", out.Offset, out.Reason)
+	case out.Result == fold.Refused:
+		c.event(now, timeline.KindRefused, out.Offset, "%s record %d refused: %s", out.Kind, out.Offset, out.Reason)
+	case out.Result == fold.Skipped:
+		c.event(now, timeline.KindRefused, out.Offset, "record %d skipped: %s", out.Offset, out.Reason)
+	case out.Result == fold.Accepted && out.Kind != record.KindSnapshot:
+		c.event(now, kindOf(out.Kind), out.Offset, "%s record %d is in force", out.Kind, out.Offset)
+	}
+}
+
+func kindOf(k record.Kind) timeline.Kind {
+	switch k {
+	case record.KindPreset:
+		return timeline.KindPreset
+	case record.KindZone:
+		return timeline.KindZone
+	case record.KindMove, record.KindMoveStop, record.KindMoveDone, record.KindVerdict:
+		return timeline.KindMove
+	}
+	return timeline.KindVersion
+}
+
+func (c *core) keep(e platform.Entry) {
+	c.raw = append(c.raw, e)
+	c.rawBytes += len(e.Data)
+	for len(c.raw) > 1 && (len(c.raw) > keptRecords || c.rawBytes > keptBytes) {
+		c.rawBytes -= len(c.raw[0].Data)
+		c.raw = slices.Delete(c.raw, 0, 1)
+	}
+}
+
+// push forwards new records to random peers of the zone and to one peer in
+// each other zone, so that a zone that cannot reach the log receives them.
+func (c *core) push(rnd float64, entries []platform.Entry, source string) {
+	self := c.table.Self()
+	to := c.table.Random(rnd, pushFanout, func(m membership.Member) bool { return m.Zone == self.Zone && m.Name != source })
+	if source == "" {
+		to = append(to, c.onePerZone(rnd)...)
+	}
+	if len(to) == 0 {
+		return
+	}
+	req := &wirev1.PushRequest{From: self.Name}
+	for _, e := range entries {
+		req.Records = append(req.Records, &wirev1.Record{Offset: e.Offset, Data: e.Data})
+	}
+	c.act(sendPush{to: to, req: req})
+}
+
+func (c *core) onePerZone(rnd float64) []membership.Member {
+	seen := map[string]bool{c.table.Self().Zone: true}
+	var out []membership.Member
+	for _, m := range c.table.Random(rnd, len(c.table.All()), func(membership.Member) bool { return true }) {
+		if !seen[m.Zone] {
+			seen[m.Zone] = true
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (c *core) onLogFailed(now time.Time, ev logFailed) {
+	c.metrics.Add("control.logFailures", 1)
+	if c.logReachable {
+		c.logReachable = false
+		c.event(now, timeline.KindLog, c.state.Offset, "log is unreachable: %v", ev.err)
+		c.dirty = true
+	}
+}
+
+// onOffer counts the zones whose peers have told their offset. Without the log
+// a daemon serves once peers of two zones have, and it holds the highest.
+func (c *core) onOffer(now time.Time, ev offsetOffered) {
+	if c.serving {
+		return
+	}
+	if old, ok := c.offers[ev.zone]; !ok || ev.offset > old {
+		c.offers[ev.zone] = ev.offset
+	}
+	if c.logReachable || len(c.offers) < offerZones {
+		return
+	}
+	for _, offset := range c.offers {
+		if offset > c.state.Offset {
+			return
+		}
+	}
+	c.startServing(now, "peers of "+strconv.Itoa(len(c.offers))+" availability zones")
+}
+
+func (c *core) startServing(now time.Time, source string) {
+	c.serving = true
+	clear(c.offers)
+	c.dirty = true
+	c.event(now, timeline.KindVersion, c.state.Version, "serving version %d, caught up with %s", c.state.Version, source)
+}
+
+func (c *core) onFetch(req *wirev1.FetchRequest) *wirev1.FetchResponse {
+	res := &wirev1.FetchResponse{Offset: c.state.Offset, Zone: c.table.Self().Zone}
+	if req.GetFrom() > c.state.Offset {
+		return res
+	}
+	if len(c.raw) == 0 || c.raw[0].Offset > req.GetFrom() {
+		if data, err := c.state.Encode(); err == nil {
+			res.Snapshot = data
+		}
+		return res
+	}
+	limit := int(req.GetLimit())
+	if limit <= 0 || limit > keptRecords {
+		limit = keptRecords
+	}
+	for _, e := range c.raw[req.GetFrom()-c.raw[0].Offset:] {
+		if len(res.Records) == limit {
+			break
+		}
+		res.Records = append(res.Records, &wirev1.Record{Offset: e.Offset, Data: e.Data})
+	}
+	return res
+}
+
+// isReader reports whether this daemon tails the log for its zone.
+func (c *core) isReader() bool {
+	return c.zoneRank("reader") < readersPerZone
+}
+
+// zoneRank is the position of this daemon among the live members of its zone
+// for a task.
+func (c *core) zoneRank(task string) int {
+	self := c.table.Self()
+	var names []string
+	for _, m := range c.table.All() {
+		if m.Zone == self.Zone && m.State != membership.Leaving && m.State != membership.Suspect {
+			names = append(names, m.Name)
+		}
+	}
+	return membership.Rank(task+"/"+self.Zone, self.Name, names)
+}
+
+// snapshotIfDue appends a snapshot well before the records that it replaces
+// expire from the log.
+func (c *core) snapshotIfDue(now time.Time) {
+	since := c.state.Offset - c.lastSnapshot
+	if c.lastSnapshot == 0 {
+		since = c.state.Offset - c.logFirst + 1
+	}
+	retained := c.logNext - c.logFirst
+	due := since >= snapshotRecords || since >= snapshotMinRecords && since > retained/2
+	if !due || !c.serving || !c.logReachable || c.zoneRank("snapshot") != 0 {
+		return
+	}
+	c.lastSnapshot = c.state.Offset
+	data, err := c.state.Encode()
+	if err != nil {
+		c.metrics.Add("control.snapshotFailures", 1)
+		return
+	}
+	c.act(appendRecord{record.Record{
+		ID:   fmt.Sprintf("snapshot-%d-%s", c.state.Offset, c.table.Self().Name),
+		Kind: record.KindSnapshot, At: now, Author: c.table.Self().Name,
+		Snapshot: &record.Snapshot{UpTo: c.state.Offset, State: data},
+	}})
+}
+
+func (c *core) snapshot(now time.Time) *Snapshot {
+	self, members := c.table.Self(), c.table.All()
+	s := &Snapshot{
+		State: c.state, Self: self, Members: members, Serving: c.serving, LogReachable: c.logReachable,
+		Table: route.NewTable(c.state, members, self.Zone, self.Region),
+	}
+	c.decision.fill(s, c.state, now)
+	return s
+}
--- /dev/null
+++ b/process/control/gossip.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+)
+
+// indirectProbes is the number of peers that check a silent member before it
+// is suspected.
+const indirectProbes = 2
+
+// onGossip starts the periodic exchange with the next partner.
+func (c *core) onGossip(rnd float64) {
+	c.metrics.Add("control.exchanges", 1)
+	if m, ok := c.table.Next(rnd); ok {
+		c.act(sendExchange{to: m, req: c.exchangeRequest()})
+	}
+}
+
+func (c *core) exchangeRequest() *wirev1.ExchangeRequest {
+	req := &wirev1.ExchangeRequest{
+		From: toWire(c.table.Self()), Offset: c.state.Offset, Digests: digestsToWire(c.table.Digests()),
+	}
+	c.decision.fillExchange(req)
+	return req
+}
+
+// onExchange answers the exchange of a peer with what the peer may lack.
+func (c *core) onExchange(now time.Time, rnd float64, req *wirev1.ExchangeRequest) *wirev1.ExchangeResponse {
+	from := fromWire(req.GetFrom())
+	c.contactUntil = now.Add(contactPeriod)
+	c.merge(now, rnd, append(membersFromWire(req.GetMembers()), from))
+	c.mergeDecisions(now, rnd, req.GetVerdicts(), req.GetCounters(), req.GetCrashes(), req.GetCompletedFingerprints())
+	if req.GetOffset() > c.state.Offset && from.Name != "" {
+		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
+	}
+	res := &wirev1.ExchangeResponse{From: toWire(c.table.Self()), Offset: c.state.Offset}
+	if len(req.GetDigests()) > 0 {
+		res.Digests = digestsToWire(c.table.Digests())
+		res.Members = membersToWire(c.table.Delta(digestsFromWire(req.GetDigests())))
+	}
+	c.decision.fillResponse(res)
+	return res
+}
+
+// onExchangeDone merges the answer of a partner and sends back what the
+// partner lacks.
+func (c *core) onExchangeDone(now time.Time, rnd float64, ev exchangeDone) {
+	from := fromWire(ev.res.GetFrom())
+	c.contactUntil = now.Add(contactPeriod)
+	c.merge(now, rnd, append(membersFromWire(ev.res.GetMembers()), from))
+	c.mergeDecisions(now, rnd, ev.res.GetVerdicts(), ev.res.GetCounters(), ev.res.GetCrashes(), ev.res.GetCompletedFingerprints())
+	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset()})
+	if ev.res.GetOffset() > c.state.Offset {
+		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
+	}
+	if len(ev.res.GetDigests()) == 0 {
+		return
+	}
+	// The response may contain everything; entries that the partner lacks are
+	// then exactly those of scopes whose digests still differ.
+	if lacks := c.table.Delta(digestsFromWire(ev.res.GetDigests())); len(lacks) > 1 {
+		req := &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset, Members: membersToWire(lacks)}
+		c.act(sendExchange{to: from, req: req, news: true})
+	}
+}
+
+// onExchangeFailed asks other members whether they reach the silent one.
+func (c *core) onExchangeFailed(rnd float64, to membership.Member) {
+	c.metrics.Add("control.exchangeFailures", 1)
+	via := c.table.Random(rnd, indirectProbes, func(m membership.Member) bool {
+		return m.Name != to.Name && m.State != membership.Suspect
+	})
+	c.act(sendProbe{target: to, via: via})
+}
+
+func (c *core) onProbe(now time.Time, rnd float64, ev probeDone) {
+	if ev.alive {
+		return
+	}
+	m, ok := c.table.Suspect(now, ev.to.Name)
+	if !ok {
+		return
+	}
+	c.metrics.Add("control.suspects", 1)
+	c.event(now, timeline.KindMember, 0, "member %s (%s) does not answer", m.Name, m.Zone)
+	c.dirty = true
+	// The suspect itself is told too, so that it can refute.
+	c.spread(rnd, []membership.Member{m})
+	c.act(sendExchange{to: m, news: true, req: &wirev1.ExchangeRequest{
+		From: toWire(c.table.Self()), Offset: c.state.Offset, Members: membersToWire([]membership.Member{m}),
+	}})
+}
+
+// merge takes members of a peer and forwards those that were new.
+func (c *core) merge(now time.Time, rnd float64, members []membership.Member) {
+	changed := c.table.Merge(now, members)
+	if len(changed) == 0 {
+		return
+	}
+	for _, m := range changed {
+		c.event(now, timeline.KindMember, 0, "member %s (%s, %s %s) is %s", m.Name, m.Zone, m.Service, m.Version, m.State)
+	}
+	c.metrics.Add("control.memberChanges", int64(len(changed)))
+	c.dirty = true
+	c.spread(rnd, changed)
+}
+
+// spread forwards changed members to a few random peers, which forward what is
+// new to them in turn.
+func (c *core) spread(rnd float64, changed []membership.Member) {
+	names := make([]string, 0, len(changed))
+	for _, m := range changed {
+		names = append(names, m.Name)
+	}
+	to := c.table.Random(rnd, pushFanout, func(m membership.Member) bool { return !slices.Contains(names, m.Name) })
+	req := &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset, Members: membersToWire(changed)}
+	for _, m := range to {
+		c.act(sendExchange{to: m, req: req, news: true})
+	}
+}
+
+// onAnnounced takes an announcement of the upstream beside the daemon.
+func (c *core) onAnnounced(now time.Time, rnd float64, ev announced) {
+	c.upstreamUntil = now.Add(announceTimeout)
+	if ev == c.upstream {
+		return
+	}
+	prev := c.upstream
+	c.upstream = ev
+	self := c.table.Update(func(m *membership.Member) {
+		m.Service, m.Version = ev.service, ev.version
+		if m.State != membership.Leaving {
+			m.State = membership.State(ev.state)
+		}
+	})
+	c.event(now, timeline.KindUpstream, 0, "upstream %s %s is %s (incarnation %d, was %q)", ev.service, ev.version, ev.state, ev.incarnation, prev.state)
+	c.dirty = true
+	c.spread(rnd, []membership.Member{self})
+}
--- /dev/null
+++ b/process/control/service.go
@@ -0,0 +1,292 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"github.com/kingcuppitch/kingcuppitch/wire/v1/wirev1connect"
+)
+
+const (
+	// maxTimeline bounds the events of one answer.
+	maxTimeline = timeline.Capacity
+	// appendWait bounds the wait for the outcome of a record where the client
+	// names no deadline.
+	appendWait = 5 * time.Second
+	// appendPause is the pause before an append is tried again.
+	appendPause = 100 * time.Millisecond
+)
+
+// service serves the connect-go service on behalf of a control.
+type service struct {
+	wirev1connect.UnimplementedControlHandler
+	*control
+}
+
+// Handler implements Control.
+func (c *control) Handler() (string, http.Handler) {
+	return wirev1connect.NewControlHandler(&service{control: c}, connect.WithReadMaxBytes(2*record.MaxSize))
+}
+
+// Exchange implements wirev1connect.ControlHandler.
+func (s *service) Exchange(_ context.Context, req *connect.Request[wirev1.ExchangeRequest]) (*connect.Response[wirev1.ExchangeResponse], error) {
+	res, err := ask[*wirev1.ExchangeResponse](s.control, exchangeIn{req.Msg})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Push implements wirev1connect.ControlHandler.
+func (s *service) Push(_ context.Context, req *connect.Request[wirev1.PushRequest]) (*connect.Response[wirev1.PushResponse], error) {
+	offset, err := ask[int64](s.control, recordsArrived{entries: entriesFromWire(req.Msg.GetRecords()), source: req.Msg.GetFrom()})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&wirev1.PushResponse{Offset: offset}), nil
+}
+
+// Fetch implements wirev1connect.ControlHandler.
+func (s *service) Fetch(_ context.Context, req *connect.Request[wirev1.FetchRequest]) (*connect.Response[wirev1.FetchResponse], error) {
+	select {
+	case s.fetches <- struct{}{}:
+		defer func() { <-s.fetches }()
+	default:
+		s.metrics.Add("control.refusedFetches", 1)
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too many fetches at once; repeat after a pause"))
+	}
+	res, err := ask[*wirev1.FetchResponse](s.control, fetchIn{req.Msg})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Probe implements wirev1connect.ControlHandler.
+func (s *service) Probe(ctx context.Context, req *connect.Request[wirev1.ProbeRequest]) (*connect.Response[wirev1.ProbeResponse], error) {
+	addr, err := netip.ParseAddrPort(req.Msg.GetPeerAddress())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Unix(0, req.Msg.GetDeadlineUnixNano()))
+	defer cancel()
+	v := s.view.Load()
+	_, err = s.client(addr).Exchange(ctx, connect.NewRequest(&wirev1.ExchangeRequest{From: toWire(v.Self), Offset: v.State.Offset}))
+	return connect.NewResponse(&wirev1.ProbeResponse{Alive: err == nil}), nil
+}
+
+// Status implements wirev1connect.ControlHandler.
+func (s *service) Status(context.Context, *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusResponse], error) {
+	res, err := ask[*wirev1.StatusResponse](s.control, statusIn{})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// status reports the control state to operators.
+func (c *core) status(now time.Time) *wirev1.StatusResponse {
+	self := c.table.Self()
+	res := &wirev1.StatusResponse{
+		Daemon: self.Name, Zone: self.Zone, Offset: c.state.Offset, Version: c.state.Version,
+		StateHash: strconv.FormatUint(c.state.Hash(), 16), Serving: c.serving, LogReachable: c.logReachable,
+		Members: membersToWire(c.table.All()),
+	}
+	if p, ok := c.state.InForce(now); ok {
+		res.Preset = p.Name
+	}
+	if c.state.Newer > 0 {
+		res.Warning = strconv.FormatInt(c.state.Newer, 10) + " records of a newer release were skipped; upgrade this daemon"
+	}
+	for _, m := range c.state.Moves {
+		res.Moves = append(res.Moves, c.moveStatus(m, now))
+	}
+	for _, z := range c.state.Config.Zones {
+		res.Zones = append(res.Zones, &wirev1.ZoneStatus{Name: z.Name, Region: z.Region, State: zoneState(c.state.Zones[z.Name], now)})
+	}
+	if data, err := c.state.Encode(); err == nil {
+		res.State = data
+	}
+	return res
+}
+
+func (c *core) moveStatus(m fold.Move, now time.Time) *wirev1.MoveStatus {
+	return &wirev1.MoveStatus{
+		Move: m.ID, Upstream: m.Upstream, From: m.From, To: m.To, State: string(m.State), Reason: m.Reason,
+		Share: c.decision.share(c.state, m, now), StartAtUnixNano: m.StartAt.UnixNano(), DoneByUnixNano: m.DoneBy.UnixNano(),
+	}
+}
+
+func zoneState(z fold.Zone, now time.Time) string {
+	switch {
+	case z.Out:
+		return "out"
+	case now.Before(z.RampUntil):
+		return "returning"
+	}
+	return "inService"
+}
+
+// Append implements wirev1connect.ControlHandler. The record is appended until
+// it is found folded, under its own id, so a lost answer of the log does no
+// harm.
+func (s *service) Append(ctx context.Context, req *connect.Request[wirev1.AppendRequest]) (*connect.Response[wirev1.AppendResponse], error) {
+	rec, err := record.Decode(req.Msg.GetRecord())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if rec.Kind == record.KindSnapshot {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("operators do not append snapshots"))
+	}
+	deadline := time.Now().Add(appendWait)
+	if n := req.Msg.GetDeadlineUnixNano(); n > 0 {
+		deadline = time.Unix(0, n)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	out, err := s.appendUntilFolded(ctx, rec.ID, req.Msg.GetRecord())
+	if err != nil {
+		return connect.NewResponse(&wirev1.AppendResponse{Result: "pending", Reason: err.Error()}), nil
+	}
+	return connect.NewResponse(&wirev1.AppendResponse{
+		Offset: out.Offset, Result: string(out.Result), Reason: out.Reason, Winner: out.Winner,
+	}), nil
+}
+
+func (s *service) appendUntilFolded(ctx context.Context, id string, data []byte) (fold.Outcome, error) {
+	for {
+		if err := s.catchUp(ctx); err != nil {
+			return fold.Outcome{}, err
+		}
+		if out, ok := s.view.Load().State.Outcome(id); ok {
+			return out, nil
+		}
+		offset, err := s.log.Append(ctx, record.Stream, data)
+		switch {
+		case err == nil:
+			s.send(recordsArrived{entries: []platform.Entry{{Offset: offset, Data: data}}})
+			return s.awaitOutcome(ctx, id)
+		case !errors.Is(err, platform.ErrUnknown) && !errors.Is(err, platform.ErrUnavailable):
+			return fold.Outcome{}, err
+		}
+		s.metrics.Add("control.appendRetries", 1)
+		select {
+		case <-ctx.Done():
+			return fold.Outcome{}, err
+		case <-time.After(appendPause):
+		}
+	}
+}
+
+// catchUp reads to the end of the log, so that a record that was appended
+// before is found by its id.
+func (s *service) catchUp(ctx context.Context) error {
+	for {
+		from := s.view.Load().State.Offset + 1
+		page, err := s.log.Read(ctx, record.Stream, from, time.Now())
+		if err == nil && page.Next <= from {
+			return nil
+		}
+		if err == nil {
+			if _, err = ask[int64](s.control, recordsArrived{entries: page.Records, next: page.Next, first: page.First}); err == nil {
+				continue
+			}
+		}
+		if errors.Is(err, platform.ErrExpired) {
+			s.run(readLog{})
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		case <-time.After(appendPause):
+		}
+	}
+}
+
+func (s *service) awaitOutcome(ctx context.Context, id string) (fold.Outcome, error) {
+	for {
+		changed := s.changed.wait()
+		if out, ok := s.view.Load().State.Outcome(id); ok {
+			return out, nil
+		}
+		s.run(readLog{})
+		select {
+		case <-ctx.Done():
+			return fold.Outcome{}, errors.New("the record is on the log and not folded yet")
+		case <-changed:
+		case <-time.After(appendPause):
+		}
+	}
+}
+
+// Watch implements wirev1connect.ControlHandler.
+func (s *service) Watch(ctx context.Context, req *connect.Request[wirev1.WatchRequest], stream *connect.ServerStream[wirev1.WatchResponse]) error {
+	after := timeline.Time{Wall: time.Unix(0, req.Msg.GetAfterWall())}
+	if req.Msg.GetAfterWall() == 0 {
+		after.Wall = time.Now()
+	}
+	for {
+		events, changed := s.events.Since(after)
+		for _, e := range events {
+			if err := stream.Send(&wirev1.WatchResponse{Event: eventToWire(e)}); err != nil {
+				return err
+			}
+			after = e.Time
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.ctx.Done():
+			return connect.NewError(connect.CodeUnavailable, errors.New("the daemon is stopping"))
+		case <-changed:
+		}
+	}
+}
+
+// Timeline implements wirev1connect.ControlHandler.
+func (s *service) Timeline(_ context.Context, req *connect.Request[wirev1.TimelineRequest]) (*connect.Response[wirev1.TimelineResponse], error) {
+	limit := int(req.Msg.GetLimit())
+	if limit <= 0 || limit > maxTimeline {
+		limit = maxTimeline
+	}
+	after := time.Time{}
+	if n := req.Msg.GetAfterWall(); n > 0 {
+		after = time.Unix(0, n)
+	}
+	res := &wirev1.TimelineResponse{}
+	for _, e := range s.events.Events(after, limit) {
+		res.Events = append(res.Events, eventToWire(e))
+	}
+	return connect.NewResponse(res), nil
+}
+
+func eventToWire(e timeline.Event) *wirev1.Event {
+	return &wirev1.Event{
+		Wall: e.Time.Wall.UnixNano(), Logical: e.Time.Logical, Daemon: e.Daemon, Zone: e.Zone,
+		Kind: string(e.Kind), Detail: e.Detail, Version: e.Version,
+	}
+}
+
+// members returns the names of the members that may own shared tasks.
+func (s *Snapshot) members() []string {
+	var names []string
+	for _, m := range s.Members {
+		if m.State != membership.Leaving && m.State != membership.Suspect {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/process/control/snapshot.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+)
+
+// Snapshot is an immutable view of the control state for traffic.
+type Snapshot struct {
+	State *fold.State
+	Table *route.Table
+	Self  membership.Member
+	// Members are the members that are not dead, the daemon itself included.
+	Members []membership.Member
+	// Serving is false until the daemon holds a current state, and again after
+	// the process was paused until it has caught up.
+	Serving bool
+	// LogReachable says whether the last read of the log succeeded.
+	LogReachable bool
+	// Shares holds the share of traffic of the new version by running move.
+	Shares map[int64]float64
+	// TakenBack holds the moves against which there is a verdict.
+	TakenBack map[int64]bool
+	// quarantined holds fingerprints of requests that crash upstreams.
+	quarantined func(uint64) bool
+}
+
+// Share returns the share of traffic of the new version of a move.
+func (s *Snapshot) Share(m fold.Move) float64 { return s.Shares[m.ID] }
+
+// Quarantined reports whether requests with the fingerprint are refused.
+func (s *Snapshot) Quarantined(fingerprint uint64) bool {
+	return s.quarantined != nil && s.quarantined(fingerprint)
+}
+
+// ZoneOut reports whether operators took the daemon's own zone out.
+func (s *Snapshot) ZoneOut() bool { return s.State.Zones[s.Self.Zone].Out }
+
+// Shed returns the shed order of the preset in force.
+func (s *Snapshot) Shed(now time.Time) []string {
+	p, _ := s.State.InForce(now)
+	return p.Shed
+}
--- /dev/null
+++ b/process/membership/membership.go
@@ -0,0 +1,407 @@
+// Package membership keeps the members that a daemon knows and merges what its
+// peers know.
+//
+// A member describes one daemon and the upstream instance beside it. Entries
+// are ordered by incarnation, sequence number and liveness, so merging is
+// commutative and idempotent. A member that others suspect refutes with a
+// higher sequence number. A daemon holds the members of its own availability
+// zone, those of the services that it follows, and a few contacts in every
+// other zone; it never needs the whole fleet.
+//
+// The package holds no clock, socket or random source. The control actor calls
+// it and carries its messages.
+//
+// # Usage
+//
+//	tbl := membership.NewTable(self, "booking", "records")
+//	changed := tbl.Merge(now, received)
+//	peer, ok := tbl.Next(rnd)            // partner of the next exchange
+//	reply := tbl.Delta(request.Digests)  // what the partner lacks
+//	dead := tbl.Tick(now)
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// SuspectPeriod is how long a suspected member may take to refute.
+	SuspectPeriod = 3 * time.Second
+	// TombstonePeriod is how long a dead or departed member is remembered, so
+	// that a late message does not bring it back.
+	TombstonePeriod = 5 * time.Minute
+	// contactsPerZone is the number of members kept of a zone that the daemon
+	// does not follow.
+	contactsPerZone = 3
+)
+
+// State is the state of a member.
+type State string
+
+// The states of a member. Starting to Leaving are declared by the member
+// itself, Suspect and Dead by its peers.
+const (
+	Starting State = "starting"
+	Ready    State = "ready"
+	Draining State = "draining"
+	Leaving  State = "leaving"
+	Suspect  State = "suspect"
+	Dead     State = "dead"
+)
+
+// rank orders entries of the same sequence number.
+func (s State) rank() int {
+	switch s {
+	case Suspect:
+		return 1
+	case Dead:
+		return 2
+	}
+	return 0
+}
+
+// Member is one daemon and the upstream instance beside it.
+type Member struct {
+	Name   string
+	Region string
+	Zone   string
+	// Peer serves other daemons, Caller serves callers.
+	Peer, Caller netip.AddrPort
+	// Service and Version name the upstream and its version; empty until the
+	// upstream has announced itself.
+	Service, Version string
+	State            State
+	// Incarnation is the start time of the daemon in Unix nanoseconds.
+	Incarnation uint64
+	// Seq grows with every change that the member makes to its entry.
+	Seq uint64
+}
+
+// Newer reports whether m replaces old.
+func (m Member) Newer(old Member) bool {
+	return cmp.Or(
+		cmp.Compare(m.Incarnation, old.Incarnation),
+		cmp.Compare(m.Seq, old.Seq),
+		cmp.Compare(m.State.rank(), old.State.rank()),
+	) > 0
+}
+
+// hash identifies the content of an entry in digests.
+func (m Member) hash() uint64 {
+	b := make([]byte, 0, 64)
+	b = append(b, m.Name...)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, m.Incarnation, 36)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, m.Seq, 36)
+	b = append(b, m.State...)
+	return xxhash.Sum64(b)
+}
+
+// Digest summarises the live members of one scope: a zone or a service.
+type Digest struct {
+	Scope string
+	Hash  uint64
+	Count int
+}
+
+// ZoneScope returns the scope of an availability zone.
+func ZoneScope(zone string) string { return "zone:" + zone }
+
+// ServiceScope returns the scope of a service.
+func ServiceScope(service string) string { return "service:" + service }
+
+type entry struct {
+	Member
+	// deadline is when a suspect becomes dead, or a tombstone is dropped.
+	deadline time.Time
+}
+
+// Table is the members that one daemon knows. It is owned by one goroutine.
+type Table struct {
+	self    Member
+	follow  map[string]bool
+	entries map[string]*entry
+	// order is the shuffled order of exchange partners.
+	order []string
+}
+
+// NewTable returns a table for the given daemon that follows its own zone, its
+// own service and the given services.
+func NewTable(self Member, follow ...string) *Table {
+	t := &Table{self: self, entries: make(map[string]*entry)}
+	t.Follow(follow...)
+	return t
+}
+
+// Self returns the daemon's own entry.
+func (t *Table) Self() Member { return t.self }
+
+// Update changes the daemon's own entry and raises its sequence number.
+func (t *Table) Update(change func(m *Member)) Member {
+	change(&t.self)
+	t.self.Seq++
+	return t.self
+}
+
+// Follow sets the services whose members are held wherever they run.
+func (t *Table) Follow(services ...string) {
+	t.follow = make(map[string]bool, len(services))
+	for _, s := range services {
+		t.follow[s] = true
+	}
+}
+
+// Merge takes entries of a peer and returns those that were new.
+func (t *Table) Merge(now time.Time, members []Member) []Member {
+	var changed []Member
+	for _, m := range members {
+		if m.Name == t.self.Name {
+			if t.refute(m) {
+				changed = append(changed, t.self)
+			}
+			continue
+		}
+		if m.Name == "" || !t.wants(m) {
+			continue
+		}
+		if t.put(now, m) {
+			changed = append(changed, m)
+		}
+	}
+	return changed
+}
+
+// refute raises the own sequence number above an entry that declares this
+// daemon suspect, dead or an earlier self.
+func (t *Table) refute(m Member) bool {
+	if m == t.self || !m.Newer(t.self) {
+		return false
+	}
+	t.self.Incarnation = max(t.self.Incarnation, m.Incarnation)
+	t.self.Seq = max(t.self.Seq, m.Seq) + 1
+	return true
+}
+
+func (t *Table) put(now time.Time, m Member) bool {
+	old, ok := t.entries[m.Name]
+	if ok && !m.Newer(old.Member) {
+		return false
+	}
+	if !ok && m.State == Dead {
+		// A member that this daemon never held needs no tombstone.
+		return false
+	}
+	e := &entry{Member: m}
+	switch m.State {
+	case Suspect:
+		e.deadline = now.Add(SuspectPeriod)
+	case Dead:
+		e.deadline = now.Add(TombstonePeriod)
+	}
+	t.entries[m.Name] = e
+	return true
+}
+
+// wants reports whether the daemon holds the member.
+func (t *Table) wants(m Member) bool {
+	if _, held := t.entries[m.Name]; held || t.Authoritative(ZoneScope(m.Zone)) || t.Authoritative(ServiceScope(m.Service)) {
+		return true
+	}
+	contacts := 0
+	for _, e := range t.entries {
+		if e.Zone == m.Zone && e.State != Dead {
+			contacts++
+		}
+	}
+	return contacts < contactsPerZone
+}
+
+// Authoritative reports whether the daemon holds all members of the scope.
+func (t *Table) Authoritative(scope string) bool {
+	switch {
+	case scope == ZoneScope(t.self.Zone):
+		return true
+	case t.self.Service != "" && scope == ServiceScope(t.self.Service):
+		return true
+	}
+	for s := range t.follow {
+		if scope == ServiceScope(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspect marks a member that did not answer and returns its new entry.
+func (t *Table) Suspect(now time.Time, name string) (Member, bool) {
+	e, ok := t.entries[name]
+	if !ok || e.State.rank() > 0 {
+		return Member{}, false
+	}
+	m := e.Member
+	m.State = Suspect
+	t.put(now, m)
+	return m, true
+}
+
+// Tick declares suspects dead whose time is over, drops old tombstones, and
+// returns the members that have become dead.
+func (t *Table) Tick(now time.Time) []Member {
+	var dead []Member
+	for name, e := range t.entries {
+		if e.deadline.IsZero() || now.Before(e.deadline) {
+			continue
+		}
+		if e.State == Dead {
+			delete(t.entries, name)
+			continue
+		}
+		m := e.Member
+		m.State = Dead
+		t.put(now, m)
+		dead = append(dead, m)
+	}
+	slices.SortFunc(dead, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return dead
+}
+
+// Digests returns the digests of the scopes for which the daemon is
+// authoritative.
+func (t *Table) Digests() []Digest {
+	sums := map[string]*Digest{ZoneScope(t.self.Zone): {}}
+	if t.self.Service != "" {
+		sums[ServiceScope(t.self.Service)] = &Digest{}
+	}
+	for s := range t.follow {
+		sums[ServiceScope(s)] = &Digest{}
+	}
+	add := func(m Member) {
+		for _, scope := range []string{ZoneScope(m.Zone), ServiceScope(m.Service)} {
+			if d, ok := sums[scope]; ok {
+				d.Hash ^= m.hash()
+				d.Count++
+			}
+		}
+	}
+	add(t.self)
+	for _, e := range t.entries {
+		if e.State != Dead {
+			add(e.Member)
+		}
+	}
+	out := make([]Digest, 0, len(sums))
+	for scope, d := range sums {
+		out = append(out, Digest{Scope: scope, Hash: d.Hash, Count: d.Count})
+	}
+	slices.SortFunc(out, func(a, b Digest) int { return cmp.Compare(a.Scope, b.Scope) })
+	return out
+}
+
+// Delta returns the entries that a peer with the given digests may lack: those
+// of scopes that differ, and a few of scopes of which the peer knows nothing.
+func (t *Table) Delta(theirs []Digest) []Member {
+	own := make(map[string]Digest)
+	for _, d := range t.Digests() {
+		own[d.Scope] = d
+	}
+	scopes := make(map[string]bool)
+	for _, d := range theirs {
+		o, authoritative := own[d.Scope]
+		if authoritative && o.Hash != d.Hash || !authoritative && d.Count == 0 {
+			scopes[d.Scope] = true
+		}
+	}
+	out := []Member{t.self}
+	for _, e := range t.entries {
+		if scopes[ZoneScope(e.Zone)] || scopes[ServiceScope(e.Service)] {
+			out = append(out, e.Member)
+		}
+	}
+	slices.SortFunc(out[1:], func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Next returns the partner of the next exchange. Every live member is visited
+// once before any is visited again, which bounds the time to detect a failure.
+// rnd in [0,1) shuffles the order.
+func (t *Table) Next(rnd float64) (Member, bool) {
+	for range 2 {
+		for len(t.order) > 0 {
+			name := t.order[len(t.order)-1]
+			t.order = t.order[:len(t.order)-1]
+			if e, ok := t.entries[name]; ok && e.State != Dead && e.State != Leaving {
+				return e.Member, true
+			}
+		}
+		for name, e := range t.entries {
+			if e.State != Dead && e.State != Leaving {
+				t.order = append(t.order, name)
+			}
+		}
+		seed := strconv.FormatFloat(rnd, 'g', -1, 64)
+		slices.SortFunc(t.order, func(a, b string) int {
+			return cmp.Compare(xxhash.Sum64String(a+seed), xxhash.Sum64String(b+seed))
+		})
+	}
+	return Member{}, false
+}
+
+// Random returns up to n live members for which accept holds, in the order
+// that rnd in [0,1) gives.
+func (t *Table) Random(rnd float64, n int, accept func(Member) bool) []Member {
+	var out []Member
+	for _, e := range t.entries {
+		if e.State != Dead && e.State != Leaving && accept(e.Member) {
+			out = append(out, e.Member)
+		}
+	}
+	seed := strconv.FormatFloat(rnd, 'g', -1, 64)
+	slices.SortFunc(out, func(a, b Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name+seed), xxhash.Sum64String(b.Name+seed))
+	})
+	return out[:min(n, len(out))]
+}
+
+// All returns the daemon itself and all members that are not dead, by name.
+func (t *Table) All() []Member {
+	out := []Member{t.self}
+	for _, e := range t.entries {
+		if e.State != Dead {
+			out = append(out, e.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Get returns the entry of a member that is not dead.
+func (t *Table) Get(name string) (Member, bool) {
+	if name == t.self.Name {
+		return t.self, true
+	}
+	e, ok := t.entries[name]
+	if !ok || e.State == Dead {
+		return Member{}, false
+	}
+	return e.Member, true
+}
+
+// Rank returns the position of a name among names by rendezvous hashing for
+// the given key; 0 is the first choice.
+func Rank(key, name string, names []string) int {
+	own := xxhash.Sum64String(key + "\n" + name)
+	rank := 0
+	for _, n := range names {
+		if n != name && xxhash.Sum64String(key+"\n"+n) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -54,6 +54,9 @@
 	Seeds []netip.AddrPort `toml:"seeds"`
 	// InternalCallers are the networks that may use internal routes.
 	InternalCallers []netip.Prefix `toml:"internalCallers"`
+	// Services are the upstreams that callers of this daemon call; empty means
+	// all. A daemon of a large mesh follows only the members of these.
+	Services []string `toml:"services"`
 	// LogLevel is trace, debug, info, warn or error.
 	LogLevel string `toml:"logLevel"`
 }
--- /dev/null
+++ b/request/host/host.go
@@ -0,0 +1,370 @@
+// Package host hands calls to the one upstream instance beside the daemon.
+//
+// It is the only way to that instance, so slots, connections, cold start and
+// drain are enforced here. A refusal says "not run" only when no byte of the
+// request was handed over.
+//
+// # Usage
+//
+//	h := host.New(view, limiter, host.WithMetrics(set))
+//	h.SetUpstream(addr, connections)
+//	ans, err := h.Do(ctx, call)           // calls of the entry in this process
+//	mux.Handle(host.ForwardPrefix, h)     // calls of other daemons
+package host
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/metrics"
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
+)
+
+const (
+	// ForwardPrefix is the path prefix of calls forwarded by other daemons.
+	ForwardPrefix = "/forward/"
+	// reusePeriod is the idle time after which a connection no longer carries
+	// a request that must not be repeated: the upstream, or something between,
+	// may have dropped it, and a lost request could not be sent again.
+	reusePeriod = time.Second
+	// idlePeriod is the idle time after which other connections are closed.
+	idlePeriod = 30 * time.Second
+	// silentLimit is the number of silent attempts after which all idle
+	// connections are retired.
+	silentLimit = 1
+)
+
+// View gives the current control state.
+type View interface {
+	Snapshot() *control.Snapshot
+}
+
+// Limiter bounds the requests that the upstream runs at once.
+type Limiter interface {
+	Acquire(ctx context.Context, class string, shed []string, deadline time.Time) (admission.Ticket, error)
+	Done(now time.Time, t admission.Ticket, r admission.Result)
+	Load() (inFlight, queued, limit int, cold bool)
+}
+
+// Observer is told what became of each call that was handed over.
+type Observer interface {
+	// Started is told a call's fingerprint before it is handed over.
+	Started(call *request.Call)
+	// Finished is told the result; lost means that the connection broke.
+	Finished(call *request.Call, took time.Duration, failed, lost, cold bool)
+}
+
+// Option configures a Host.
+type Option func(*Host)
+
+// WithMetrics sets the counters.
+func WithMetrics(s *metrics.Set) Option { return func(h *Host) { h.metrics = s } }
+
+// WithObserver sets the observer.
+func WithObserver(o Observer) Option { return func(h *Host) { h.observer = o } }
+
+// Host hands calls to the upstream instance beside the daemon.
+type Host struct {
+	view     View
+	limiter  Limiter
+	metrics  *metrics.Set
+	observer Observer
+
+	draining atomic.Bool
+	calls    sync.WaitGroup
+	target   atomic.Pointer[target]
+}
+
+// target is the upstream instance and its connections.
+type target struct {
+	addr        netip.AddrPort
+	connections int
+	// repeatable carries idempotent calls, single those that are not.
+	repeatable, single *http.Transport
+}
+
+// New returns a host without an upstream.
+func New(view View, limiter Limiter, opts ...Option) *Host {
+	h := &Host{view: view, limiter: limiter, metrics: new(metrics.Set), observer: noObserver{}}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
+}
+
+// SetUpstream sets the address of the upstream and the number of connections
+// that it accepts.
+func (h *Host) SetUpstream(addr netip.AddrPort, connections int) {
+	if t := h.target.Load(); t != nil && t.addr == addr && t.connections == connections {
+		return
+	}
+	// The two pools share the connections; one slot is left for a probe.
+	half := max(1, (connections-1)/2)
+	next := &target{
+		addr: addr, connections: connections,
+		repeatable: transport(half, idlePeriod), single: transport(half, reusePeriod),
+	}
+	if old := h.target.Swap(next); old != nil {
+		old.repeatable.CloseIdleConnections()
+		old.single.CloseIdleConnections()
+	}
+}
+
+func transport(connections int, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+		IdleConnTimeout: idle, DisableCompression: true,
+	}
+}
+
+// Drain refuses new calls from other daemons and waits for those in flight.
+func (h *Host) Drain(ctx context.Context) error {
+	h.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		h.calls.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Do hands a call to the upstream. An error is a *request.Refusal.
+func (h *Host) Do(ctx context.Context, call *request.Call) (ans *request.Answer, err error) {
+	h.calls.Add(1)
+	defer h.calls.Done()
+	h.metrics.Add("host.calls", 1)
+	snap := h.view.Snapshot()
+	if err = h.check(snap, call); err != nil {
+		return nil, h.refused(err)
+	}
+	ticket, err := h.limiter.Acquire(ctx, call.Class, snap.Shed(time.Now()), call.Deadline)
+	if err != nil {
+		return nil, h.refused(overload(err))
+	}
+	// The wait for a slot may have outlasted the state that was checked.
+	if err = h.check(h.view.Snapshot(), call); err != nil {
+		h.limiter.Done(time.Now(), ticket, admission.Result{})
+		return nil, h.refused(err)
+	}
+	return h.hand(ctx, call, ticket)
+}
+
+func overload(err error) error {
+	var ref *request.Refusal
+	if errors.As(err, &ref) {
+		return ref
+	}
+	return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonOverload, Detail: err.Error(), RetryAt: time.Now().Add(time.Second)}
+}
+
+func (h *Host) refused(err error) error {
+	var ref *request.Refusal
+	if errors.As(err, &ref) {
+		h.metrics.Add("host.refused."+string(ref.Reason), 1)
+	}
+	return err
+}
+
+// check refuses calls that must not reach the upstream.
+func (h *Host) check(snap *control.Snapshot, call *request.Call) error {
+	refuse := func(reason request.Reason, format string, args ...any) error {
+		return &request.Refusal{Outcome: request.NotRun, Reason: reason, Detail: fmt.Sprintf(format, args...), RetryAt: time.Now()}
+	}
+	self := snap.Self
+	switch {
+	case h.draining.Load() || self.State == "draining" || self.State == "leaving":
+		return refuse(request.ReasonLeaving, "instance %s is leaving", self.Name)
+	case !snap.Serving:
+		return refuse(request.ReasonNotReady, "daemon %s has no current configuration", self.Name)
+	case snap.ZoneOut():
+		return refuse(request.ReasonZoneOut, "availability zone %s is out", self.Zone)
+	case h.target.Load() == nil || self.State != "ready":
+		return refuse(request.ReasonNotReady, "upstream beside %s is %s", self.Name, self.State)
+	case call.UpstreamVersion != "" && call.UpstreamVersion != self.Version:
+		return refuse(request.ReasonWrongVersion, "instance %s runs version %s, not %s", self.Name, self.Version, call.UpstreamVersion)
+	case !time.Now().Before(call.Deadline):
+		return refuse(request.ReasonDeadline, "deadline has passed")
+	case snap.Quarantined(call.Fingerprint()):
+		return &request.Refusal{
+			Outcome: request.NotRun, Reason: request.ReasonQuarantined, Status: http.StatusUnprocessableEntity,
+			Detail: "the request was in flight when upstream instances crashed",
+		}
+	}
+	return nil
+}
+
+// hand sends the call to the upstream and reads the answer.
+func (h *Host) hand(ctx context.Context, call *request.Call, ticket admission.Ticket) (ans *request.Answer, err error) {
+	start := time.Now()
+	result := admission.Result{}
+	_, _, _, cold := h.limiter.Load()
+	lost := false
+	var connected atomic.Bool
+	h.observer.Started(call)
+	streaming := false
+	finish := func() {
+		result.Took = time.Since(start)
+		h.limiter.Done(time.Now(), ticket, result)
+		h.observer.Finished(call, result.Took, result.Failed, lost, cold || result.Shed)
+	}
+	defer func() {
+		if !streaming {
+			finish()
+		}
+	}()
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer func() {
+		if !streaming {
+			cancel()
+		}
+	}()
+	tgt := h.target.Load()
+	req := newUpstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), tgt, call)
+	tr := tgt.single
+	if call.Idempotent {
+		tr = tgt.repeatable
+	}
+	res, err := tr.RoundTrip(req)
+	if err != nil {
+		result.Failed, lost = true, connected.Load() && !errors.Is(err, context.Canceled)
+		return nil, h.lostCall(ctx, call, tgt, err, connected.Load())
+	}
+	if got := res.Header.Get(request.HeaderUpstreamRequest); got != call.ID {
+		_ = res.Body.Close()
+		result.Failed = true
+		h.metrics.Add("host.mismatchedAnswers", 1)
+		tr.CloseIdleConnections()
+		return nil, handedOver(request.ReasonMismatch, fmt.Sprintf("the upstream answered request %q", got))
+	}
+	ans = &request.Answer{Status: res.StatusCode, Header: res.Header, Outcome: request.Ran}
+	ans.Body, err = io.ReadAll(io.LimitReader(res.Body, request.MaxBody))
+	if err != nil {
+		_ = res.Body.Close()
+		result.Failed, lost = true, true
+		h.metrics.Add("host.truncatedAnswers", 1)
+		return nil, handedOver(request.ReasonTruncated, err.Error())
+	}
+	result.Failed = res.StatusCode >= http.StatusInternalServerError
+	result.Shed = res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
+	if result.Shed {
+		ans.Outcome = request.Unknown
+	}
+	ans.Load = h.load()
+	if len(ans.Body) < request.MaxBody {
+		_ = res.Body.Close()
+		return ans, nil
+	}
+	streaming = true
+	ans.Rest = &restBody{ReadCloser: res.Body, done: func() {
+		finish()
+		cancel()
+	}}
+	return ans, nil
+}
+
+// lostCall classifies an exchange that gave no answer. Only a failure before
+// a connection was there is certain to have handed nothing over.
+func (h *Host) lostCall(ctx context.Context, call *request.Call, tgt *target, err error, connected bool) error {
+	if !connected {
+		h.metrics.Add("host.connectFailures", 1)
+		return h.refused(&request.Refusal{Outcome: request.NotRun, Reason: request.ReasonConnect, Detail: err.Error(), RetryAt: time.Now()})
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The connection may have gone silent for good, and those opened
+		// through the same path with it.
+		h.metrics.Add("host.silentCalls", silentLimit)
+		tgt.repeatable.CloseIdleConnections()
+		tgt.single.CloseIdleConnections()
+		return handedOver(request.ReasonDeadline, "no answer from the upstream by the deadline")
+	}
+	h.metrics.Add("host.lostCalls", 1)
+	return handedOver(request.ReasonConnection, err.Error())
+}
+
+// handedOver is a refusal of a call that the upstream may have run.
+func handedOver(reason request.Reason, detail string) error {
+	return &request.Refusal{Outcome: request.Unknown, Reason: reason, Detail: detail, Status: http.StatusBadGateway}
+}
+
+func (h *Host) load() request.Load {
+	inFlight, queued, limit, cold := h.limiter.Load()
+	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: "warm"}
+	if cold {
+		l.State = "cold"
+	}
+	return l
+}
+
+func newUpstreamRequest(ctx context.Context, tgt *target, call *request.Call) *http.Request {
+	var body io.Reader
+	if len(call.Body) > 0 || !call.Idempotent && bodiless(call.Method) {
+		// A reader without GetBody keeps net/http from sending the request a
+		// second time on its own when a reused connection breaks.
+		body = struct{ io.Reader }{bytes.NewReader(call.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+tgt.addr.String()+call.Path, body)
+	if err != nil {
+		// Method and path were parsed by net/http when the call came in.
+		req = (&http.Request{}).WithContext(ctx)
+	}
+	if len(call.Body) > 0 {
+		req.ContentLength = int64(len(call.Body))
+	}
+	for name, values := range call.Header {
+		if name == request.HeaderKey {
+			// net/http repeats requests that carry this header in its canonical
+			// form when a connection breaks; header names are case-insensitive
+			// for the upstream.
+			name = "idempotency-key"
+		}
+		req.Header[name] = values
+	}
+	req.Header.Set(request.HeaderUpstreamRequest, call.ID)
+	req.Header.Set(request.HeaderTimeout, strconv.FormatInt(max(1, time.Until(call.Deadline).Milliseconds()), 10))
+	return req
+}
+
+func bodiless(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// restBody reports the end of a streamed answer.
+type restBody struct {
+	io.ReadCloser
+	once sync.Once
+	done func()
+}
+
+// Close implements io.Closer.
+func (b *restBody) Close() error {
+	defer b.once.Do(b.done)
+	return b.ReadCloser.Close()
+}
+
+type noObserver struct{}
+
+func (noObserver) Started(*request.Call)                                       {}
+func (noObserver) Finished(*request.Call, time.Duration, bool, bool, bool) {}
--- /dev/null
+++ b/request/host/serve.go
@@ -0,0 +1,68 @@
+package host
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+)
+
+// ServeHTTP serves a call forwarded by the entry of another daemon.
+func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call, err := request.DecodeCall(r, ForwardPrefix, time.Now())
+	if err != nil {
+		h.metrics.Add("host.malformedCalls", 1)
+		var ref *request.Refusal
+		if !errors.As(err, &ref) {
+			ref = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
+		}
+		h.refuse(w, r.Header.Get(request.HeaderRequest), ref)
+		return
+	}
+	ans, err := h.Do(r.Context(), call)
+	if err != nil {
+		var ref *request.Refusal
+		if !errors.As(err, &ref) {
+			ref = &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonConnection, Detail: err.Error()}
+		}
+		h.refuse(w, call.ID, ref)
+		return
+	}
+	if err := WriteAnswer(w, ans, call.ID); err != nil {
+		h.metrics.Add("host.abortedAnswers", 1)
+		// The entry must not take a part of the answer for the whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *Host) refuse(w http.ResponseWriter, id string, ref *request.Refusal) {
+	header := w.Header()
+	header.Set(request.HeaderRequest, id)
+	request.EncodeRefusal(ref, header)
+	request.EncodeLoad(h.load(), header)
+	w.WriteHeader(request.StatusOf(ref))
+	_, _ = io.WriteString(w, ref.Detail)
+}
+
+// WriteAnswer writes an answer and its load report for the attempt id.
+func WriteAnswer(w http.ResponseWriter, ans *request.Answer, id string) error {
+	header := w.Header()
+	for name, values := range request.CleanHeader(ans.Header) {
+		header[name] = values
+	}
+	header.Set(request.HeaderRequest, id)
+	header.Set(request.HeaderOutcome, string(ans.Outcome))
+	request.EncodeLoad(ans.Load, header)
+	w.WriteHeader(ans.Status)
+	if _, err := w.Write(ans.Body); err != nil {
+		return err
+	}
+	if ans.Rest == nil {
+		return nil
+	}
+	defer func() { _ = ans.Rest.Close() }()
+	_, err := io.Copy(w, ans.Rest)
+	return err
+}
--- /dev/null
+++ b/request/route/route.go
@@ -0,0 +1,224 @@
+// Package route chooses where a request goes: the route, the upstream version,
+// the availability zone and the instance.
+//
+// A Table is an immutable view of one configuration version and the members
+// known at that moment. Its methods are pure; random numbers and load reports
+// are arguments.
+//
+// # Usage
+//
+//	tbl := route.NewTable(state, members, "nl-west-a", "nl-west")
+//	rt, ok := tbl.Match(http.MethodGet, "/slots/today")
+//	version := tbl.Version(rt.Upstream, share, rnd)
+//	inst, ok := tbl.Pick(route.Query{Upstream: rt.Upstream, Version: version, Now: now, Rnd: rnds}, loads)
+package route
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+)
+
+// SaturatedRatio is the ratio of load to limit from which an instance counts
+// as saturated and another availability zone is considered.
+const SaturatedRatio = 0.9
+
+// Loads reports the ratio of load to limit of an instance, and whether calls
+// to it fail at the moment.
+type Loads interface {
+	Ratio(instance string, now time.Time) (ratio float64, failing bool)
+}
+
+// Instance is an upstream instance and the daemon beside it.
+type Instance struct {
+	Name, Zone, Region string
+	Upstream, Version  string
+	Peer               netip.AddrPort
+	// Suspect marks an instance whose daemon did not answer its peers.
+	Suspect bool
+}
+
+// Table is an immutable routing table.
+type Table struct {
+	zone, region string
+	state        *fold.State
+	routes       []config.Route
+	instances    map[string][]Instance
+}
+
+// Query asks for an instance.
+type Query struct {
+	Upstream, Version string
+	// Exclude names instances that were tried already.
+	Exclude []string
+	Now     time.Time
+	// Rnd are random numbers in [0,1): for the ramp of a returning zone, and
+	// two for the candidates.
+	Rnd [3]float64
+}
+
+// NewTable builds the table of a daemon in the given zone and region.
+func NewTable(st *fold.State, members []membership.Member, zone, region string) *Table {
+	t := &Table{zone: zone, region: region, state: st, instances: make(map[string][]Instance)}
+	t.routes = slices.Clone(st.Config.Routes)
+	// The longest prefix comes first; a route with methods precedes one without.
+	slices.SortStableFunc(t.routes, func(a, b config.Route) int {
+		return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(len(b.Methods), len(a.Methods)))
+	})
+	for _, m := range members {
+		if m.State != membership.Ready && m.State != membership.Suspect || m.Service == "" {
+			continue
+		}
+		t.instances[m.Service] = append(t.instances[m.Service], Instance{
+			Name: m.Name, Zone: m.Zone, Region: m.Region, Upstream: m.Service, Version: m.Version,
+			Peer: m.Peer, Suspect: m.State == membership.Suspect,
+		})
+	}
+	return t
+}
+
+// Match returns the route of a request.
+func (t *Table) Match(method, path string) (config.Route, bool) {
+	for _, r := range t.routes {
+		if strings.HasPrefix(path, r.Prefix) && (len(r.Methods) == 0 || slices.Contains(r.Methods, method)) {
+			return r, true
+		}
+	}
+	return config.Route{}, false
+}
+
+// Version chooses the version of an upstream by the share of its running move;
+// rnd is in [0,1).
+func (t *Table) Version(upstream string, share func(fold.Move) float64, rnd float64) string {
+	u, ok := t.state.Config.Upstream(upstream)
+	if !ok {
+		return ""
+	}
+	m, ok := t.state.Move(upstream)
+	if !ok {
+		return u.Active
+	}
+	if s := share(m); rnd < s && t.hasVersion(upstream, m.To) {
+		return m.To
+	}
+	return m.From
+}
+
+func (t *Table) hasVersion(upstream, version string) bool {
+	return slices.ContainsFunc(t.instances[upstream], func(in Instance) bool {
+		return in.Version == version && !in.Suspect && t.weight(in.Zone, time.Time{}) > 0
+	})
+}
+
+// weight is the share of its normal traffic that a zone receives: 0 for a zone
+// that is out, and rising from 0 to 1 while a zone returns. With a zero time a
+// returning zone has its full weight.
+func (t *Table) weight(zone string, now time.Time) float64 {
+	z, ok := t.state.Zones[zone]
+	switch {
+	case !ok:
+		return 1
+	case z.Out:
+		return 0
+	case now.IsZero() || !now.Before(z.RampUntil):
+		return 1
+	case !now.After(z.RampFrom):
+		return 0
+	}
+	return float64(now.Sub(z.RampFrom)) / float64(z.RampUntil.Sub(z.RampFrom))
+}
+
+// Pick chooses an instance. It prefers the own zone, then the own region, and
+// widens the choice when the candidates so far are saturated or failing. Among
+// the candidates it takes the less loaded of two.
+func (t *Table) Pick(q Query, loads Loads) (Instance, bool) {
+	candidates := t.candidates(q)
+	if len(candidates) == 0 {
+		return Instance{}, false
+	}
+	scopes := []func(Instance) bool{
+		func(in Instance) bool { return in.Zone == t.zone },
+		func(in Instance) bool { return in.Region == t.region },
+		func(Instance) bool { return true },
+	}
+	var best Instance
+	bestRatio, found := 0.0, false
+	for _, in := range scopes {
+		pick, ratio, ok := pickOfTwo(filter(candidates, in), q, loads)
+		if !ok {
+			continue
+		}
+		if !found || ratio < bestRatio {
+			best, bestRatio, found = pick, ratio, true
+		}
+		if bestRatio < SaturatedRatio {
+			break
+		}
+	}
+	return best, found
+}
+
+// candidates returns the instances that may receive the request. A returning
+// zone takes part with the probability of its weight; if that leaves nothing,
+// it takes part in full, since refusing would be worse than a fast ramp.
+func (t *Table) candidates(q Query) []Instance {
+	all := filter(t.instances[q.Upstream], func(in Instance) bool {
+		return in.Version == q.Version && t.weight(in.Zone, time.Time{}) > 0 && !slices.Contains(q.Exclude, in.Name)
+	})
+	now := filter(all, func(in Instance) bool { return q.Rnd[0] < t.weight(in.Zone, q.Now) })
+	if len(now) > 0 {
+		return now
+	}
+	return all
+}
+
+// failingRatio ranks failing and suspect instances behind all others.
+const failingRatio = 1e6
+
+func pickOfTwo(list []Instance, q Query, loads Loads) (Instance, float64, bool) {
+	if len(list) == 0 {
+		return Instance{}, 0, false
+	}
+	score := func(in Instance) float64 {
+		r, failing := loads.Ratio(in.Name, q.Now)
+		if failing || in.Suspect {
+			return failingRatio + r
+		}
+		return r
+	}
+	healthy := filter(list, func(in Instance) bool { return score(in) < failingRatio })
+	if len(healthy) > 0 {
+		list = healthy
+	}
+	i := int(q.Rnd[1] * float64(len(list)))
+	a := list[i]
+	ra := score(a)
+	if len(list) == 1 {
+		return a, ra, true
+	}
+	j := int(q.Rnd[2] * float64(len(list)-1))
+	if j >= i {
+		j++
+	}
+	b := list[j]
+	if rb := score(b); rb < ra {
+		return b, rb, true
+	}
+	return a, ra, true
+}
+
+func filter(list []Instance, keep func(Instance) bool) []Instance {
+	out := make([]Instance, 0, len(list))
+	for _, in := range list {
+		if keep(in) {
+			out = append(out, in)
+		}
+	}
+	return out
+}
