--- /dev/null
+++ b/request/retry/retry.go
@@ -0,0 +1,150 @@
+// Package retry decides whether a call is attempted again and until when an
+// attempt may take.
+//
+// Next and AttemptDeadline are pure: time and random values are arguments. The
+// Budget bounds the retries of one entry. It earns a share of the requests and
+// earns less when most requests need a retry, because a retry hardly helps in
+// a total outage and would multiply along a chain of calls.
+//
+// # Usage
+//
+//	budget.Request(now, preset.RetryPercent)
+//	var attempts []retry.Attempt
+//	for d := retry.Next(&call, nil, &budget, now, rand.Float64()); d.Retry; {
+//		wait(d.NotBefore)
+//		deadline := retry.AttemptDeadline(&call, len(attempts), now)
+//		attempts = append(attempts, try(&call, deadline)) // another instance each time
+//		d = retry.Next(&call, attempts, &budget, now, rand.Float64())
+//	}
+package retry
+
+import (
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+)
+
+// MaxAttempts is the number of attempts of a call, the first included.
+const MaxAttempts = 3
+
+const (
+	// overloadPause is the longest pause before the second attempt after a
+	// refusal for overload; it doubles for the third.
+	overloadPause = 25 * time.Millisecond
+	// reserveShare of the remaining time is kept for another attempt. Each
+	// level of a chain of calls takes its part from the time of the levels
+	// below: with an eighth, 14 levels leave 15 percent to the last, with a
+	// half they would leave nothing.
+	reserveShare = 8
+	// maxReserve bounds the time kept for another attempt.
+	maxReserve = time.Second
+)
+
+// Attempt is the result of one attempt that did not succeed.
+type Attempt struct {
+	Outcome  request.Outcome
+	Reason   request.Reason
+	Instance string
+}
+
+// Decision says whether another attempt is allowed.
+type Decision struct {
+	Retry bool
+	// NotBefore is the earliest time of the attempt.
+	NotBefore time.Time
+}
+
+// Next says whether another attempt is allowed after the attempts made so far,
+// and not before when. It takes a token from b for each attempt after the
+// first. rnd is a random number in [0, 1). The caller chooses an instance that
+// is not among the attempts.
+func Next(call *request.Call, attempts []Attempt, b *Budget, now time.Time, rnd float64) Decision {
+	if !now.Before(call.Deadline) || len(attempts) >= MaxAttempts {
+		return Decision{}
+	}
+	if len(attempts) == 0 {
+		return Decision{Retry: true, NotBefore: now}
+	}
+	lost := 0
+	for _, a := range attempts {
+		if !mayRepeat(call, a) {
+			return Decision{}
+		}
+		if a.Reason == request.ReasonConnection {
+			lost++
+		}
+	}
+	// A request that lost two connections may have crashed two instances. Two
+	// crashes are enough for quarantine, so it does not get a third.
+	if lost >= 2 {
+		return Decision{}
+	}
+	d := Decision{Retry: true, NotBefore: now}
+	last := attempts[len(attempts)-1]
+	if last.Reason == request.ReasonOverload {
+		pause := overloadPause << (len(attempts) - 1)
+		d.NotBefore = now.Add(time.Duration(rnd * float64(pause)))
+		if !d.NotBefore.Before(call.Deadline) {
+			return Decision{}
+		}
+	}
+	if isStale(last) && b.takeStale(now) {
+		return d
+	}
+	if !b.Take(now) {
+		return Decision{}
+	}
+	return d
+}
+
+// mayRepeat reports whether the call may be sent to another instance after the
+// attempt.
+func mayRepeat(call *request.Call, a Attempt) bool {
+	switch a.Outcome {
+	case request.NotRun:
+	case request.Unknown:
+		if !call.Idempotent {
+			return false
+		}
+	default:
+		return false
+	}
+	switch a.Reason {
+	case request.ReasonNoRoute, request.ReasonNoInstance, request.ReasonDeadline,
+		request.ReasonQuarantined, request.ReasonTooLarge, request.ReasonMalformed,
+		request.ReasonKeyInUse, request.ReasonLogOut, request.ReasonKeyExpired,
+		request.ReasonInternalRoute:
+		// Every instance would refuse for the same reason.
+		return false
+	}
+	return true
+}
+
+// isStale reports whether the entry chose an instance that had just gone out
+// of service.
+func isStale(a Attempt) bool {
+	if a.Outcome != request.NotRun {
+		return false
+	}
+	switch a.Reason {
+	case request.ReasonLeaving, request.ReasonZoneOut, request.ReasonNotReady, request.ReasonWrongVersion:
+		return true
+	}
+	return false
+}
+
+// AttemptDeadline splits the remaining time so that a silent instance leaves
+// time for another attempt of an idempotent request. attempt is the number of
+// attempts made before this one.
+func AttemptDeadline(call *request.Call, attempt int, now time.Time) time.Time {
+	left := call.Deadline.Sub(now)
+	if !call.Idempotent || attempt >= MaxAttempts-1 || left <= 0 {
+		return call.Deadline
+	}
+	reserve := min(left/reserveShare, maxReserve)
+	if attempt > 0 {
+		// What is left after a silent instance is short already.
+		reserve = left / 2
+	}
+	return call.Deadline.Add(-reserve)
+}
