version/move: add share, verdict and completion of a move

Evidence merges grow-only counters by maximum, Judge compares both versions with an exact stratified test, Share follows the stages and Done ends the move.

--- /dev/null
+++ b/version/move/evidence.go
@@ -0,0 +1,231 @@
+package move
+
+import (
+	"cmp"
+	"iter"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+)
+
+// WindowSeconds is the length of a window in seconds.
+const WindowSeconds = 5
+
+// KeptWindows is the number of windows that each instance and route keeps. A busy
+// route covers two minutes, a quiet one more, because a window without requests
+// takes no place.
+const KeptWindows = 24
+
+// Window returns the window that holds the given time.
+func Window(at time.Time) int64 {
+	return at.Unix() / WindowSeconds
+}
+
+// Key names the counters of one instance for one move, route and upstream version
+// in one window.
+type Key struct {
+	Move        int64
+	Instance    string
+	Incarnation uint64
+	Route       string
+	Version     string
+	// Window is the Unix time in seconds divided by WindowSeconds.
+	Window int64
+}
+
+// Counters are the grow-only counts of one Key.
+type Counters struct {
+	Requests, Errors uint64
+	// Excluded counts samples in cold start, overload or zone trouble, which are
+	// in no other field.
+	Excluded uint64
+	// Latency counts the requests that did not fail. The first bucket ends at
+	// 1 ms, each further one at twice the end of the one before; the last has no
+	// end.
+	Latency [16]uint64
+}
+
+// Add counts one request.
+func (c *Counters) Add(took time.Duration, failed, excluded bool) {
+	if excluded {
+		c.Excluded++
+		return
+	}
+	c.Requests++
+	if failed {
+		c.Errors++
+		return
+	}
+	c.Latency[bucket(took)]++
+}
+
+// bucket returns the bucket of a latency.
+func bucket(took time.Duration) int {
+	if took <= time.Millisecond {
+		return 0
+	}
+	n := bits.Len64(uint64((took - 1) / time.Millisecond))
+	return min(n, len(Counters{}.Latency)-1)
+}
+
+// merge sets each field to the larger of both.
+func (c *Counters) merge(o *Counters) {
+	c.Requests = max(c.Requests, o.Requests)
+	c.Errors = max(c.Errors, o.Errors)
+	c.Excluded = max(c.Excluded, o.Excluded)
+	for i := range c.Latency {
+		c.Latency[i] = max(c.Latency[i], o.Latency[i])
+	}
+}
+
+// add sums the fields.
+func (c *Counters) add(o *Counters) {
+	c.Requests += o.Requests
+	c.Errors += o.Errors
+	c.Excluded += o.Excluded
+	for i := range c.Latency {
+		c.Latency[i] += o.Latency[i]
+	}
+}
+
+// series names the counters of one instance and route over time.
+type series struct {
+	move            int64
+	instance, route string
+}
+
+// cell holds the counters of one window of a series.
+type cell struct {
+	window      int64
+	incarnation uint64
+	version     string
+	counters    Counters
+}
+
+func (c *cell) compare(o *cell) int {
+	return cmp.Or(
+		cmp.Compare(c.window, o.window),
+		cmp.Compare(c.incarnation, o.incarnation),
+		cmp.Compare(c.version, o.version),
+	)
+}
+
+// Evidence holds merged counters; the zero value is empty. Each series keeps its
+// KeptWindows newest cells. Age is relative to the series, so an instance whose
+// clock is ahead displaces no counters of other instances. Evidence is not safe
+// for concurrent use.
+type Evidence struct {
+	// cells are sorted by window, incarnation and version.
+	cells map[series][]cell
+}
+
+// Merge sets the counters of k to the maximum of the known ones and c. Keeping
+// the newest cells of a fixed order preserves the merge laws: a cell that is
+// among the newest of a union is among the newest of each part that holds it.
+func (e *Evidence) Merge(k Key, c Counters) {
+	if e.cells == nil {
+		e.cells = make(map[series][]cell)
+	}
+	s := series{move: k.Move, instance: k.Instance, route: k.Route}
+	cells := e.cells[s]
+	add := cell{window: k.Window, incarnation: k.Incarnation, version: k.Version, counters: c}
+	i, found := slices.BinarySearchFunc(cells, &add, func(c cell, t *cell) int { return c.compare(t) })
+	switch {
+	case found:
+		cells[i].counters.merge(&c)
+		return
+	case len(cells) < KeptWindows:
+		cells = slices.Insert(cells, i, add)
+	case i == 0:
+		return // older than all that are kept
+	default:
+		copy(cells, cells[1:i])
+		cells[i-1] = add
+	}
+	e.cells[s] = cells
+}
+
+// All returns all keys and counters in no particular order.
+func (e *Evidence) All() iter.Seq2[Key, Counters] {
+	return e.Since(-1 << 63)
+}
+
+// Since returns the keys and counters from the given window on. Peers that
+// exchange often need only the newest windows.
+func (e *Evidence) Since(window int64) iter.Seq2[Key, Counters] {
+	return func(yield func(Key, Counters) bool) {
+		for s, cells := range e.cells {
+			for i := len(cells) - 1; i >= 0 && cells[i].window >= window; i-- {
+				c := &cells[i]
+				k := Key{
+					Move: s.move, Instance: s.instance, Incarnation: c.incarnation,
+					Route: s.route, Version: c.version, Window: c.window,
+				}
+				if !yield(k, c.counters) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Retain drops the evidence of all moves for which running returns false, so that
+// ended moves take no memory.
+func (e *Evidence) Retain(running func(move int64) bool) {
+	for s := range e.cells {
+		if !running(s.move) {
+			delete(e.cells, s)
+		}
+	}
+}
+
+// pair holds the counters of both versions over the same period.
+type pair struct {
+	from, to Counters
+}
+
+// view is the evidence of one move, summed over instances.
+type view struct {
+	routes map[string]map[int64]*pair
+	total  map[int64]*pair
+}
+
+// view sums the counters of a move since its start. Windows that lie in the
+// future come from an instance with a wrong clock and are ignored. Counters of
+// the new version on the instance without are left out.
+func (e *Evidence) view(m fold.Move, now time.Time, without string) view {
+	v := view{routes: make(map[string]map[int64]*pair), total: make(map[int64]*pair)}
+	first, last := Window(m.StartAt), Window(now)+1
+	for s, cells := range e.cells {
+		if s.move != m.ID {
+			continue
+		}
+		for i := range cells {
+			c := &cells[i]
+			if c.window < first || c.window > last || (s.instance == without && c.version == m.To) {
+				continue
+			}
+			windows := v.routes[s.route]
+			if windows == nil {
+				windows = make(map[int64]*pair)
+				v.routes[s.route] = windows
+			}
+			for _, of := range []map[int64]*pair{windows, v.total} {
+				p := of[c.window]
+				if p == nil {
+					p = new(pair)
+					of[c.window] = p
+				}
+				switch c.version {
+				case m.To:
+					p.to.add(&c.counters)
+				case m.From:
+					p.from.add(&c.counters)
+				}
+			}
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/version/move/move.go
@@ -0,0 +1,211 @@
+// Package move decides how a move of an upstream from one version to another
+// proceeds: the share of traffic that the new version receives, whether the
+// new version has a fault, and when the move is done.
+//
+// All decisions are pure functions of the record of the move, the time and the
+// merged evidence. Daemons that hold the same evidence decide alike, and no
+// daemon leads.
+//
+// # Evidence
+//
+// Hosts count the requests to their own instance per move, route, upstream
+// version and window of time. Counters only grow, and evidence is merged by
+// taking the maximum of each field, so messages may be lost, repeated or
+// reordered. Each instance and route keeps its newest windows only.
+//
+// # Share
+//
+// The share rises in the stages 1%, 5%, 25%, 50% and 95% at 0, 20, 40, 60 and
+// 80 percent of the time between startAt and doneBy. Each stage beyond the
+// first needs MinSamples samples of the new version in windows in which it
+// received at least half of the share of the stage before. Where the traffic is
+// too small for that, the share follows the same times up to canaryPercent, and
+// then a later schedule (25%, 50% and 95% at 55, 70 and 85 percent).
+//
+// The old version keeps 5% of the traffic until the move is done, so that both
+// versions are always compared over the same period. A comparison with the past
+// alone cannot tell a fault of the version from a fault of a dependency. It only
+// lowers the share to canaryPercent, which gives the old version the traffic for
+// the comparison.
+//
+// # Verdict
+//
+// Both versions are compared on errors and on the latency quantiles p50, p90 and
+// p99, per route and over all routes. The test is exact and stratified by time
+// and route: a period in which both versions fail or are slow together counts
+// against neither. With at least three instances of the new version, the fault
+// must also show without the worst of them.
+//
+// # Usage
+//
+//	var ev move.Evidence
+//	counters.Add(took, failed, excluded) // the host, after each request
+//	ev.Merge(key, counters)              // own counters and those of peers
+//	if v, ok := ev.Judge(m, now); ok {
+//		verdicts = append(verdicts, v) // grow-only; appended to the log later
+//	}
+//	share := ev.Share(m, preset.CanaryPercent, takenBack, now)
+//	if ev.Done(m, now) {
+//		// append moveDone
+//	}
+package move
+
+import (
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+)
+
+// MinSamples is the number of samples of the new version that a stage needs.
+// It makes a fault that hits one request in twenty all but certain to show.
+const MinSamples = 200
+
+// soakEnd is the part of the time after which the move may be done. The rest is
+// left for the append of the record and its distribution before doneBy.
+const soakEnd = 0.95
+
+// finalShare is the share of the last stage. The old version keeps the rest for
+// the comparison until the move is done.
+const finalShare = 0.95
+
+// stage is a share and the part of the time at which it begins.
+type stage struct {
+	at, share float64
+}
+
+// schedule is followed with enough evidence.
+var schedule = []stage{{0, 0.01}, {0.2, 0.05}, {0.4, 0.25}, {0.6, 0.5}, {0.8, finalShare}}
+
+// lateSchedule is followed beyond canaryPercent where the traffic is too small
+// for enough evidence.
+var lateSchedule = []stage{{0, 0}, {0.55, 0.25}, {0.7, 0.5}, {0.85, finalShare}}
+
+// Verdict is a permanent decision against a move.
+type Verdict struct {
+	Move int64
+	// Reason is the kind of the fault: errors, p50, p90 or p99.
+	Reason string
+	// Evidence names the route and gives the figures of both versions.
+	Evidence string
+	At       time.Time
+}
+
+// Judge returns a verdict against the move if the merged evidence shows a fault
+// of the new version. The verdict must be kept, because the evidence expires.
+func (e *Evidence) Judge(m fold.Move, now time.Time) (Verdict, bool) {
+	if m.State != fold.MoveRunning || now.Before(m.StartAt) {
+		return Verdict{}, false
+	}
+	f, ok := e.fault(m, now, judgeAlpha)
+	if !ok {
+		return Verdict{}, false
+	}
+	return Verdict{Move: m.ID, Reason: f.reason, Evidence: f.String(), At: now}, true
+}
+
+// Share returns the share of traffic in [0,1] that goes to the new version. It is
+// 0 once the move was taken back and 1 once it is done. Without enough evidence
+// it is at most canaryPercent, except late in a move with little traffic.
+func (e *Evidence) Share(m fold.Move, canaryPercent int, takenBack bool, now time.Time) float64 {
+	switch {
+	case takenBack || m.State == fold.MoveTakenBack:
+		return 0
+	case m.State == fold.MoveDone:
+		return 1
+	case m.State != fold.MoveRunning || now.Before(m.StartAt):
+		return 0
+	}
+	limit := float64(min(max(canaryPercent, 0), 100)) / 100
+	elapsed := progress(m, now)
+	v := e.view(m, now, "")
+	n := v.proven(elapsed)
+	share := schedule[n].share
+	if n == 0 {
+		share = min(share, limit)
+	}
+	if v.sparse(schedule[n].share) {
+		share = max(share, min(shareAt(schedule, elapsed), limit), shareAt(lateSchedule, elapsed))
+	}
+	if share > limit && (v.overloaded(now) || e.suspect(m, now)) {
+		share = limit
+	}
+	return share
+}
+
+// Done reports whether the move is complete and moveDone is to be appended: the
+// last stage has been held to the end of the soak without a fault.
+func (e *Evidence) Done(m fold.Move, now time.Time) bool {
+	if m.State != fold.MoveRunning || progress(m, now) < soakEnd {
+		return false
+	}
+	v := e.view(m, now, "")
+	if v.exposure(finalShare) < MinSamples && !v.sparse(finalShare) {
+		return false
+	}
+	return e.Share(m, 0, false, now) >= finalShare
+}
+
+// progress returns the part of the time between startAt and doneBy that passed.
+func progress(m fold.Move, now time.Time) float64 {
+	return now.Sub(m.StartAt).Seconds() / m.DoneBy.Sub(m.StartAt).Seconds()
+}
+
+func shareAt(stages []stage, elapsed float64) float64 {
+	share := 0.0
+	for _, s := range stages {
+		if elapsed >= s.at {
+			share = s.share
+		}
+	}
+	return share
+}
+
+// proven returns the highest stage for which time and evidence suffice.
+func (v *view) proven(elapsed float64) int {
+	n := 0
+	for n+1 < len(schedule) && elapsed >= schedule[n+1].at && v.exposure(schedule[n].share) >= MinSamples {
+		n++
+	}
+	return n
+}
+
+// exposure returns the samples of the new version in windows in which it
+// received at least half of the given share.
+func (v *view) exposure(share float64) uint64 {
+	var n uint64
+	for _, p := range v.total {
+		if to, from := p.to.Requests, p.from.Requests; to > 0 && float64(to) >= share/2*float64(to+from) {
+			n += to
+		}
+	}
+	return n
+}
+
+// sparse reports whether the traffic is too small to yield enough samples at the
+// given share. A new version that lacks samples although the old one has enough
+// is not sparse: it is not served.
+func (v *view) sparse(share float64) bool {
+	var to, all float64
+	for _, p := range v.total {
+		to += float64(p.to.Requests)
+		all += float64(p.to.Requests + p.from.Requests)
+	}
+	if all*share >= 2*MinSamples {
+		return false
+	}
+	expected := all * schedule[0].share
+	return expected < 4 || to >= expected/4
+}
+
+// overloaded reports whether most recent samples of the new version, but not of
+// the old one, were excluded. There is then no evidence for a high share.
+func (v *view) overloaded(now time.Time) bool {
+	var to, from Counters
+	for w, p := range v.total {
+		if w > Window(now)-recentWindows {
+			to.add(&p.to)
+			from.add(&p.from)
+		}
+	}
+	return to.Excluded > to.Requests && from.Excluded <= from.Requests
+}
