--- a/internal/tomlsource/tomlsource.go
+++ b/internal/tomlsource/tomlsource.go
@@ -86,14 +86,10 @@
 // for each unknown key, each value of a text type that is no string, and the
 // first syntax or type error.
 func Decode(data []byte, v any) (Lines, error) {
-	lines, err := index(data, reflect.TypeOf(v))
-	if err != nil {
-		return lines, err
-	}
-	err = toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields().Decode(v)
+	lines, errs := index(data, reflect.TypeOf(v))
+	err := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields().Decode(v)
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
-		var errs []error
 		for i := range strict.Errors {
 			p := lines.describe(&strict.Errors[i])
 			p.Message = messageUnknown
@@ -102,10 +98,14 @@
 		return lines, errors.Join(errs...)
 	}
 	var dec *toml.DecodeError
-	if errors.As(err, &dec) {
-		return lines, lines.describe(dec)
+	switch {
+	case errors.As(err, &dec):
+		errs = append(errs, lines.describe(dec))
+	case err != nil && len(errs) == 0:
+		// An error without a position comes from a text type.
+		errs = append(errs, err)
 	}
-	return lines, err
+	return lines, errors.Join(errs...)
 }
 
 // OnlyUnknown reports whether err consists of unknown keys, so that the
@@ -161,7 +161,7 @@
 	errs     []error
 }
 
-func index(data []byte, target reflect.Type) (Lines, error) {
+func index(data []byte, target reflect.Type) (Lines, []error) {
 	ix := indexer{
 		Lines:    Lines{line: make(map[string]int)},
 		tables:   make(map[string]int),
@@ -196,7 +196,7 @@
 		}
 	}
 	// The decoder reports syntax errors.
-	return ix.Lines, errors.Join(ix.errs...)
+	return ix.Lines, ix.errs
 }
 
 // scope is a place in the file and the type that it is decoded into; nil where
--- a/process/client/client.go
+++ b/process/client/client.go
@@ -175,6 +175,17 @@
 	return root
 }
 
+// group makes cmd a command that only has subcommands. Cobra alone would print
+// the help and report success for a subcommand that does not exist.
+func group(cmd *cobra.Command, subcommands ...*cobra.Command) *cobra.Command {
+	cmd.AddCommand(subcommands...)
+	cmd.Args = cobra.NoArgs
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return fmt.Errorf("%q needs a subcommand; see %q", cmd.CommandPath(), cmd.CommandPath()+" --help")
+	}
+	return cmd
+}
+
 // commandContext bounds ctx by the deadline of the command.
 func (a *app) commandContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if a.deadline.IsZero() {
--- a/process/client/move.go
+++ b/process/client/move.go
@@ -11,15 +11,13 @@
 )
 
 func (a *app) newMove() *cobra.Command {
-	cmd := &cobra.Command{
+	return group(&cobra.Command{
 		Use:   "move",
 		Short: "Move the traffic of an upstream to another version",
 		Long: `move shifts the traffic of an upstream from one version to another in stages and
 rolls it back when the new version shows a fault. A move is named by the
 version (offset) of the record that started it.`,
-	}
-	cmd.AddCommand(a.newMoveStart(), a.newMoveStatus(), a.newMoveStop())
-	return cmd
+	}, a.newMoveStart(), a.newMoveStatus(), a.newMoveStop())
 }
 
 func (a *app) newMoveStart() *cobra.Command {
--- a/process/client/output.go
+++ b/process/client/output.go
@@ -46,8 +46,13 @@
 		_, _ = fmt.Fprintln(a.stderr, "kingcuppitch: "+err.Error())
 		return
 	}
-	var refused *refusedError
+	var (
+		refused *refusedError
+		file    *fileError
+	)
 	switch {
+	case errors.As(err, &file):
+		a.print(file, nil)
 	case errors.As(err, &refused):
 		a.print(refused.appendResult, nil)
 	case code == ExitLagging:
--- a/process/client/preset.go
+++ b/process/client/preset.go
@@ -17,14 +17,12 @@
 const presetLead = 2 * time.Second
 
 func (a *app) newPreset() *cobra.Command {
-	cmd := &cobra.Command{
+	return group(&cobra.Command{
 		Use:   "preset",
 		Short: "Show or set the preset in force",
 		Long: `preset shows the preset in force and the schedule, or puts another preset in
 force. Exactly one preset is in force at any moment.`,
-	}
-	cmd.AddCommand(a.newPresetShow(), a.newPresetSet())
-	return cmd
+	}, a.newPresetShow(), a.newPresetSet())
 }
 
 func (a *app) newPresetShow() *cobra.Command {
--- a/process/client/validate.go
+++ b/process/client/validate.go
@@ -2,9 +2,9 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/kingcuppitch/kingcuppitch/version/config"
-	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 )
 
@@ -37,11 +37,34 @@
 	}
 }
 
-func readConfig(path string) (cfg config.Config, err error) {
-	defer func() { err = eris.Wrap(err, path) }()
+// fileError lists the faults of a configuration file.
+type fileError struct {
+	Message  string            `json:"error"`
+	ExitCode int               `json:"exitCode"`
+	File     string            `json:"file"`
+	Problems []*config.Problem `json:"problems"`
+}
+
+func (e *fileError) Error() string {
+	var b strings.Builder
+	b.WriteString(e.Message + ":")
+	for _, p := range e.Problems {
+		b.WriteString("\n  " + p.Error())
+	}
+	return b.String()
+}
+
+func readConfig(path string) (config.Config, error) {
 	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return config.Config{}, err
 	}
-	return config.Parse(data)
+	cfg, err := config.Parse(data)
+	if list := config.Problems(err); len(list) > 0 {
+		return config.Config{}, &fileError{
+			Message: path + " is not valid", ExitCode: ExitError,
+			File: path, Problems: list,
+		}
+	}
+	return cfg, err
 }
--- a/process/client/wait.go
+++ b/process/client/wait.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 	"golang.org/x/sync/errgroup"
 )
@@ -20,6 +21,8 @@
 	Daemons int        `json:"daemons"`
 	Seconds float64    `json:"seconds"`
 	Lagging []lagEntry `json:"lagging,omitempty"`
+	// Gone lists the daemons that left the mesh during the wait.
+	Gone []lagEntry `json:"gone,omitempty"`
 }
 
 // lagEntry is a daemon that does not hold the version yet.
@@ -32,6 +35,9 @@
 }
 
 func (w *waitResult) text(p *printer, version int64) {
+	for _, l := range w.Gone {
+		p.line("%s (%s, %s) has left or is dead", l.Daemon, l.Zone, l.Address)
+	}
 	if len(w.Lagging) == 0 {
 		p.line("version %d is in force on all %d daemons after %.2f s", version, w.Daemons, w.Seconds)
 		return
@@ -49,7 +55,7 @@
 // have left or are dead.
 func memberDaemons(res *wirev1.StatusResponse) []*wirev1.Member {
 	return slices.DeleteFunc(slices.Clone(res.Members), func(m *wirev1.Member) bool {
-		return m.PeerAddress == "" || m.State == "dead" || m.State == "left"
+		return m.PeerAddress == "" || m.State == string(membership.Dead) || m.State == string(membership.Leaving)
 	})
 }
 
@@ -118,6 +124,26 @@
 			return w, nil
 		case <-time.After(waitPoll):
 		}
+		w.dropGone(ctx, a, pending)
+	}
+}
+
+// dropGone removes the daemons that the members no longer include.
+func (w *waitResult) dropGone(ctx context.Context, a *app, pending map[string]*lagEntry) {
+	res, first, err := a.status(ctx)
+	if err != nil {
+		return
+	}
+	listed := map[string]bool{first.addr.String(): true}
+	for _, m := range memberDaemons(res) {
+		listed[m.PeerAddress] = true
+	}
+	for _, l := range sortedEntries(pending) {
+		if !listed[l.Address] {
+			delete(pending, l.Address)
+			w.Gone = append(w.Gone, *l)
+			w.Daemons--
+		}
 	}
 }
 
--- a/process/client/watch.go
+++ b/process/client/watch.go
@@ -46,7 +46,7 @@
 		Args: cobra.NoArgs,
 	}
 	cmd.Flags().StringVar(&until, "until", "", "`CONDITION` that ends the command")
-	cmd.Flags().StringVar(&since, "since", "0s", "`TIME` of the first event (RFC 3339), or a length of time before now")
+	cmd.Flags().StringVar(&since, "since", "", "`TIME` of the first event (RFC 3339), or a length of time before now (default: now)")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		ctx, cancel := a.commandContext(cmd.Context())
 		defer cancel()
@@ -54,9 +54,13 @@
 		if err != nil {
 			return err
 		}
-		after, err := parseTime("since", since, time.Now())
-		if err != nil {
-			return err
+		var after int64
+		if since != "" {
+			t, err := parseTime("since", since, time.Now())
+			if err != nil {
+				return err
+			}
+			after = t.UnixNano()
 		}
 		return a.watch(ctx, cond, after)
 	}
@@ -121,7 +125,9 @@
 	return "", false, nil
 }
 
-func (a *app) watch(ctx context.Context, cond *condition, after time.Time) error {
+// watch shows events after a time in Unix nanoseconds; 0 means from now on by
+// the clock of the daemon.
+func (a *app) watch(ctx context.Context, cond *condition, after int64) error {
 	res, _, err := a.status(ctx)
 	if err != nil {
 		return err
@@ -163,7 +169,7 @@
 
 // stream delivers the events of the first daemon that answers, and connects
 // again when the connection is lost.
-func (a *app) stream(ctx context.Context, after time.Time, events chan<- timeline.Event) error {
+func (a *app) stream(ctx context.Context, after int64, events chan<- timeline.Event) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
 	lastSeen := time.Now()
@@ -189,8 +195,8 @@
 	}
 }
 
-func (d *daemon) watch(ctx context.Context, after, lastSeen *time.Time, events chan<- timeline.Event) error {
-	s, err := d.control.Watch(ctx, connect.NewRequest(&wirev1.WatchRequest{AfterWall: after.UnixNano()}))
+func (d *daemon) watch(ctx context.Context, after *int64, lastSeen *time.Time, events chan<- timeline.Event) error {
+	s, err := d.control.Watch(ctx, connect.NewRequest(&wirev1.WatchRequest{AfterWall: *after}))
 	if err != nil {
 		return err
 	}
@@ -201,12 +207,9 @@
 		if e == nil {
 			continue
 		}
-		ev := eventOf(e)
-		if ev.Time.Wall.After(*after) {
-			*after = ev.Time.Wall
-		}
+		*after = max(*after, e.Wall)
 		select {
-		case events <- ev:
+		case events <- eventOf(e):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/process/client/zone.go
+++ b/process/client/zone.go
@@ -15,12 +15,10 @@
 const zoneRamp = 60 * time.Second
 
 func (a *app) newZone() *cobra.Command {
-	cmd := &cobra.Command{
+	return group(&cobra.Command{
 		Use:   "zone",
 		Short: "Take an availability zone out of service or bring it back",
-	}
-	cmd.AddCommand(a.newZoneOut(), a.newZoneBack())
-	return cmd
+	}, a.newZoneOut(), a.newZoneBack())
 }
 
 func (a *app) newZoneOut() *cobra.Command {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -144,6 +144,11 @@
 			report(fmt.Sprintf("internalCallers[%d]", i), "a network such as 10.0.0.0/8 is required")
 		}
 	}
+	for i, name := range s.Services {
+		if name == "" {
+			report(fmt.Sprintf("services[%d]", i), "the name of an upstream is required")
+		}
+	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
 	default:
