--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -51,7 +51,11 @@
 	defer p.mu.Unlock()
 	c, ok := p.clients[addr]
 	if !ok {
-		c = &http.Client{Transport: p.transport()}
+		c = &http.Client{
+			Transport: p.transport(),
+			// A redirect is an answer for the caller.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
 		if p.clients == nil {
 			p.clients = make(map[netip.AddrPort]*http.Client)
 		}
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -76,6 +76,8 @@
 	Snapshot() *Snapshot
 	// Announce takes an announcement of the upstream beside the daemon.
 	Announce(service, version, state string, incarnation uint64)
+	// Recorder returns the observer of the calls of the own host.
+	Recorder() *Recorder
 	// Leave tells the peers that the daemon is about to stop.
 	Leave()
 }
@@ -127,6 +129,8 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	changed notifier
+
+	recorder *Recorder
 }
 
 // New returns a Control that is not started.
@@ -146,7 +150,8 @@
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return c.logger }))
 	core := newCore(c.self, c.metrics, c.events)
 	core.services = c.services
-	c.publish(core, time.Now())
+	c.publish(core)
+	c.recorder = newRecorder(c)
 	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) { c.receive(ctx, core) }))
 	return c
 }
@@ -163,7 +168,7 @@
 		c.valid.Store(now.Add(validPeriod).UnixNano())
 	}
 	if core.dirty {
-		c.publish(core, now)
+		c.publish(core)
 	}
 	if ctx.Sender() != nil {
 		if reply == nil {
@@ -176,9 +181,9 @@
 	}
 }
 
-func (c *control) publish(core *core, now time.Time) {
+func (c *control) publish(core *core) {
 	core.dirty = false
-	c.view.Store(core.snapshot(now))
+	c.view.Store(core.snapshot())
 	c.reader.Store(core.isReader())
 	c.changed.notify()
 }
@@ -226,6 +231,9 @@
 	c.send(announced{service: service, version: version, state: state, incarnation: incarnation})
 }
 
+// Recorder implements Control.
+func (c *control) Recorder() *Recorder { return c.recorder }
+
 // Leave implements Control.
 func (c *control) Leave() { _, _ = ask[any](c, leaving{}) }
 
@@ -260,6 +268,7 @@
 
 func (c *control) gossipLoop() {
 	for c.pause(jitter(gossipPeriod)) {
+		c.recorder.flush(time.Now())
 		c.send(gossipDue{})
 	}
 }
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -137,7 +137,7 @@
 func newCore(self membership.Member, set *metrics.Set, events *timeline.Timeline) *core {
 	return &core{
 		state: &fold.State{}, table: membership.NewTable(self), metrics: set, events: events,
-		offers: make(map[string]int64), dirty: true,
+		offers: make(map[string]int64), decision: newDecisions(), dirty: true,
 	}
 }
 
@@ -484,12 +484,12 @@
 	}})
 }
 
-func (c *core) snapshot(now time.Time) *Snapshot {
+func (c *core) snapshot() *Snapshot {
 	self, members := c.table.Self(), c.table.All()
 	s := &Snapshot{
 		State: c.state, Self: self, Members: members, Serving: c.serving, LogReachable: c.logReachable,
 		Table: route.NewTable(c.state, members, self.Zone, self.Region),
 	}
-	c.decision.fill(s, c.state, now)
+	c.decision.fill(s, c.state)
 	return s
 }
--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -1,25 +1,297 @@
 package control
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/move"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 )
 
+const (
+	// appendRepeat is the pause before a verdict or the end of a move is
+	// appended again while it is not folded.
+	appendRepeat = 2 * time.Second
+	// exchangedWindows is the number of windows of counters that a periodic
+	// exchange carries.
+	exchangedWindows = 3
+	// appendersPerZone is the number of daemons of a zone that append the end
+	// of a move. The fold ignores repeated ids.
+	appendersPerZone = 1
+)
+
 // decisions holds the merged sets on which daemons decide without the log.
-type decisions struct{}
+type decisions struct {
+	evidence move.Evidence
+	verdicts map[int64]move.Verdict
+	crashes  *quarantine.Set
+	// appendAfter holds when the end of a move may be appended again.
+	appendAfter map[int64]time.Time
+	shares      map[int64]float64
+	window      int64
+}
+
+// Events of the decisions.
+type (
+	countersMeasured struct {
+		counters map[move.Key]move.Counters
+	}
+	crashReported struct{ crash quarantine.Crash }
+)
+
+func newDecisions() decisions {
+	return decisions{
+		verdicts: make(map[int64]move.Verdict), crashes: new(quarantine.Set),
+		appendAfter: make(map[int64]time.Time), shares: make(map[int64]float64),
+	}
+}
+
+func (c *core) handleDecision(ev any, now time.Time, rnd float64) any {
+	switch ev := ev.(type) {
+	case countersMeasured:
+		c.onCounters(now, rnd, ev)
+	case crashReported:
+		c.onCrash(now, rnd, ev.crash)
+	}
+	return nil
+}
+
+// decide runs with each control tick: shares, verdicts and ends of moves.
+func (c *core) decide(now time.Time, rnd float64) {
+	d := &c.decision
+	d.crashes.Expire(now)
+	d.window = move.Window(now)
+	d.evidence.Retain(func(id int64) bool { return c.running(id) })
+	for _, m := range c.state.Moves {
+		if m.State != fold.MoveRunning {
+			delete(d.appendAfter, m.ID)
+			delete(d.verdicts, m.ID)
+			if _, ok := d.shares[m.ID]; ok {
+				delete(d.shares, m.ID)
+				c.dirty = true
+			}
+			continue
+		}
+		if _, judged := d.verdicts[m.ID]; !judged {
+			if v, bad := d.evidence.Judge(m, now); bad {
+				c.addVerdict(now, rnd, v)
+			}
+		}
+		if share := d.share(c.state, m, now); share != d.shares[m.ID] {
+			c.event(now, timeline.KindMove, m.ID, "move %d of %s: share of version %s is %.0f%%", m.ID, m.Upstream, m.To, 100*share)
+			d.shares[m.ID] = share
+			c.dirty = true
+		}
+		c.appendEnd(now, m)
+	}
+}
+
+func (c *core) running(id int64) bool {
+	return slices.ContainsFunc(c.state.Moves, func(m fold.Move) bool { return m.ID == id && m.State == fold.MoveRunning })
+}
+
+// addVerdict takes a verdict into the grow-only set. It takes effect at once
+// and is told to peers without the log.
+func (c *core) addVerdict(now time.Time, rnd float64, v move.Verdict) {
+	if _, ok := c.decision.verdicts[v.Move]; ok {
+		return
+	}
+	c.decision.verdicts[v.Move] = v
+	c.dirty = true
+	c.metrics.Add("control.verdicts", 1)
+	c.event(now, timeline.KindMove, v.Move, "move %d is taken back: %s (%s)", v.Move, v.Reason, v.Evidence)
+	c.spreadRequest(rnd, &wirev1.ExchangeRequest{Verdicts: []*wirev1.Verdict{verdictToWire(v)}})
+}
+
+// appendEnd appends the verdict against a move, or its completion, to the log.
+// The id is the same on all daemons, so the fold takes it once.
+func (c *core) appendEnd(now time.Time, m fold.Move) {
+	d := &c.decision
+	if now.Before(d.appendAfter[m.ID]) || !c.logReachable || c.zoneRank("end") >= appendersPerZone {
+		return
+	}
+	rec := record.Record{At: now, Author: c.table.Self().Name}
+	v, bad := d.verdicts[m.ID]
+	switch {
+	case bad:
+		rec.ID, rec.Kind = fmt.Sprintf("verdict-%d", m.ID), record.KindVerdict
+		rec.Verdict = &record.MoveEnd{Move: m.ID, Reason: v.Reason, Evidence: v.Evidence}
+	case d.evidence.Done(m, now):
+		rec.ID, rec.Kind = fmt.Sprintf("moveDone-%d", m.ID), record.KindMoveDone
+		rec.MoveDone = &record.MoveEnd{Move: m.ID, Reason: "the last stage was held to the end without a fault"}
+	default:
+		return
+	}
+	d.appendAfter[m.ID] = now.Add(appendRepeat)
+	c.act(appendRecord{rec})
+}
+
+// onCounters merges the counters of the own host and forwards them.
+func (c *core) onCounters(_ time.Time, rnd float64, ev countersMeasured) {
+	req := &wirev1.ExchangeRequest{}
+	for k, n := range ev.counters {
+		c.decision.evidence.Merge(k, n)
+		req.Counters = append(req.Counters, countersToWire(k, n))
+	}
+	if len(req.Counters) > 0 {
+		c.spreadRequest(rnd, req)
+	}
+}
+
+func (c *core) onCrash(now time.Time, rnd float64, crash quarantine.Crash) {
+	c.decision.crashes.Merge(crash)
+	c.metrics.Add("control.crashes", 1)
+	c.event(now, timeline.KindUpstream, 0, "upstream beside %s crashed with %d requests in flight", crash.Instance, len(crash.Fingerprints))
+	c.spreadRequest(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{crashToWire(crash)}})
+}
+
+// mergeDecisions takes the sets of a peer and forwards verdicts and crashes
+// that were new.
+func (c *core) mergeDecisions(now time.Time, rnd float64, sets decisionSets) {
+	d := &c.decision
+	for _, v := range sets.GetVerdicts() {
+		if c.running(v.GetMove()) || v.GetMove() > c.state.Offset {
+			c.addVerdict(now, rnd, verdictFromWire(v))
+		}
+	}
+	for _, n := range sets.GetCounters() {
+		k, counters := countersFromWire(n)
+		if c.running(k.Move) {
+			d.evidence.Merge(k, counters)
+		}
+	}
+	for _, cr := range sets.GetCrashes() {
+		crash := crashFromWire(cr)
+		if slices.ContainsFunc(d.crashes.Crashes(), func(known quarantine.Crash) bool { return known.ID == crash.ID }) {
+			continue
+		}
+		d.crashes.Merge(crash)
+		c.event(now, timeline.KindQuarantine, 0, "told of a crash of the upstream beside %s", crash.Instance)
+		c.spreadRequest(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{cr}})
+	}
+	for _, done := range sets.GetCompletions() {
+		d.crashes.Completed(done.GetFingerprint(), time.Unix(0, done.GetAtUnixNano()))
+	}
+}
 
-func (d *decisions) fill(s *Snapshot, st *fold.State, now time.Time) {}
+// decisionSets are the merged sets in a request or a response.
+type decisionSets interface {
+	GetVerdicts() []*wirev1.Verdict
+	GetCounters() []*wirev1.MoveCounters
+	GetCrashes() []*wirev1.Crash
+	GetCompletions() []*wirev1.Completion
+}
+
+// spreadRequest sends a request to a few random peers.
+func (c *core) spreadRequest(rnd float64, req *wirev1.ExchangeRequest) {
+	req.From, req.Offset = toWire(c.table.Self()), c.state.Offset
+	for _, m := range c.table.Random(rnd, pushFanout, func(membership.Member) bool { return true }) {
+		c.act(sendExchange{to: m, req: req, news: true})
+	}
+}
+
+// fillExchange adds the sets to a periodic exchange.
+func (d *decisions) fillExchange(req *wirev1.ExchangeRequest) {
+	req.Verdicts, req.Counters = d.wireVerdicts(), d.wireCounters()
+	req.Crashes, req.Completions = d.wireCrashes()
+}
+
+// fillResponse adds the sets to the answer to a periodic exchange.
+func (d *decisions) fillResponse(res *wirev1.ExchangeResponse) {
+	res.Verdicts, res.Counters = d.wireVerdicts(), d.wireCounters()
+	res.Crashes, res.Completions = d.wireCrashes()
+}
+
+func (d *decisions) wireVerdicts() []*wirev1.Verdict {
+	var out []*wirev1.Verdict
+	for _, v := range d.verdicts {
+		out = append(out, verdictToWire(v))
+	}
+	return out
+}
 
-func (d *decisions) fillExchange(req *wirev1.ExchangeRequest)  {}
-func (d *decisions) fillResponse(res *wirev1.ExchangeResponse) {}
+func (d *decisions) wireCounters() []*wirev1.MoveCounters {
+	var out []*wirev1.MoveCounters
+	for k, n := range d.evidence.Since(d.window - exchangedWindows + 1) {
+		out = append(out, countersToWire(k, n))
+	}
+	return out
+}
 
-func (c *core) mergeDecisions(now time.Time, rnd float64, verdicts []*wirev1.Verdict, counters []*wirev1.MoveCounters, crashes []*wirev1.Crash, completed []uint64) {
+func (d *decisions) wireCrashes() ([]*wirev1.Crash, []*wirev1.Completion) {
+	var crashes []*wirev1.Crash
+	for _, cr := range d.crashes.Crashes() {
+		crashes = append(crashes, crashToWire(cr))
+	}
+	var done []*wirev1.Completion
+	for _, cp := range d.crashes.Completions() {
+		done = append(done, &wirev1.Completion{Fingerprint: cp.Fingerprint, AtUnixNano: cp.At.UnixNano()})
+	}
+	return crashes, done
 }
 
-func (c *core) decide(now time.Time, rnd float64) {}
+// share returns the share of the new version of a move.
+func (d *decisions) share(st *fold.State, m fold.Move, now time.Time) float64 {
+	if m.State != fold.MoveRunning {
+		return map[fold.MoveState]float64{fold.MoveDone: 1}[m.State]
+	}
+	preset, _ := st.InForce(now)
+	_, bad := d.verdicts[m.ID]
+	return d.evidence.Share(m, preset.CanaryPercent, bad, now)
+}
 
-func (c *core) handleDecision(ev any, now time.Time, rnd float64) any { return nil }
+// fill adds the view of traffic on the decisions.
+func (d *decisions) fill(s *Snapshot, st *fold.State) {
+	s.Shares, s.TakenBack = make(map[int64]float64), make(map[int64]bool)
+	for _, m := range st.Moves {
+		if m.State != fold.MoveRunning {
+			continue
+		}
+		s.Shares[m.ID] = d.shares[m.ID]
+		if _, bad := d.verdicts[m.ID]; bad {
+			s.Shares[m.ID], s.TakenBack[m.ID] = 0, true
+		}
+	}
+	s.crashes = d.crashes
+}
 
-func (d *decisions) share(st *fold.State, m fold.Move, now time.Time) float64 { return 0 }
+func verdictToWire(v move.Verdict) *wirev1.Verdict {
+	return &wirev1.Verdict{Move: v.Move, Reason: v.Reason, Evidence: v.Evidence, AtUnixNano: v.At.UnixNano()}
+}
+
+func verdictFromWire(v *wirev1.Verdict) move.Verdict {
+	return move.Verdict{Move: v.GetMove(), Reason: v.GetReason(), Evidence: v.GetEvidence(), At: time.Unix(0, v.GetAtUnixNano())}
+}
+
+func countersToWire(k move.Key, n move.Counters) *wirev1.MoveCounters {
+	return &wirev1.MoveCounters{
+		Move: k.Move, Instance: k.Instance, Incarnation: k.Incarnation, Route: k.Route, Version: k.Version, Window: k.Window,
+		Requests: n.Requests, Errors: n.Errors, Excluded: n.Excluded, Latency: n.Latency[:],
+	}
+}
+
+func countersFromWire(w *wirev1.MoveCounters) (move.Key, move.Counters) {
+	k := move.Key{
+		Move: w.GetMove(), Instance: w.GetInstance(), Incarnation: w.GetIncarnation(),
+		Route: w.GetRoute(), Version: w.GetVersion(), Window: w.GetWindow(),
+	}
+	n := move.Counters{Requests: w.GetRequests(), Errors: w.GetErrors(), Excluded: w.GetExcluded()}
+	copy(n.Latency[:], w.GetLatency())
+	return k, n
+}
+
+func crashToWire(cr quarantine.Crash) *wirev1.Crash {
+	return &wirev1.Crash{Id: cr.ID, Instance: cr.Instance, AtUnixNano: cr.At.UnixNano(), Fingerprints: cr.Fingerprints}
+}
+
+func crashFromWire(cr *wirev1.Crash) quarantine.Crash {
+	return quarantine.Crash{
+		ID: cr.GetId(), Instance: cr.GetInstance(), At: time.Unix(0, cr.GetAtUnixNano()), Fingerprints: cr.GetFingerprints(),
+	}
+}
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -34,7 +34,7 @@
 	from := fromWire(req.GetFrom())
 	c.contactUntil = now.Add(contactPeriod)
 	c.merge(now, rnd, append(membersFromWire(req.GetMembers()), from))
-	c.mergeDecisions(now, rnd, req.GetVerdicts(), req.GetCounters(), req.GetCrashes(), req.GetCompletedFingerprints())
+	c.mergeDecisions(now, rnd, req)
 	if req.GetOffset() > c.state.Offset && from.Name != "" {
 		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
 	}
@@ -42,8 +42,8 @@
 	if len(req.GetDigests()) > 0 {
 		res.Digests = digestsToWire(c.table.Digests())
 		res.Members = membersToWire(c.table.Delta(digestsFromWire(req.GetDigests())))
+		c.decision.fillResponse(res)
 	}
-	c.decision.fillResponse(res)
 	return res
 }
 
@@ -53,7 +53,7 @@
 	from := fromWire(ev.res.GetFrom())
 	c.contactUntil = now.Add(contactPeriod)
 	c.merge(now, rnd, append(membersFromWire(ev.res.GetMembers()), from))
-	c.mergeDecisions(now, rnd, ev.res.GetVerdicts(), ev.res.GetCounters(), ev.res.GetCrashes(), ev.res.GetCompletedFingerprints())
+	c.mergeDecisions(now, rnd, ev.res)
 	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset()})
 	if ev.res.GetOffset() > c.state.Offset {
 		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
--- /dev/null
+++ b/process/control/recorder.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/move"
+)
+
+const (
+	// crashGather is how long lost calls are gathered after the first one
+	// before the crash is reported, so that the report names them all.
+	crashGather = 100 * time.Millisecond
+	// crashProbe bounds the attempt to connect to an upstream that dropped a
+	// connection; a crashed process refuses at once.
+	crashProbe = 200 * time.Millisecond
+)
+
+// Recorder counts the calls of the own host for moves and finds crashes of the
+// upstream. It is safe for concurrent use by traffic.
+type Recorder struct {
+	control *control
+
+	mu       sync.Mutex
+	counters map[move.Key]move.Counters
+	changed  map[move.Key]bool
+	inFlight map[uint64]int
+	lost     []uint64
+	// gathering is set while a possible crash is examined.
+	gathering bool
+	// reported is the incarnation whose crash was reported.
+	reported    uint64
+	incarnation uint64
+	address     string
+}
+
+func newRecorder(c *control) *Recorder {
+	return &Recorder{
+		control: c, counters: make(map[move.Key]move.Counters), changed: make(map[move.Key]bool),
+		inFlight: make(map[uint64]int),
+	}
+}
+
+// SetUpstream tells the address and the incarnation of the upstream.
+func (r *Recorder) SetUpstream(address string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.incarnation != 0 && r.incarnation != incarnation && len(r.lost) > 0 {
+		r.reportCrash()
+	}
+	r.address, r.incarnation = address, incarnation
+}
+
+// Started implements host.Observer.
+func (r *Recorder) Started(call *request.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight[call.Fingerprint()]++
+}
+
+// Finished implements host.Observer.
+func (r *Recorder) Finished(call *request.Call, took time.Duration, failed, lost, excluded bool) {
+	fp, now := call.Fingerprint(), time.Now()
+	snap := r.control.view.Load()
+	r.mu.Lock()
+	if r.inFlight[fp]--; r.inFlight[fp] <= 0 {
+		delete(r.inFlight, fp)
+	}
+	examine := lost && !r.gathering
+	if lost {
+		r.lost = append(r.lost, fp)
+		r.gathering = true
+	}
+	if m, ok := snap.State.Move(snap.Self.Service); ok {
+		r.count(m, snap, call, now, took, failed, excluded || snap.crashes.Quarantined(fp))
+	}
+	r.mu.Unlock()
+	if !lost {
+		snap.crashes.Completed(fp, now)
+	}
+	if examine {
+		time.AfterFunc(crashGather, r.examine)
+	}
+}
+
+func (r *Recorder) count(m fold.Move, snap *Snapshot, call *request.Call, now time.Time, took time.Duration, failed, excluded bool) {
+	if z := snap.State.Zones[snap.Self.Zone]; z.Out || now.Before(z.RampUntil) {
+		excluded = true
+	}
+	k := move.Key{
+		Move: m.ID, Instance: snap.Self.Name, Incarnation: snap.Self.Incarnation,
+		Route: call.Route, Version: snap.Self.Version, Window: move.Window(now),
+	}
+	n := r.counters[k]
+	n.Add(took, failed, excluded)
+	r.counters[k] = n
+	r.changed[k] = true
+}
+
+// examine decides whether lost calls were lost in a crash: a process that is
+// gone refuses new connections.
+func (r *Recorder) examine() {
+	r.mu.Lock()
+	address := r.address
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.control.ctx, crashProbe)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gathering = false
+	if err != nil {
+		r.reportCrash()
+		return
+	}
+	r.lost = nil
+}
+
+// reportCrash reports the calls that were in flight, once per incarnation.
+func (r *Recorder) reportCrash() {
+	fps := r.lost
+	r.lost = nil
+	if r.reported == r.incarnation {
+		return
+	}
+	r.reported = r.incarnation
+	for fp := range r.inFlight {
+		fps = append(fps, fp)
+	}
+	now := time.Now()
+	name := r.control.view.Load().Self.Name
+	r.control.send(crashReported{quarantine.Crash{
+		ID: name + "@" + now.UTC().Format(time.RFC3339Nano), Instance: name, At: now, Fingerprints: fps,
+	}})
+}
+
+// flush sends the counters that changed since the last flush to the core.
+func (r *Recorder) flush(now time.Time) {
+	r.mu.Lock()
+	out := make(map[move.Key]move.Counters, len(r.changed))
+	for k := range r.changed {
+		out[k] = r.counters[k]
+	}
+	clear(r.changed)
+	oldest := move.Window(now) - 1
+	for k := range r.counters {
+		if k.Window < oldest {
+			delete(r.counters, k)
+		}
+	}
+	r.mu.Unlock()
+	if len(out) > 0 {
+		r.control.send(countersMeasured{out})
+	}
+}
--- a/process/control/snapshot.go
+++ b/process/control/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
@@ -24,8 +25,8 @@
 	Shares map[int64]float64
 	// TakenBack holds the moves against which there is a verdict.
 	TakenBack map[int64]bool
-	// quarantined holds fingerprints of requests that crash upstreams.
-	quarantined func(uint64) bool
+	// crashes is the merged set of crash reports; it is safe for concurrent use.
+	crashes *quarantine.Set
 }
 
 // Share returns the share of traffic of the new version of a move.
@@ -33,7 +34,7 @@
 
 // Quarantined reports whether requests with the fingerprint are refused.
 func (s *Snapshot) Quarantined(fingerprint uint64) bool {
-	return s.quarantined != nil && s.quarantined(fingerprint)
+	return s.crashes != nil && s.crashes.Quarantined(fingerprint)
 }
 
 // ZoneOut reports whether operators took the daemon's own zone out.
--- /dev/null
+++ b/request/entry/entry.go
@@ -0,0 +1,429 @@
+// Package entry takes calls from callers and answers each of them with the
+// whole answer of an upstream or a true refusal.
+//
+// It matches the route, chooses version, availability zone and instance, and
+// tries further instances where the policy allows it. Every answer carries the
+// header Kingcuppitch-Outcome. A refusal is sent at once with Retry-After in
+// seconds.
+//
+// # Usage
+//
+//	e := entry.New(view, local, entry.WithName(name), entry.WithMetrics(set), entry.WithClaims(router))
+//	srv := &http.Server{Handler: e}
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	mathrand "math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/connection/peer"
+	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/metrics"
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/claim"
+	"github.com/kingcuppitch/kingcuppitch/request/host"
+	"github.com/kingcuppitch/kingcuppitch/request/retry"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+)
+
+const (
+	// refusalPause is when a caller may sensibly come back after a refusal
+	// that names no time of its own.
+	refusalPause = time.Second
+	// finishWithin bounds the time to store the answer of a keyed request.
+	finishWithin = 30 * time.Second
+	// maxKey bounds an idempotency key, in bytes.
+	maxKey = 255
+	// keyLifetime is how long a key is remembered.
+	keyLifetime = claim.DefaultLifetime
+)
+
+// View gives the current control state.
+type View interface {
+	Snapshot() *control.Snapshot
+}
+
+// Local hands calls to the instance beside this daemon.
+type Local interface {
+	Do(ctx context.Context, call *request.Call) (*request.Answer, error)
+}
+
+// Claims runs keyed requests at most once.
+type Claims interface {
+	Claim(ctx context.Context, key, claimID string) (claim.Grant, error)
+	Release(ctx context.Context, key, claimID string) error
+	Finish(ctx context.Context, key, claimID string, s claim.Stored) error
+}
+
+// Option configures an Entry.
+type Option func(*Entry)
+
+// WithName sets the name of the daemon's own instance.
+func WithName(name string) Option { return func(e *Entry) { e.name = name } }
+
+// WithMetrics sets the counters.
+func WithMetrics(s *metrics.Set) Option { return func(e *Entry) { e.metrics = s } }
+
+// WithClaims sets the claims of keyed requests.
+func WithClaims(c Claims) Option { return func(e *Entry) { e.claims = c } }
+
+// WithInternalCallers sets the networks that may use internal routes.
+func WithInternalCallers(p ...netip.Prefix) Option { return func(e *Entry) { e.internal = p } }
+
+// Entry is the HTTP handler for callers.
+type Entry struct {
+	view     View
+	local    Local
+	name     string
+	claims   Claims
+	internal []netip.Prefix
+	metrics  *metrics.Set
+
+	loads    loads
+	peers    peer.Pool
+	budgets  sync.Map // upstream name to *retry.Budget
+	finishes sync.WaitGroup
+}
+
+// New returns an entry.
+func New(view View, local Local, opts ...Option) *Entry {
+	e := &Entry{view: view, local: local, metrics: new(metrics.Set)}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// Close waits until the answers of keyed requests are stored.
+func (e *Entry) Close() {
+	e.finishes.Wait()
+	e.peers.Close()
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.metrics.Add("entry.requests", 1)
+	ans, err := e.serve(r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	e.metrics.Add("entry.answers."+string(ans.Outcome), 1)
+	if err := host.WriteAnswer(w, ans, ""); err != nil {
+		e.metrics.Add("entry.abortedAnswers", 1)
+		// The caller must not take a part of the answer for the whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve answers one request; an error is a *request.Refusal.
+func (e *Entry) serve(r *http.Request) (*request.Answer, error) {
+	now := time.Now()
+	snap := e.view.Snapshot()
+	if !snap.Serving {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNotReady, Detail: "this daemon has no current configuration", RetryAt: now.Add(refusalPause)}
+	}
+	rt, ok := snap.Table.Match(r.Method, r.URL.Path)
+	if !ok {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoRoute, Status: http.StatusNotFound, Detail: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
+	}
+	if rt.Internal && !e.isInternal(r.RemoteAddr) {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonInternalRoute, Status: http.StatusForbidden, Detail: fmt.Sprintf("route %s is internal", rt.Name)}
+	}
+	call, err := newCall(r, rt, snap, now)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	key := r.Header.Get(request.HeaderKey)
+	if rt.Idempotent || key == "" {
+		return e.attempts(ctx, call, rt)
+	}
+	if err := checkKey(r.Header, key, now); err != nil {
+		return nil, err
+	}
+	return e.keyed(ctx, call, rt, key)
+}
+
+func newCall(r *http.Request, rt config.Route, snap *control.Snapshot, now time.Time) (*request.Call, error) {
+	deadline := now.Add(time.Duration(rt.AnswerWithin))
+	if text := r.Header.Get(request.HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s: %q is not a positive number of milliseconds", request.HeaderTimeout, text)}
+		}
+		if d := now.Add(time.Duration(min(ms, config.MaxAnswerWithin.Milliseconds())) * time.Millisecond); d.Before(deadline) {
+			deadline = d
+		}
+	}
+	body, err := request.ReadBody(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &request.Call{
+		Route: rt.Name, Method: r.Method, Path: r.URL.RequestURI(), Header: request.CleanHeader(r.Header), Body: body,
+		Deadline: deadline, Idempotent: rt.Idempotent, Class: rt.Class, Version: snap.State.Version,
+	}, nil
+}
+
+func (e *Entry) isInternal(remote string) bool {
+	addr, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(e.internal, func(p netip.Prefix) bool { return p.Contains(addr.Addr().Unmap()) })
+}
+
+func checkKey(h http.Header, key string, now time.Time) error {
+	if len(key) > maxKey {
+		return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s exceeds %d bytes", request.HeaderKey, maxKey)}
+	}
+	text := h.Get(request.HeaderKeyDate)
+	if text == "" {
+		return nil
+	}
+	first, err := http.ParseTime(text)
+	if err != nil {
+		return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s: %v", request.HeaderKeyDate, err)}
+	}
+	if now.After(first.Add(keyLifetime)) {
+		return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonKeyExpired, Status: http.StatusConflict, Detail: fmt.Sprintf("the key was first used on %s and is no longer remembered", text)}
+	}
+	return nil
+}
+
+// keyed runs a request with an idempotency key at most once.
+func (e *Entry) keyed(ctx context.Context, call *request.Call, rt config.Route, key string) (*request.Answer, error) {
+	if e.claims == nil {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonLogOut, Detail: "keyed requests are not served", RetryAt: time.Now().Add(refusalPause)}
+	}
+	id := rand.Text()
+	grant, err := e.claims.Claim(ctx, key, id)
+	switch {
+	case err != nil || grant.Result == claim.Unavailable:
+		e.metrics.Add("entry.claimsUnavailable", 1)
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonLogOut, Detail: fmt.Sprintf("the key could not be claimed: %v", err), RetryAt: time.Now().Add(refusalPause)}
+	case grant.Result == claim.Taken:
+		e.metrics.Add("entry.claimsTaken", 1)
+		return nil, &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonKeyInUse, Status: http.StatusConflict, Detail: "a request with this key is running or may have run", RetryAt: time.Now().Add(refusalPause)}
+	case grant.Result == claim.Done:
+		return replay(grant.Stored), nil
+	}
+	// The host refuses a call that reaches it after its deadline, so no run
+	// starts after RunBy.
+	if grant.RunBy.Before(call.Deadline) {
+		call.Deadline = grant.RunBy
+	}
+	ans, err := e.attempts(ctx, call, rt)
+	var ref *request.Refusal
+	switch {
+	case err == nil && ans.Outcome == request.Ran && ans.Rest == nil:
+		e.after(func(ctx context.Context) error { return e.claims.Finish(ctx, key, id, stored(ans)) })
+	case errors.As(err, &ref) && ref.Outcome == request.NotRun:
+		e.after(func(ctx context.Context) error { return e.claims.Release(ctx, key, id) })
+	}
+	return ans, err
+}
+
+// after stores the end of a keyed request without delaying its answer.
+func (e *Entry) after(f func(context.Context) error) {
+	e.finishes.Add(1)
+	go func() {
+		defer e.finishes.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
+		defer cancel()
+		if err := f(ctx); err != nil {
+			e.metrics.Add("entry.claimEndFailures", 1)
+		}
+	}()
+}
+
+func stored(ans *request.Answer) claim.Stored {
+	s := claim.Stored{Status: ans.Status, ContentType: ans.Header.Get("Content-Type"), Body: ans.Body}
+	if len(s.Body) > claim.MaxBody {
+		s.Body, s.Truncated = nil, true
+	}
+	return s
+}
+
+func replay(s claim.Stored) *request.Answer {
+	h := make(http.Header)
+	if s.ContentType != "" {
+		h.Set("Content-Type", s.ContentType)
+	}
+	if s.Truncated {
+		h.Set(request.HeaderReason, "bodyNotKept")
+	}
+	return &request.Answer{Status: s.Status, Header: h, Body: s.Body, Outcome: request.Replayed}
+}
+
+// attempts tries instances until one answers or the policy ends it.
+func (e *Entry) attempts(ctx context.Context, call *request.Call, rt config.Route) (*request.Answer, error) {
+	budget := e.budget(rt.Upstream)
+	preset, _ := e.view.Snapshot().State.InForce(time.Now())
+	budget.Request(time.Now(), preset.RetryPercent)
+	var (
+		made []retry.Attempt
+		last error
+	)
+	for {
+		d := retry.Next(call, made, budget, time.Now(), mathrand.Float64())
+		if !d.Retry || !sleepUntil(ctx, d.NotBefore) {
+			break
+		}
+		if len(made) > 0 {
+			e.metrics.Add("entry.retries", 1)
+		}
+		ans, inst, err := e.attempt(ctx, call, rt, made)
+		if err == nil {
+			return ans, nil
+		}
+		var ref *request.Refusal
+		if !errors.As(err, &ref) {
+			ref = &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonConnection, Detail: err.Error(), Status: http.StatusBadGateway}
+		}
+		if inst == "" && len(made) > 0 {
+			// No further instance: the refusal of the last attempt says more.
+			break
+		}
+		last = worse(last, ref)
+		made = append(made, retry.Attempt{Outcome: ref.Outcome, Reason: ref.Reason, Instance: inst})
+	}
+	if last == nil {
+		last = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonDeadline, Status: http.StatusGatewayTimeout, Detail: "the deadline passed before an attempt"}
+	}
+	return nil, last
+}
+
+// worse keeps the outcome unknown once one attempt may have run.
+func worse(last error, ref *request.Refusal) error {
+	var prev *request.Refusal
+	if errors.As(last, &prev) && prev.Outcome == request.Unknown && ref.Outcome == request.NotRun {
+		return prev
+	}
+	return ref
+}
+
+// attempt sends the call to one instance.
+func (e *Entry) attempt(ctx context.Context, call *request.Call, rt config.Route, made []retry.Attempt) (*request.Answer, string, error) {
+	now := time.Now()
+	snap := e.view.Snapshot()
+	tried := make([]string, 0, len(made))
+	for _, a := range made {
+		tried = append(tried, a.Instance)
+	}
+	c := *call
+	c.ID = rand.Text()
+	c.Version = snap.State.Version
+	c.UpstreamVersion = snap.Table.Version(rt.Upstream, snap.Share, mathrand.Float64())
+	inst, ok := snap.Table.Pick(route.Query{
+		Upstream: rt.Upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now,
+		Rnd: [3]float64{mathrand.Float64(), mathrand.Float64(), mathrand.Float64()},
+	}, &e.loads)
+	if !ok {
+		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", rt.Upstream, c.UpstreamVersion), RetryAt: now.Add(refusalPause)}
+	}
+	c.Deadline = retry.AttemptDeadline(call, len(made), now)
+	attemptCtx, cancel := context.WithDeadline(ctx, c.Deadline)
+	e.loads.start(inst.Name)
+	var ans *request.Answer
+	var err error
+	if inst.Name == e.name {
+		ans, err = e.local.Do(attemptCtx, &c)
+	} else {
+		ans, err = e.forward(attemptCtx, inst, &c)
+	}
+	e.loads.finish(inst.Name, ans, err, time.Now())
+	var ref *request.Refusal
+	if errors.As(err, &ref) && ref.Reason == request.ReasonDeadline && time.Now().Before(call.Deadline) {
+		silent := *ref
+		silent.Reason = request.ReasonNoAnswer
+		err = &silent
+	}
+	if ans != nil && ans.Rest != nil {
+		ans.Rest = &closer{ReadCloser: ans.Rest, cancel: cancel}
+	} else {
+		cancel()
+	}
+	return ans, inst.Name, err
+}
+
+func (e *Entry) budget(upstream string) *retry.Budget {
+	if b, ok := e.budgets.Load(upstream); ok {
+		return b.(*retry.Budget)
+	}
+	b, _ := e.budgets.LoadOrStore(upstream, new(retry.Budget))
+	return b.(*retry.Budget)
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// refusalBody is the JSON of a refusal.
+type refusalBody struct {
+	Error   string          `json:"error"`
+	Outcome request.Outcome `json:"outcome"`
+	Reason  request.Reason  `json:"reason"`
+	RetryAt *time.Time      `json:"retryAt,omitempty"`
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, err error) {
+	var ref *request.Refusal
+	if !errors.As(err, &ref) {
+		ref = &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonConnection, Detail: err.Error()}
+	}
+	e.metrics.Add("entry.refused."+string(ref.Reason), 1)
+	h := w.Header()
+	h.Set("Content-Type", "application/json; charset=utf-8")
+	h.Set(request.HeaderOutcome, string(ref.Outcome))
+	h.Set(request.HeaderReason, string(ref.Reason))
+	body := refusalBody{Error: ref.Detail, Outcome: ref.Outcome, Reason: ref.Reason}
+	status := request.StatusOf(ref)
+	if !ref.RetryAt.IsZero() || status == http.StatusServiceUnavailable {
+		at := ref.RetryAt
+		if earliest := time.Now().Add(refusalPause); at.Before(earliest) {
+			at = earliest
+		}
+		body.RetryAt = &at
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(time.Until(at).Seconds()))))
+	}
+	w.WriteHeader(status)
+	data, _ := json.Marshal(body)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// closer ends the context of an attempt with its streamed answer.
+type closer struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (c *closer) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
--- /dev/null
+++ b/request/entry/forward.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/host"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
+)
+
+// forward sends a call to the daemon beside another instance.
+func (e *Entry) forward(ctx context.Context, inst route.Instance, call *request.Call) (ans *request.Answer, err error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	url := "http://" + inst.Peer.String() + host.ForwardPrefix + strings.TrimPrefix(call.Path, "/")
+	req, err := request.NewHTTPRequest(ctx, url, call)
+	if err != nil {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
+	}
+	request.EncodeCall(call, req.Header)
+	res, err := e.peers.Client(inst.Peer).Do(req)
+	if err != nil {
+		return nil, e.lost(ctx, inst, err, connected.Load())
+	}
+	if got := res.Header.Get(request.HeaderRequest); got != call.ID {
+		_ = res.Body.Close()
+		e.metrics.Add("entry.mismatchedAnswers", 1)
+		return nil, unknown(request.ReasonMismatch, fmt.Sprintf("daemon %s answered request %q", inst.Name, got))
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, request.MaxBody))
+	if err != nil {
+		_ = res.Body.Close()
+		e.metrics.Add("entry.truncatedAnswers", 1)
+		return nil, unknown(request.ReasonTruncated, err.Error())
+	}
+	load := request.DecodeLoad(res.Header)
+	if ref, refused := request.DecodeRefusal(res.StatusCode, res.Header, body); refused {
+		_ = res.Body.Close()
+		return &request.Answer{Load: load}, ref
+	}
+	ans = &request.Answer{
+		Status: res.StatusCode, Header: request.CleanHeader(res.Header), Body: body,
+		Outcome: request.Outcome(res.Header.Get(request.HeaderOutcome)), Load: load,
+	}
+	if len(body) < request.MaxBody {
+		_ = res.Body.Close()
+		return ans, nil
+	}
+	ans.Rest = res.Body
+	return ans, nil
+}
+
+// lost classifies an exchange that gave no answer.
+func (e *Entry) lost(ctx context.Context, inst route.Instance, err error, connected bool) error {
+	if !connected {
+		e.metrics.Add("entry.connectFailures", 1)
+		return &request.Refusal{
+			Outcome: request.NotRun, Reason: request.ReasonConnect, RetryAt: time.Now(),
+			Detail: fmt.Sprintf("no connection to daemon %s: %v", inst.Name, err),
+		}
+	}
+	// The path to the peer may have lost track of its connections; the next
+	// call opens new ones.
+	e.peers.Retire(inst.Peer)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.metrics.Add("entry.silentCalls", 1)
+		return unknown(request.ReasonDeadline, fmt.Sprintf("no answer from daemon %s by the deadline", inst.Name))
+	}
+	e.metrics.Add("entry.lostCalls", 1)
+	return unknown(request.ReasonConnection, err.Error())
+}
+
+func unknown(reason request.Reason, detail string) error {
+	return &request.Refusal{Outcome: request.Unknown, Reason: reason, Detail: detail, Status: http.StatusBadGateway}
+}
--- /dev/null
+++ b/request/entry/loads.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+)
+
+const (
+	// reportPeriod is how long a load report counts; afterwards only the
+	// entry's own calls do.
+	reportPeriod = time.Second
+	// failingMin and failingMax bound the time during which an instance is
+	// avoided after a failed call; it doubles with each failure in a row.
+	failingMin = 250 * time.Millisecond
+	failingMax = 5 * time.Second
+	// saturatedPeriod is how long an instance counts as saturated after it
+	// refused a call for overload.
+	saturatedPeriod = 50 * time.Millisecond
+	// unknownLimit is taken for an instance that has not reported a limit.
+	unknownLimit = 4
+)
+
+// loads holds what the answers say of each instance's load; it implements
+// route.Loads.
+type loads struct {
+	mu   sync.Mutex
+	list map[string]*instanceLoad
+}
+
+type instanceLoad struct {
+	report      request.Load
+	reportUntil time.Time
+	// own counts the calls of this entry that are under way.
+	own            int
+	failures       int
+	failingUntil   time.Time
+	saturatedUntil time.Time
+}
+
+func (l *loads) get(name string) *instanceLoad {
+	in, ok := l.list[name]
+	if !ok {
+		if l.list == nil {
+			l.list = make(map[string]*instanceLoad)
+		}
+		in = &instanceLoad{}
+		l.list[name] = in
+	}
+	return in
+}
+
+// Ratio implements route.Loads.
+func (l *loads) Ratio(name string, now time.Time) (ratio float64, failing bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in, ok := l.list[name]
+	if !ok {
+		return 0, false
+	}
+	limit := unknownLimit
+	if in.report.Limit > 0 {
+		limit = in.report.Limit
+	}
+	load := in.own
+	if now.Before(in.reportUntil) {
+		load = max(load, in.report.InFlight)
+	}
+	ratio = float64(load) / float64(limit)
+	if now.Before(in.saturatedUntil) {
+		ratio = max(ratio, 1)
+	}
+	return ratio, now.Before(in.failingUntil)
+}
+
+func (l *loads) start(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.get(name).own++
+}
+
+// finish takes the report of an answer, or notes the failure.
+func (l *loads) finish(name string, ans *request.Answer, err error, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in := l.get(name)
+	in.own--
+	if ans != nil && ans.Load.Limit > 0 {
+		in.report, in.reportUntil = ans.Load, now.Add(reportPeriod)
+		// The report counts the call that has just ended.
+		in.report.InFlight = max(0, in.report.InFlight-1)
+	}
+	var ref *request.Refusal
+	switch {
+	case err == nil:
+		in.failures = 0
+	case errors.As(err, &ref) && ref.Reason == request.ReasonOverload:
+		in.saturatedUntil = now.Add(saturatedPeriod)
+	case ref != nil && isInstanceFault(ref.Reason):
+		pause := min(failingMin<<min(in.failures, 8), failingMax)
+		in.failures++
+		in.failingUntil = now.Add(pause)
+	}
+}
+
+// isInstanceFault reports whether a refusal speaks against the instance.
+func isInstanceFault(r request.Reason) bool {
+	switch r {
+	case request.ReasonConnect, request.ReasonConnection, request.ReasonDeadline, request.ReasonNoAnswer,
+		request.ReasonNotReady, request.ReasonLeaving, request.ReasonWrongVersion, request.ReasonZoneOut:
+		return true
+	}
+	return false
+}
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -13,7 +13,6 @@
 package host
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -55,6 +54,7 @@
 type Limiter interface {
 	Acquire(ctx context.Context, class string, shed []string, deadline time.Time) (admission.Ticket, error)
 	Done(now time.Time, t admission.Ticket, r admission.Result)
+	Cancel(now time.Time, t admission.Ticket)
 	Load() (inFlight, queued, limit int, cold bool)
 }
 
@@ -160,7 +160,7 @@
 	}
 	// The wait for a slot may have outlasted the state that was checked.
 	if err = h.check(h.view.Snapshot(), call); err != nil {
-		h.limiter.Done(time.Now(), ticket, admission.Result{})
+		h.limiter.Cancel(time.Now(), ticket)
 		return nil, h.refused(err)
 	}
 	return h.hand(ctx, call, ticket)
@@ -213,7 +213,7 @@
 // hand sends the call to the upstream and reads the answer.
 func (h *Host) hand(ctx context.Context, call *request.Call, ticket admission.Ticket) (ans *request.Answer, err error) {
 	start := time.Now()
-	result := admission.Result{}
+	result := admission.Result{Route: call.Route}
 	_, _, _, cold := h.limiter.Load()
 	lost := false
 	var connected atomic.Bool
@@ -236,9 +236,12 @@
 		}
 	}()
 	tgt := h.target.Load()
-	req := newUpstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	req, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	}), tgt, call)
+	if err != nil {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
+	}
 	tr := tgt.single
 	if call.Idempotent {
 		tr = tgt.repeatable
@@ -314,41 +317,14 @@
 	return l
 }
 
-func newUpstreamRequest(ctx context.Context, tgt *target, call *request.Call) *http.Request {
-	var body io.Reader
-	if len(call.Body) > 0 || !call.Idempotent && bodiless(call.Method) {
-		// A reader without GetBody keeps net/http from sending the request a
-		// second time on its own when a reused connection breaks.
-		body = struct{ io.Reader }{bytes.NewReader(call.Body)}
-	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+tgt.addr.String()+call.Path, body)
+func newUpstreamRequest(ctx context.Context, tgt *target, call *request.Call) (*http.Request, error) {
+	req, err := request.NewHTTPRequest(ctx, "http://"+tgt.addr.String()+call.Path, call)
 	if err != nil {
-		// Method and path were parsed by net/http when the call came in.
-		req = (&http.Request{}).WithContext(ctx)
-	}
-	if len(call.Body) > 0 {
-		req.ContentLength = int64(len(call.Body))
-	}
-	for name, values := range call.Header {
-		if name == request.HeaderKey {
-			// net/http repeats requests that carry this header in its canonical
-			// form when a connection breaks; header names are case-insensitive
-			// for the upstream.
-			name = "idempotency-key"
-		}
-		req.Header[name] = values
+		return nil, err
 	}
 	req.Header.Set(request.HeaderUpstreamRequest, call.ID)
 	req.Header.Set(request.HeaderTimeout, strconv.FormatInt(max(1, time.Until(call.Deadline).Milliseconds()), 10))
-	return req
-}
-
-func bodiless(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	}
-	return false
+	return req, nil
 }
 
 // restBody reports the end of a streamed answer.
--- a/request/request.go
+++ b/request/request.go
@@ -82,6 +82,7 @@
 	ReasonLeaving       Reason = "leaving"
 	ReasonZoneOut       Reason = "zoneOut"
 	ReasonDeadline      Reason = "deadline"
+	ReasonNoAnswer      Reason = "noAnswer"
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonNotReady      Reason = "notReady"
 	ReasonTooLarge      Reason = "tooLarge"
--- a/request/wire.go
+++ b/request/wire.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -97,6 +99,40 @@
 	return body, nil
 }
 
+// NewHTTPRequest returns the request of one attempt. net/http sends it a second
+// time on its own, when a reused connection breaks, only if it is idempotent:
+// the body then has no GetBody, and the idempotency key keeps net/http from
+// recognising it by a name that is not in canonical form, which makes no
+// difference to the receiver.
+func NewHTTPRequest(ctx context.Context, url string, c *Call) (*http.Request, error) {
+	var body io.Reader
+	if len(c.Body) > 0 || !c.Idempotent && isBodiless(c.Method) {
+		body = struct{ io.Reader }{bytes.NewReader(c.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Body) > 0 {
+		req.ContentLength = int64(len(c.Body))
+	}
+	for name, values := range c.Header {
+		if name == HeaderKey {
+			name = strings.ToLower(name)
+		}
+		req.Header[name] = values
+	}
+	return req, nil
+}
+
+func isBodiless(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // EncodeLoad writes a load report into a header.
 func EncodeLoad(l Load, h http.Header) {
 	h.Set(HeaderLoad, strconv.Itoa(l.InFlight))
