--- /dev/null
+++ b/request/claim/fake_test.go
@@ -0,0 +1,163 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+)
+
+// fakeLog is one stream of a log in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   int64 // zero means 1
+	records []platform.Entry
+	// retainRecords and retainAge bound what is kept; zero keeps all.
+	retainRecords int
+	retainAge     time.Duration
+	outages       []span
+	// perAppend is the time that the log is busy with one append.
+	perAppend time.Duration
+	busyUntil time.Time
+}
+
+// span is a time span; in one that hangs requests get no answer.
+type span struct {
+	from, to time.Time
+	hangs    bool
+}
+
+// fault is what happens to one append.
+type fault int
+
+const (
+	none      fault = iota
+	lost            // takes effect, the answer is lost
+	dropped         // takes no effect, the answer is lost
+	late            // the answer is lost, it takes effect later
+	refused         // the log does not take it
+	numFaults = iota
+)
+
+// link is the connection of one writer to the log.
+type link struct {
+	*fakeLog
+	delay  time.Duration // of a request, and of its answer
+	faults []fault       // of the appends in turn
+	lag    time.Duration // of late appends
+	pauses []span        // in which the process of the writer stands still
+	n      int
+}
+
+func (l *fakeLog) expire() {
+	if l.first == 0 {
+		l.first = 1
+	}
+	n := 0
+	if l.retainRecords > 0 {
+		n = max(0, len(l.records)-l.retainRecords)
+	}
+	for l.retainAge > 0 && n < len(l.records) && time.Since(l.records[n].At) > l.retainAge {
+		n++
+	}
+	l.records, l.first = l.records[n:], l.first+int64(n)
+}
+
+func (l *fakeLog) append(data []byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire()
+	offset := l.first + int64(len(l.records))
+	l.records = append(l.records, platform.Entry{Offset: offset, At: time.Now(), Data: data})
+	l.expire()
+	return offset
+}
+
+func (l *fakeLog) outage() (span, bool) {
+	for _, s := range l.outages {
+		if now := time.Now(); !now.Before(s.from) && now.Before(s.to) {
+			return s, true
+		}
+	}
+	return span{}, false
+}
+
+// busy waits for the log's turn at its rate of appends.
+func (l *fakeLog) busy() {
+	l.mu.Lock()
+	if now := time.Now(); l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(l.perAppend)
+	until := l.busyUntil
+	l.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// stand keeps the process from going on during its pauses.
+func (l *link) stand() {
+	for _, s := range l.pauses {
+		if now := time.Now(); !now.Before(s.from) && now.Before(s.to) {
+			time.Sleep(s.to.Sub(now))
+		}
+	}
+}
+
+func (l *link) Append(ctx context.Context, _ string, data []byte) (int64, error) {
+	defer l.stand()
+	f := none
+	if len(l.faults) > 0 {
+		f = l.faults[l.n%len(l.faults)]
+		l.n++
+	}
+	time.Sleep(l.delay)
+	if s, out := l.outage(); out {
+		if s.hangs {
+			<-ctx.Done()
+			return 0, errors.Join(platform.ErrUnknown, ctx.Err())
+		}
+		return 0, platform.ErrUnavailable
+	}
+	switch f {
+	case refused:
+		return 0, platform.ErrUnavailable
+	case dropped:
+		return 0, platform.ErrUnknown
+	case late:
+		time.AfterFunc(l.lag, func() { l.append(data) })
+		return 0, platform.ErrUnknown
+	}
+	l.busy()
+	offset := l.append(data)
+	time.Sleep(l.delay)
+	if f == lost {
+		return 0, platform.ErrUnknown
+	}
+	return offset, nil
+}
+
+func (l *link) Read(ctx context.Context, _ string, from int64, _ time.Time) (platform.Page, error) {
+	defer l.stand()
+	time.Sleep(l.delay)
+	if s, out := l.outage(); out {
+		if s.hangs {
+			<-ctx.Done()
+		}
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	l.mu.Lock()
+	l.expire()
+	page := platform.Page{First: l.first, Next: l.first + int64(len(l.records))}
+	if from >= l.first && from < page.Next {
+		page.Records = l.records[from-l.first:]
+		page.Records = page.Records[:min(len(page.Records), 16)]
+	}
+	l.mu.Unlock()
+	time.Sleep(l.delay)
+	if from < page.First {
+		return page, platform.ErrExpired
+	}
+	return page, nil
+}
