standin: add the launcher

End-to-end tests need real processes. The launcher gives them loopback addresses and settings files, waits until they serve, and signals only the processes that it started, by id.

--- /dev/null
+++ b/standin/launcher/attributes_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package launcher
+
+import "syscall"
+
+func attributes() *syscall.SysProcAttr { return nil }
