Assemble the daemon: listeners, announcements, claims, graceful shutdown

The daemon leaves in this order: peers are told, connections of callers end with an answer, calls in flight finish, claims are flushed, then the peer listener closes.

--- a/kingcuppitch.go
+++ b/kingcuppitch.go
@@ -1,3 +1,54 @@
 // Package kingcuppitch distributes configuration in a service mesh and carries
 // the calls that the configuration governs.
+//
+// One daemon runs beside each upstream instance. It takes calls from any
+// caller, chooses route, upstream version, availability zone and instance, and
+// is the only way to its own instance. Operators publish configuration with the
+// client in cmd/kingcuppitch. The page docs/design.md gives the design.
+//
+// # Usage
+//
+//	s, err := settings.Load("kingcuppitchd.toml")
+//	if err != nil {
+//		return err
+//	}
+//	d := kingcuppitch.New(kingcuppitch.WithSettings(s), kingcuppitch.WithLogger(logger))
+//	err = d.Run(ctx) // returns after ctx is cancelled and all calls are answered
 package kingcuppitch
+
+import (
+	"context"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/kingcuppitch/kingcuppitch/process/daemon"
+	"github.com/kingcuppitch/kingcuppitch/process/settings"
+)
+
+// Daemon is a daemon beside one upstream instance.
+type Daemon interface {
+	// Run serves until ctx is cancelled and shuts down without cutting a call.
+	Run(ctx context.Context) error
+}
+
+// Option configures a Daemon.
+type Option func(*options)
+
+type options struct {
+	settings settings.Settings
+	logger   hclog.Logger
+}
+
+// WithSettings sets the settings of the daemon.
+func WithSettings(s settings.Settings) Option { return func(o *options) { o.settings = s } }
+
+// WithLogger sets the logger; without it the daemon writes no log.
+func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
+
+// New returns a Daemon that is not started.
+func New(opts ...Option) Daemon {
+	o := options{logger: hclog.NewNullLogger()}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return daemon.New(o.settings, o.logger)
+}
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -34,6 +34,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
@@ -78,6 +79,8 @@
 	Announce(service, version, state string, incarnation uint64)
 	// Recorder returns the observer of the calls of the own host.
 	Recorder() *Recorder
+	// Claims returns the claims of keyed requests.
+	Claims() *claim.Router
 	// Leave tells the peers that the daemon is about to stop.
 	Leave()
 }
@@ -131,6 +134,7 @@
 	changed notifier
 
 	recorder *Recorder
+	claims   *claim.Router
 }
 
 // New returns a Control that is not started.
@@ -152,6 +156,7 @@
 	core.services = c.services
 	c.publish(core)
 	c.recorder = newRecorder(c)
+	c.claims = newRouter(c)
 	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) { c.receive(ctx, core) }))
 	return c
 }
@@ -234,6 +239,9 @@
 // Recorder implements Control.
 func (c *control) Recorder() *Recorder { return c.recorder }
 
+// Claims implements Control.
+func (c *control) Claims() *claim.Router { return c.claims }
+
 // Leave implements Control.
 func (c *control) Leave() { _, _ = ask[any](c, leaving{}) }
 
--- /dev/null
+++ b/process/daemon/daemon.go
@@ -0,0 +1,201 @@
+// Package daemon assembles the parts of kingcuppitchd and runs them from start
+// to graceful shutdown.
+//
+// # Usage
+//
+//	d := daemon.New(s, logger)
+//	err := d.Run(ctx) // ends after ctx is cancelled and all calls are answered
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/metrics"
+	"github.com/kingcuppitch/kingcuppitch/process/settings"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
+	"github.com/kingcuppitch/kingcuppitch/request/entry"
+	"github.com/kingcuppitch/kingcuppitch/request/host"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// leaveNotice is the time between telling the peers that the daemon leaves
+	// and closing its listeners. Entries learn of it within a few hundred
+	// milliseconds; idle connections of callers are closed with an answer.
+	leaveNotice = 2 * time.Second
+	// shutdownWithin bounds a graceful shutdown.
+	shutdownWithin = 30 * time.Second
+	// readHeaderWithin bounds the time to read a request header.
+	readHeaderWithin = 10 * time.Second
+	// idleWithin bounds idle connections of callers.
+	idleWithin = 2 * time.Minute
+	// maxHeader bounds request headers, in bytes.
+	maxHeader = 64 << 10
+)
+
+// Daemon is one kingcuppitchd process.
+type Daemon struct {
+	settings settings.Settings
+	logger   hclog.Logger
+	metrics  *metrics.Set
+	events   *timeline.Timeline
+	control  control.Control
+	limiter  *admission.Limiter
+	host     *host.Host
+	entry    *entry.Entry
+	leaving  atomic.Bool
+	// incarnation is the last announced incarnation of the upstream.
+	incarnation atomic.Uint64
+	servers     []*server
+}
+
+// server is an HTTP server with its listener.
+type server struct {
+	*http.Server
+	name     string
+	listener net.Listener
+}
+
+// New returns a daemon that is not started.
+func New(s settings.Settings, logger hclog.Logger) *Daemon {
+	d := &Daemon{
+		settings: s, logger: logger, metrics: new(metrics.Set),
+		events: &timeline.Timeline{Name: s.Name, Zone: s.Zone}, limiter: new(admission.Limiter),
+	}
+	d.events.Notify = d.logEvent
+	d.metrics.Process()
+	internal := s.InternalCallers
+	if len(internal) == 0 {
+		internal = []netip.Prefix{netip.PrefixFrom(s.CallerAddress.Addr(), s.CallerAddress.Addr().BitLen())}
+	}
+	d.control = control.New(
+		control.WithSelf(membership.Member{
+			Name: s.Name, Region: s.Region, Zone: s.Zone, Peer: s.PeerAddress, Caller: s.CallerAddress,
+			State: membership.Starting, Incarnation: uint64(time.Now().UnixNano()), //nolint:gosec // after 1970
+		}),
+		control.WithLog(platform.NewHTTPLog(s.LogAddress)),
+		control.WithSeeds(s.Seeds...),
+		control.WithServices(s.Services...),
+		control.WithMetrics(d.metrics),
+		control.WithTimeline(d.events),
+		control.WithLogger(newSlog(logger.Named("actor"))),
+	)
+	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()))
+	d.entry = entry.New(d.control, d.host,
+		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithClaims(d.control.Claims()),
+		entry.WithInternalCallers(internal...))
+	return d
+}
+
+// logEvent writes a line for each change of state.
+func (d *Daemon) logEvent(e timeline.Event) {
+	d.logger.Info(e.Detail, "kind", e.Kind, "version", e.Version)
+}
+
+// Run serves until ctx is cancelled, then shuts down without cutting a call.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrapf(err, "daemon %s", d.settings.Name) }()
+	if err = d.listen(); err != nil {
+		return err
+	}
+	failed := make(chan error, len(d.servers))
+	for _, s := range d.servers {
+		go func() {
+			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- eris.Wrapf(err, "serve %s", s.name)
+			}
+		}()
+	}
+	d.control.Start()
+	d.events.Add(time.Now(), timeline.KindStart, 0, "daemon started")
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	return errors.Join(err, d.shutdown())
+}
+
+// listen opens all listeners, so that a taken address is found at the start.
+func (d *Daemon) listen() (err error) {
+	path, ctl := d.control.Handler()
+	peers := http.NewServeMux()
+	peers.Handle(path, ctl)
+	peers.Handle(host.ForwardPrefix, d.host)
+	announce := http.NewServeMux()
+	announce.HandleFunc("POST /announce", d.announce)
+	vars := http.NewServeMux()
+	vars.Handle("GET /debug/vars", d.metrics)
+	list := []struct {
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+		http2   bool
+	}{
+		{"callers", d.settings.CallerAddress, d.closeWhenLeaving(d.entry), false},
+		{"announcements", d.settings.AnnounceAddress, announce, false},
+		{"metrics", d.settings.MetricsAddress, vars, false},
+		{"peers", d.settings.PeerAddress, peers, true},
+	}
+	for _, l := range list {
+		s := &server{name: l.name, Server: &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: maxHeader,
+			ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		}}
+		if l.http2 {
+			s.Protocols = new(http.Protocols)
+			s.Protocols.SetHTTP1(true)
+			s.Protocols.SetUnencryptedHTTP2(true)
+		}
+		if s.listener, err = net.Listen("tcp", l.addr.String()); err != nil {
+			for _, open := range d.servers {
+				_ = open.listener.Close()
+			}
+			return eris.Wrapf(err, "listen for %s", l.name)
+		}
+		d.servers = append(d.servers, s)
+	}
+	return nil
+}
+
+// closeWhenLeaving ends the connections of callers with an answer while the
+// daemon leaves, so that none is cut between two requests.
+func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// shutdown leaves the mesh, answers the calls in flight and stops.
+func (d *Daemon) shutdown() error {
+	d.events.Add(time.Now(), timeline.KindStop, 0, "daemon is leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownWithin)
+	defer cancel()
+	d.leaving.Store(true)
+	d.control.Leave()
+	time.Sleep(leaveNotice)
+	// Callers first: their calls may still need other daemons and the claims.
+	var errs []error
+	for _, s := range d.servers {
+		if s.name == "peers" {
+			d.entry.Close()
+			errs = append(errs, d.host.Drain(ctx), d.control.Claims().Close(ctx))
+		}
+		errs = append(errs, s.Shutdown(ctx))
+	}
+	d.control.Stop()
+	return errors.Join(errs...)
+}
--- a/process/timeline/timeline.go
+++ b/process/timeline/timeline.go
@@ -69,6 +69,8 @@
 type Timeline struct {
 	// Name and Zone identify the daemon in its events.
 	Name, Zone string
+	// Notify is called with each new event; it may be nil and must not block.
+	Notify func(Event)
 
 	mu      sync.Mutex
 	last    Time
@@ -117,6 +119,9 @@
 		close(t.changed)
 		t.changed = nil
 	}
+	if t.Notify != nil {
+		t.Notify(t.events[len(t.events)-1])
+	}
 }
 
 // Events returns at most limit events after the given time, oldest first.
--- a/request/claim/claim.go
+++ b/request/claim/claim.go
@@ -71,6 +71,8 @@
 	Shards = 16
 	// MaxBody bounds the body of a stored answer, in bytes.
 	MaxBody = 4 << 10
+	// DefaultLifetime is how long a key is remembered.
+	DefaultLifetime = 24 * time.Hour
 	// Format is the newest batch format that this release reads.
 	Format = 1
 )
--- a/request/claim/writer.go
+++ b/request/claim/writer.go
@@ -140,7 +140,7 @@
 // so the owner of a shard keeps its writer open.
 func NewWriter(log platform.Log, shard int, opts ...Option) *Writer {
 	o := options{
-		lifetime: 24 * time.Hour, runWithin: 10 * time.Second,
+		lifetime: DefaultLifetime, runWithin: 10 * time.Second,
 		gather: 20 * time.Millisecond, items: 512,
 		retainAge: 10 * time.Minute, retainRecords: 2048,
 		timeout: time.Second, keys: 1 << 19, bodies: DefaultBodyLimit,
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -223,11 +223,8 @@
 	case grant.Result == claim.Done:
 		return replay(grant.Stored), nil
 	}
-	// The host refuses a call that reaches it after its deadline, so no run
-	// starts after RunBy.
-	if grant.RunBy.Before(call.Deadline) {
-		call.Deadline = grant.RunBy
-	}
+	// The host refuses a call that reaches it after RunBy.
+	call.RunBy = grant.RunBy
 	ans, err := e.attempts(ctx, call, rt)
 	var ref *request.Refusal
 	switch {
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -199,7 +199,7 @@
 		return refuse(request.ReasonNotReady, "upstream beside %s is %s", self.Name, self.State)
 	case call.UpstreamVersion != "" && call.UpstreamVersion != self.Version:
 		return refuse(request.ReasonWrongVersion, "instance %s runs version %s, not %s", self.Name, self.Version, call.UpstreamVersion)
-	case !time.Now().Before(call.Deadline):
+	case !time.Now().Before(call.StartBy()):
 		return refuse(request.ReasonDeadline, "deadline has passed")
 	case snap.Quarantined(call.Fingerprint()):
 		return &request.Refusal{
@@ -342,5 +342,5 @@
 
 type noObserver struct{}
 
-func (noObserver) Started(*request.Call)                                       {}
+func (noObserver) Started(*request.Call)                                   {}
 func (noObserver) Finished(*request.Call, time.Duration, bool, bool, bool) {}
--- a/request/request.go
+++ b/request/request.go
@@ -117,13 +117,16 @@
 // Call is one request on its way to an upstream.
 type Call struct {
 	// ID is unique to one attempt.
-	ID         string
-	Route      string
-	Method     string
-	Path       string // with the query
-	Header     http.Header
-	Body       []byte
-	Deadline   time.Time
+	ID       string
+	Route    string
+	Method   string
+	Path     string // with the query
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
+	// RunBy is the time before which a keyed call must reach its upstream; zero
+	// means that only the deadline counts.
+	RunBy      time.Time
 	Idempotent bool
 	Class      string
 	// UpstreamVersion is the upstream version that the entry chose.
@@ -132,6 +135,14 @@
 	Version int64
 }
 
+// StartBy returns the time before which the call must reach its upstream.
+func (c *Call) StartBy() time.Time {
+	if !c.RunBy.IsZero() && c.RunBy.Before(c.Deadline) {
+		return c.RunBy
+	}
+	return c.Deadline
+}
+
 // Fingerprint returns a hash of what the upstream sees of the call.
 func (c *Call) Fingerprint() uint64 {
 	var d xxhash.Digest
--- a/request/wire.go
+++ b/request/wire.go
@@ -15,6 +15,7 @@
 // Headers of a forwarded call that only daemons use.
 const (
 	headerClass      = "Kingcuppitch-Class"
+	headerRunBy      = "Kingcuppitch-Run-By-Ms"
 	headerIdempotent = "Kingcuppitch-Idempotent"
 	headerRetryAt    = "Kingcuppitch-Retry-At"
 	headerRefused    = "Kingcuppitch-Refused"
@@ -60,6 +61,9 @@
 	h.Set(HeaderUpstreamVersion, c.UpstreamVersion)
 	h.Set(HeaderVersion, strconv.FormatInt(c.Version, 10))
 	h.Set(HeaderTimeout, strconv.FormatInt(max(1, time.Until(c.Deadline).Milliseconds()), 10))
+	if !c.RunBy.IsZero() {
+		h.Set(headerRunBy, strconv.FormatInt(time.Until(c.RunBy).Milliseconds(), 10))
+	}
 }
 
 // DecodeCall reads a forwarded call, whose path starts with the given prefix.
@@ -74,6 +78,12 @@
 		return nil, errors.New("forwarded call without request id or timeout")
 	}
 	c.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	if text := r.Header.Get(headerRunBy); text != "" {
+		if ms, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return nil, fmt.Errorf("header %s: %w", headerRunBy, err)
+		}
+		c.RunBy = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	if c.Idempotent, err = strconv.ParseBool(r.Header.Get(headerIdempotent)); err != nil {
 		return nil, fmt.Errorf("header %s: %w", headerIdempotent, err)
 	}
