--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,123 @@
+// Package examples_test checks the example files.
+package examples_test
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/kingcuppitch/kingcuppitch/process/settings"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+)
+
+// TestExamples guards against examples that this release refuses, or that do
+// not describe the two deployments of the design page.
+func TestExamples(t *testing.T) {
+	tests := []struct {
+		dir                string
+		region             string
+		slots, connections int
+		// upstreams, idempotent and once are sorted.
+		upstreams, idempotent, once []string
+		// late are the classes that are refused last, in this order.
+		late []string
+	}{
+		{
+			dir: "interviewBooking", region: "nl-west", slots: 20, connections: 120,
+			upstreams:  []string{"booking", "records"},
+			idempotent: []string{"archiveLookUp", "browseSlots", "readTranscripts"},
+			once:       []string{"consentForms", "invoices", "reserveInterview"},
+			late:       []string{"invoice", "consent", "reservation"},
+		},
+		{
+			dir: "robeHire", region: "hu-central", slots: 10, connections: 130,
+			upstreams:  []string{"catalogue", "fitting"},
+			idempotent: []string{"priceCheck", "stockLookUp"},
+			once:       []string{"bookFittings", "deposits", "reserveRobes"},
+			late:       []string{"price", "reservation", "deposit"},
+		},
+	}
+	dirs, err := filepath.Glob("*/config.toml")
+	if err != nil || len(dirs) != len(tests) {
+		t.Errorf("examples: got %v, %v, want %d", dirs, err, len(tests))
+	}
+	for _, tt := range tests {
+		t.Run(tt.dir, func(t *testing.T) {
+			data, err := os.ReadFile(filepath.Join(tt.dir, "config.toml"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			cfg, err := config.Parse(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(cfg.Zones) != 3 {
+				t.Errorf("availability zones: got %d, want 3", len(cfg.Zones))
+			}
+			for i, z := range cfg.Zones {
+				if want := tt.region + "-" + string(rune('a'+i)); z.Name != want || z.Region != tt.region {
+					t.Errorf("availability zone: got %+v, want %s in %s", z, want, tt.region)
+				}
+			}
+			var upstreams []string
+			for _, u := range cfg.Upstreams {
+				upstreams = append(upstreams, u.Name)
+				if u.Slots != tt.slots || u.Connections != tt.connections {
+					t.Errorf("upstream %s: got %d slots and %d connections, want %d and %d", u.Name, u.Slots, u.Connections, tt.slots, tt.connections)
+				}
+			}
+			if !slices.Equal(upstreams, tt.upstreams) {
+				t.Errorf("upstreams: got %v, want %v", upstreams, tt.upstreams)
+			}
+			checkRoutes(t, cfg, tt.idempotent, tt.once)
+			checkPresets(t, cfg, tt.late)
+
+			s, err := settings.Load(filepath.Join(tt.dir, "daemon.toml"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if z, ok := cfg.Zone(s.Zone); !ok || z.Region != s.Region {
+				t.Errorf("daemon.toml: availability zone %q in region %q is not that of config.toml", s.Zone, s.Region)
+			}
+		})
+	}
+}
+
+func checkRoutes(t *testing.T, cfg config.Config, idempotent, once []string) {
+	t.Helper()
+	var gotIdempotent, gotOnce []string
+	for _, r := range cfg.Routes {
+		if r.Idempotent {
+			gotIdempotent = append(gotIdempotent, r.Name)
+		} else {
+			gotOnce = append(gotOnce, r.Name)
+		}
+		if want := r.Name == "archiveLookUp"; r.Internal != want {
+			t.Errorf("route %s: internal: got %v, want %v", r.Name, r.Internal, want)
+		}
+	}
+	if !slices.Equal(gotIdempotent, idempotent) || !slices.Equal(gotOnce, once) {
+		t.Errorf("idempotent routes: got %v and others %v, want %v and %v", gotIdempotent, gotOnce, idempotent, once)
+	}
+}
+
+func checkPresets(t *testing.T, cfg config.Config, late []string) {
+	t.Helper()
+	var names []string
+	for _, p := range cfg.Presets {
+		names = append(names, p.Name)
+		if n := len(p.Shed) - len(late); n < 0 || !slices.Equal(p.Shed[n:], late) {
+			t.Errorf("preset %s: shed: got %v, want %v last", p.Name, p.Shed, late)
+		}
+		// A class that is not listed has no place in the order.
+		for _, r := range cfg.Routes {
+			if !slices.Contains(p.Shed, r.Class) {
+				t.Errorf("preset %s: shed lacks class %q of route %s", p.Name, r.Class, r.Name)
+			}
+		}
+	}
+	if want := []string{"maintenance", "ordinary", "peak"}; !slices.Equal(names, want) {
+		t.Errorf("presets: got %v, want %v", names, want)
+	}
+}
