--- /dev/null
+++ b/process/settings/settings_test.go
@@ -0,0 +1,79 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/kingcuppitch/kingcuppitch/internal/tomlsource"
+)
+
+// comments returns the values of the comments "# key: value" of a file.
+func comments(text, key string) (values []string) {
+	for line := range strings.Lines(text) {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(line), "# "+key+": "); ok {
+			values = append(values, v)
+		}
+	}
+	return values
+}
+
+// TestLoad runs over testdata; each file says in comments which failure it
+// guards against and which problems are expected.
+func TestLoad(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".toml"), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(comments(string(data), "guards")) != 1 {
+				t.Error("the file does not say which failure it guards against")
+			}
+			s, err := Load(file)
+			var got []string
+			for _, p := range tomlsource.Problems(err) {
+				got = append(got, p.Error())
+			}
+			want := comments(string(data), "want")
+			if !slices.Equal(got, want) {
+				t.Errorf("problems:\ngot  %s\nwant %s", strings.Join(got, "\n     "), strings.Join(want, "\n     "))
+			}
+			if err == nil {
+				return
+			}
+			if !strings.Contains(err.Error(), file) {
+				t.Errorf("error %q does not name the file", err)
+			}
+			if !reflect.DeepEqual(s, Settings{}) {
+				t.Error("a part of invalid settings was returned")
+			}
+		})
+	}
+}
+
+// TestLoadMissing guards against a missing file that is taken as empty.
+func TestLoadMissing(t *testing.T) {
+	if _, err := Load("testdata/none"); err == nil || !strings.Contains(err.Error(), "testdata/none") {
+		t.Errorf("got %v, want an error that names the file", err)
+	}
+}
+
+// TestLogLevel guards against settings without log level that are refused.
+func TestLogLevel(t *testing.T) {
+	data, err := os.ReadFile("testdata/valid.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Parse([]byte(strings.Replace(string(data), `logLevel = "info"`, "", 1)))
+	if err != nil || s.LogLevel != "info" {
+		t.Errorf("got %q, %v, want info", s.LogLevel, err)
+	}
+}
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -64,8 +64,9 @@
 	return nil
 }
 
-// Parse reads a configuration in TOML and validates it. The error joins a
-// *Problem for each fault, with its key and, where it is known, its line.
+// Parse reads a configuration in TOML and validates it; the resources keep the
+// order of the file. The error joins a *Problem for each fault, with its key
+// and, where it is known, its line.
 func Parse(data []byte) (cfg Config, err error) {
 	defer func() { err = eris.Wrap(err, "parse configuration") }()
 	lines, err := tomlsource.Decode(data, &cfg)
@@ -86,7 +87,7 @@
 		slices.SortStableFunc(found, func(a, b *Problem) int { return cmp.Compare(a.Line, b.Line) })
 		return Config{}, join(found)
 	}
-	return Apply(Config{}, Change{Upserts: cfg}), nil
+	return cfg, nil
 }
 
 // Validate checks every field and that all references resolve within c. The
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -236,10 +236,11 @@
 	for _, k := range keys {
 		s.touch(k.String(), offset, rec.Author)
 	}
-	if len(s.Schedule) == 0 && len(next.Presets) > 0 {
+	if presets := rec.Publish.Upserts.Presets; len(s.Schedule) == 0 && len(presets) > 0 {
 		// A first configuration puts its first preset in force, so that
-		// exactly one preset is in force from the first version on.
-		s.Schedule = []Activation{{Name: next.Presets[0].Name}}
+		// exactly one preset is in force from the first version on. The order
+		// is that of the record; the configuration is sorted by name.
+		s.Schedule = []Activation{{Name: presets[0].Name}}
 	}
 	return nil
 }
