Judge moves on samples that speak of the version

Cause: a version that fails at once drives its limiter into cold start, and samples in cold start were excluded, so the fault could not show. Change: errors within the limit of cold start count, latency in cold start is excluded for a bounded time, and the calls lost in one crash count as one failure of a route. A peer without a current state no longer counts as an offer to a daemon that starts without the log, so a fleet that restarts as a whole during an outage does not serve version 0.

--- a/process/control/claims.go
+++ b/process/control/claims.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"github.com/kingcuppitch/kingcuppitch/wire/v1/wirev1connect"
 )
 
 // newRouter returns the router of claims. The owner of a shard is chosen among
@@ -38,10 +39,15 @@
 	peer netip.AddrPort
 }
 
+// claimClient returns the client of a peer for claims.
+func (c *control) claimClient(addr netip.AddrPort) wirev1connect.ControlClient {
+	return wirev1connect.NewControlClient(c.claimPeers.Client(addr), "http://"+addr.String())
+}
+
 // Claim implements claim.Owner.
 func (o *remoteOwner) Claim(ctx context.Context, key, claimID string) (claim.Grant, error) {
 	deadline, _ := ctx.Deadline()
-	res, err := o.client(o.peer).Claim(ctx, connect.NewRequest(&wirev1.ClaimRequest{
+	res, err := o.claimClient(o.peer).Claim(ctx, connect.NewRequest(&wirev1.ClaimRequest{
 		Shard: shardOf(key), Key: key, ClaimId: claimID, DeadlineUnixNano: deadline.UnixNano(),
 	}))
 	if err != nil {
@@ -56,13 +62,13 @@
 
 // Release implements claim.Owner.
 func (o *remoteOwner) Release(ctx context.Context, key, claimID string) error {
-	_, err := o.client(o.peer).Release(ctx, connect.NewRequest(&wirev1.ReleaseRequest{Shard: shardOf(key), Key: key, ClaimId: claimID}))
+	_, err := o.claimClient(o.peer).Release(ctx, connect.NewRequest(&wirev1.ReleaseRequest{Shard: shardOf(key), Key: key, ClaimId: claimID}))
 	return err
 }
 
 // Finish implements claim.Owner.
 func (o *remoteOwner) Finish(ctx context.Context, key, claimID string, s claim.Stored) error {
-	_, err := o.client(o.peer).Finish(ctx, connect.NewRequest(&wirev1.FinishRequest{
+	_, err := o.claimClient(o.peer).Finish(ctx, connect.NewRequest(&wirev1.FinishRequest{
 		Shard: shardOf(key), Key: key, ClaimId: claimID,
 		Status: int32(s.Status), ContentType: s.ContentType, Body: s.Body, Truncated: s.Truncated, //nolint:gosec // an HTTP status
 	}))
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -119,19 +119,21 @@
 	events   *timeline.Timeline
 	logger   *slog.Logger
 
-	system  *actor.ActorSystem
-	pid     *actor.PID
-	peers   peer.Pool
-	view    atomic.Pointer[Snapshot]
-	valid   atomic.Int64
-	reader  atomic.Bool
-	kick    chan struct{}
-	slots   chan struct{}
-	fetches chan struct{}
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
-	changed notifier
+	system *actor.ActorSystem
+	pid    *actor.PID
+	peers  peer.Pool
+	// claimPeers carries claims, which are traffic and not control.
+	claimPeers peer.Pool
+	view       atomic.Pointer[Snapshot]
+	valid      atomic.Int64
+	reader     atomic.Bool
+	kick       chan struct{}
+	slots      chan struct{}
+	fetches    chan struct{}
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	changed    notifier
 
 	recorder *Recorder
 	claims   *claim.Router
@@ -214,6 +216,7 @@
 	c.cancel()
 	c.wg.Wait()
 	c.peers.Close()
+	c.claimPeers.Close()
 	c.system.Root.Stop(c.pid)
 	c.system.Shutdown()
 }
@@ -471,7 +474,7 @@
 	} else if len(res.Msg.GetRecords()) > 0 {
 		c.send(recordsArrived{entries: entriesFromWire(res.Msg.GetRecords()), source: a.to.Name})
 	}
-	c.send(offsetOffered{zone: res.Msg.GetZone(), offset: res.Msg.GetOffset()})
+	c.send(offsetOffered{zone: res.Msg.GetZone(), offset: res.Msg.GetOffset(), serving: res.Msg.GetServing()})
 }
 
 func (c *control) runProbe(ctx context.Context, a sendProbe) {
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -27,6 +27,9 @@
 	// contactPeriod is the time without contact to any peer after which a
 	// daemon reads the log itself.
 	contactPeriod = 3 * time.Second
+	// directReadMin is the shortest pause between such reads; the longest is
+	// twice as long.
+	directReadMin = time.Second
 	// pausePeriod is the gap between two ticks from which the process counts
 	// as paused.
 	pausePeriod = 2 * time.Second
@@ -60,6 +63,8 @@
 	offsetOffered struct {
 		zone   string
 		offset int64
+		// serving is false if the peer itself has no current state.
+		serving bool
 	}
 	gossipDue    struct{}
 	exchangeIn   struct{ req *wirev1.ExchangeRequest }
@@ -123,8 +128,10 @@
 	lastSnapshot      int64
 	offers            map[string]int64
 	contactUntil      time.Time
-	upstreamUntil     time.Time
-	upstream          announced
+	// readAfter is when a daemon without contact reads the log again.
+	readAfter     time.Time
+	upstreamUntil time.Time
+	upstream      announced
 	// services restricts the followed services; empty means all.
 	services []string
 	lastTick time.Time
@@ -213,7 +220,8 @@
 		c.preset = p.Name
 		c.event(now, timeline.KindPreset, c.state.Version, "preset %s is in force", p.Name)
 	}
-	if !c.serving || now.After(c.contactUntil) && c.logReachable {
+	if !c.serving || now.After(c.contactUntil) && now.After(c.readAfter) {
+		c.readAfter = now.Add(directReadMin + time.Duration(rnd*float64(directReadMin)))
 		c.act(readLog{})
 	}
 	c.decide(now, rnd)
@@ -393,7 +401,7 @@
 // onOffer counts the zones whose peers have told their offset. Without the log
 // a daemon serves once peers of two zones have, and it holds the highest.
 func (c *core) onOffer(now time.Time, ev offsetOffered) {
-	if c.serving {
+	if c.serving || !ev.serving {
 		return
 	}
 	if old, ok := c.offers[ev.zone]; !ok || ev.offset > old {
@@ -418,7 +426,7 @@
 }
 
 func (c *core) onFetch(req *wirev1.FetchRequest) *wirev1.FetchResponse {
-	res := &wirev1.FetchResponse{Offset: c.state.Offset, Zone: c.table.Self().Zone}
+	res := &wirev1.FetchResponse{Offset: c.state.Offset, Zone: c.table.Self().Zone, Serving: c.serving}
 	if req.GetFrom() > c.state.Offset {
 		return res
 	}
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -38,7 +38,7 @@
 	if req.GetOffset() > c.state.Offset && from.Name != "" {
 		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
 	}
-	res := &wirev1.ExchangeResponse{From: toWire(c.table.Self()), Offset: c.state.Offset}
+	res := &wirev1.ExchangeResponse{From: toWire(c.table.Self()), Offset: c.state.Offset, Serving: c.serving}
 	if len(req.GetDigests()) > 0 {
 		res.Digests = digestsToWire(c.table.Digests())
 		res.Members = membersToWire(c.table.Delta(digestsFromWire(req.GetDigests())))
@@ -54,7 +54,7 @@
 	c.contactUntil = now.Add(contactPeriod)
 	c.merge(now, rnd, append(membersFromWire(ev.res.GetMembers()), from))
 	c.mergeDecisions(now, rnd, ev.res)
-	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset()})
+	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset(), serving: ev.res.GetServing()})
 	if ev.res.GetOffset() > c.state.Offset {
 		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
 	}
--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -8,7 +8,6 @@
 
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
-	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/move"
 )
 
@@ -30,7 +29,7 @@
 	counters map[move.Key]move.Counters
 	changed  map[move.Key]bool
 	inFlight map[uint64]int
-	lost     []uint64
+	lost     []lostCall
 	// gathering is set while a possible crash is examined.
 	gathering bool
 	// reported is the incarnation whose crash was reported.
@@ -39,6 +38,12 @@
 	address     string
 }
 
+// lostCall is a call whose connection broke after it was handed over.
+type lostCall struct {
+	fingerprint uint64
+	route       string
+}
+
 func newRecorder(c *control) *Recorder {
 	return &Recorder{
 		control: c, counters: make(map[move.Key]move.Counters), changed: make(map[move.Key]bool),
@@ -73,11 +78,10 @@
 	}
 	examine := lost && !r.gathering
 	if lost {
-		r.lost = append(r.lost, fp)
+		r.lost = append(r.lost, lostCall{fingerprint: fp, route: call.Route})
 		r.gathering = true
-	}
-	if m, ok := snap.State.Move(snap.Self.Service); ok {
-		r.count(m, snap, call, now, took, failed, excluded || snap.crashes.Quarantined(fp))
+	} else {
+		r.count(snap, call.Route, now, took, failed, excluded)
 	}
 	r.mu.Unlock()
 	if !lost {
@@ -88,13 +92,18 @@
 	}
 }
 
-func (r *Recorder) count(m fold.Move, snap *Snapshot, call *request.Call, now time.Time, took time.Duration, failed, excluded bool) {
+// count adds a sample to the counters of a running move.
+func (r *Recorder) count(snap *Snapshot, route string, now time.Time, took time.Duration, failed, excluded bool) {
+	m, ok := snap.State.Move(snap.Self.Service)
+	if !ok {
+		return
+	}
 	if z := snap.State.Zones[snap.Self.Zone]; z.Out || now.Before(z.RampUntil) {
 		excluded = true
 	}
 	k := move.Key{
 		Move: m.ID, Instance: snap.Self.Name, Incarnation: snap.Self.Incarnation,
-		Route: call.Route, Version: snap.Self.Version, Window: move.Window(now),
+		Route: route, Version: snap.Self.Version, Window: move.Window(now),
 	}
 	n := r.counters[k]
 	n.Add(took, failed, excluded)
@@ -121,12 +130,27 @@
 		r.reportCrash()
 		return
 	}
+	snap, now := r.control.view.Load(), time.Now()
+	for _, l := range r.lost {
+		r.count(snap, l.route, now, 0, true, false)
+	}
 	r.lost = nil
 }
 
 // reportCrash reports the calls that were in flight, once per incarnation.
 func (r *Recorder) reportCrash() {
-	fps := r.lost
+	snap, now := r.control.view.Load(), time.Now()
+	name := snap.Self.Name
+	var fps []uint64
+	counted := make(map[string]bool)
+	for _, l := range r.lost {
+		fps = append(fps, l.fingerprint)
+		// The calls of a crash fail together, so they are one failure of a route.
+		if !counted[l.route] {
+			counted[l.route] = true
+			r.count(snap, l.route, now, 0, true, snap.crashes.Quarantined(l.fingerprint))
+		}
+	}
 	r.lost = nil
 	if r.reported == r.incarnation {
 		return
@@ -135,8 +159,6 @@
 	for fp := range r.inFlight {
 		fps = append(fps, fp)
 	}
-	now := time.Now()
-	name := r.control.view.Load().Self.Name
 	r.control.send(crashReported{quarantine.Crash{
 		ID: name + "@" + now.UTC().Format(time.RFC3339Nano), Instance: name, At: now, Fingerprints: fps,
 	}})
--- a/process/daemon/announce.go
+++ b/process/daemon/announce.go
@@ -64,8 +64,12 @@
 		d.limiter.SetLimits(admission.Limits{Slots: u.Slots, ColdSlots: u.ColdSlots})
 		d.host.SetUpstream(a.Address, u.Connections)
 	}
-	if old := d.incarnation.Swap(a.Incarnation); old != 0 && old != a.Incarnation {
-		d.limiter.Restarted(time.Now())
+	if old := d.incarnation.Swap(a.Incarnation); old != a.Incarnation {
+		now := time.Now()
+		d.host.Restarted(now)
+		if old != 0 {
+			d.limiter.Restarted(now)
+		}
 	}
 	d.control.Recorder().SetUpstream(a.Address.String(), a.Incarnation)
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -62,8 +62,9 @@
 type Observer interface {
 	// Started is told a call's fingerprint before it is handed over.
 	Started(call *request.Call)
-	// Finished is told the result; lost means that the connection broke.
-	Finished(call *request.Call, took time.Duration, failed, lost, cold bool)
+	// Finished is told the result; lost means that the connection broke, and
+	// excluded that the sample says nothing about the upstream's version.
+	Finished(call *request.Call, took time.Duration, failed, lost, excluded bool)
 }
 
 // Option configures a Host.
@@ -85,6 +86,7 @@
 	draining atomic.Bool
 	calls    sync.WaitGroup
 	target   atomic.Pointer[target]
+	warmup   warmup
 }
 
 // target is the upstream instance and its connections.
@@ -129,6 +131,9 @@
 	}
 }
 
+// Restarted tells that the upstream runs as a new incarnation.
+func (h *Host) Restarted(now time.Time) { h.warmup.restarted(now) }
+
 // Drain refuses new calls from other daemons and waits for those in flight.
 func (h *Host) Drain(ctx context.Context) error {
 	h.draining.Store(true)
@@ -214,7 +219,7 @@
 func (h *Host) hand(ctx context.Context, call *request.Call, ticket admission.Ticket) (ans *request.Answer, err error) {
 	start := time.Now()
 	result := admission.Result{Route: call.Route}
-	_, _, _, cold := h.limiter.Load()
+	load := h.load()
 	lost := false
 	var connected atomic.Bool
 	h.observer.Started(call)
@@ -222,7 +227,7 @@
 	finish := func() {
 		result.Took = time.Since(start)
 		h.limiter.Done(time.Now(), ticket, result)
-		h.observer.Finished(call, result.Took, result.Failed, lost, cold || result.Shed)
+		h.observer.Finished(call, result.Took, result.Failed, lost, h.warmup.excludes(time.Now(), load, result))
 	}
 	defer func() {
 		if !streaming {
@@ -312,7 +317,7 @@
 	inFlight, queued, limit, cold := h.limiter.Load()
 	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: "warm"}
 	if cold {
-		l.State = "cold"
+		l.State = stateCold
 	}
 	return l
 }
--- a/request/host/serve.go
+++ b/request/host/serve.go
@@ -46,15 +46,18 @@
 	_, _ = io.WriteString(w, ref.Detail)
 }
 
-// WriteAnswer writes an answer and its load report for the attempt id.
+// WriteAnswer writes an answer. With an attempt id it adds the id and the load
+// report for the entry of another daemon; a caller gets neither.
 func WriteAnswer(w http.ResponseWriter, ans *request.Answer, id string) error {
 	header := w.Header()
 	for name, values := range request.CleanHeader(ans.Header) {
 		header[name] = values
 	}
-	header.Set(request.HeaderRequest, id)
 	header.Set(request.HeaderOutcome, string(ans.Outcome))
-	request.EncodeLoad(ans.Load, header)
+	if id != "" {
+		header.Set(request.HeaderRequest, id)
+		request.EncodeLoad(ans.Load, header)
+	}
 	w.WriteHeader(ans.Status)
 	if _, err := w.Write(ans.Body); err != nil {
 		return err
