--- a/version/move/compare.go
+++ b/version/move/compare.go
@@ -1,7 +1,9 @@
 package move
 
 import (
+	"cmp"
 	"fmt"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -32,13 +34,29 @@
 	// fault. It is above 2, because a small rise can cross the bound between two
 	// buckets and then looks like a factor of 2.
 	minLatencyFactor = 2.2
+	// settleTime is the time in which a host recognises trouble and its report
+	// arrives.
+	settleTime = 3 * time.Second
+	// stallWindows is the number of windows of cold start or overload, at the end
+	// of the time, that make a version unfit.
+	stallWindows = 12
 	// blockSamples is the number of samples of each version that a block of
 	// consecutive windows is extended to. Without it, a quiet route would have
 	// windows with one version only, which allow no comparison.
 	blockSamples = 10
 	// minInstances is the number of instances of the new version from which on
-	// the fault of a single instance is no fault of the version.
+	// the fault of a third of them is no fault of the version.
 	minInstances = 3
+	// secondAlpha and secondHits are the level of the looks without the worst
+	// instances and without the worst window.
+	secondAlpha = 0.01
+	secondHits  = 2
+)
+
+// Reasons of a verdict besides the names of the quantiles.
+const (
+	reasonErrors  = "errors"
+	reasonStalled = "stalled"
 )
 
 // quantile is a latency quantile that is compared.
@@ -55,7 +73,7 @@
 var quantiles = []quantile{
 	{"p50", 0.5, 20, 5},
 	{"p90", 0.9, 50, 10},
-	{"p99", 0.99, 300, 25},
+	{"p99", 0.99, 100, 25},
 }
 
 // tests is the number of kinds of comparison: errors and each quantile.
@@ -70,8 +88,10 @@
 // finding is a difference between both versions.
 type finding struct {
 	reason, route string
-	detail        string
-	p             float64
+	// bucket is the last one of the latencies that are not slow.
+	bucket int
+	detail string
+	p      float64
 }
 
 // String describes the finding for operators.
@@ -80,6 +100,9 @@
 	if f.route != "" {
 		where = fmt.Sprintf("route %q", f.route)
 	}
+	if f.reason == reasonStalled {
+		return where + ": " + f.detail
+	}
 	return fmt.Sprintf("%s: %s (p=%.1g)", where, f.detail, f.p)
 }
 
@@ -87,10 +110,10 @@
 // weaker level than for a verdict, or the new version is worse than the recent
 // past and the old one lacks the traffic to compare.
 func (e *Evidence) suspect(m fold.Move, now time.Time) bool {
-	if _, ok := e.fault(m, now, suspectAlpha); ok {
+	if _, ok := e.fault(m, now, suspectAlpha, false); ok {
 		return true
 	}
-	v := e.view(m, now, "")
+	v := e.view(m, now, omission{})
 	newest := Window(now)
 	alpha := judgeAlpha / float64(len(v.routes)*tests+1)
 	for route, windows := range v.routes {
@@ -108,34 +131,54 @@
 		if old.Requests >= 2*blockSamples {
 			continue
 		}
-		if _, ok := compare(m, route, [][]*pair{{&p}}, alpha); ok {
+		for range compare(m, route, [][]*pair{{&p}}, level{alpha, 1, minHits}) {
 			return true
 		}
 	}
 	return false
 }
 
-// fault compares both versions at the given significance.
-func (e *Evidence) fault(m fold.Move, now time.Time, alpha float64) (finding, bool) {
-	f, ok := e.view(m, now, "").fault(m, now, alpha)
-	if !ok {
-		return finding{}, false
-	}
-	worst, n := e.worst(m, now, f.route)
-	if n < minInstances {
+// fault compares both versions at the given significance, which is divided among
+// the comparisons. With settled, the fault must show in more than one window, or
+// its window must have ended long enough ago for hosts to recognise trouble.
+func (e *Evidence) fault(m fold.Move, now time.Time, alpha float64, settled bool) (finding, bool) {
+	v := e.view(m, now, omission{})
+	for f := range v.findings(m, now, level{alpha / float64(2*(len(v.routes)+1)*tests), 1, minHits}) {
+		if !e.confirmed(m, now, f, omission{instances: e.worst(m, now, f.route)}) {
+			continue
+		}
+		if settled {
+			w := v.worst(f)
+			end := time.Unix((w+1)*WindowSeconds, 0)
+			if now.Before(end.Add(settleTime)) && !e.confirmed(m, now, f, omission{window: w}) {
+				continue
+			}
+		}
 		return f, true
 	}
-	// The second look only rules out a single instance, so a weaker level does.
-	if _, ok := e.view(m, now, worst).fault(m, now, max(alpha, suspectAlpha)); !ok {
-		return finding{}, false
+	return finding{}, false
+}
+
+// confirmed reports whether a finding also shows without some of the evidence.
+// Leaving out the worst lowers the hits of the rest below their mean, so weaker
+// evidence suffices.
+func (e *Evidence) confirmed(m fold.Move, now time.Time, f finding, without omission) bool {
+	if len(without.instances) == 0 && without.window == 0 {
+		return true
 	}
-	return f, true
+	for g := range e.view(m, now, without).findings(m, now, level{secondAlpha, 0.5, secondHits}) {
+		if g.route == f.route && g.reason == f.reason {
+			return true
+		}
+	}
+	return false
 }
 
-// worst returns the instance of the new version with the most failed and slow
-// requests on a route, and the number of instances that have samples there. An
-// empty route stands for all routes.
-func (e *Evidence) worst(m fold.Move, now time.Time, route string) (worst string, n int) {
+// worst returns the third of the instances of the new version that has the most
+// failed and slow requests on a route: as many as an availability zone holds. It
+// returns none if there are fewer than minInstances. An empty route stands for
+// all routes.
+func (e *Evidence) worst(m fold.Move, now time.Time, route string) []string {
 	byInstance := make(map[string]*Counters)
 	for s, cells := range e.cells {
 		if s.move != m.ID || (route != "" && s.route != route) {
@@ -150,37 +193,101 @@
 			}
 		}
 	}
-	most := -1.0
-	for _, id := range slices.Sorted(maps.Keys(byInstance)) {
-		c := byInstance[id]
-		// The sum of the bucket numbers grows with the latency.
-		bad := float64(c.Errors) * float64(len(c.Latency))
-		for i, k := range c.Latency {
-			bad += float64(i) * float64(k)
+	if len(byInstance) < minInstances {
+		return nil
+	}
+	// A failed request weighs as much as one in the last bucket.
+	badness := func(c *Counters) float64 {
+		sum := c.Errors * uint64(len(c.Latency))
+		for i, n := range c.Latency {
+			sum += uint64(i) * n
 		}
-		bad /= float64(c.Requests)
-		if bad > most {
-			most, worst = bad, id
+		return float64(sum) / float64(c.Requests)
+	}
+	ids := slices.SortedFunc(maps.Keys(byInstance), func(a, b string) int {
+		return cmp.Or(cmp.Compare(badness(byInstance[b]), badness(byInstance[a])), cmp.Compare(a, b))
+	})
+	return ids[:(len(ids)+2)/3]
+}
+
+// worst returns the window in which the new version has the most of the failed
+// or slow requests of a finding.
+func (v view) worst(f finding) (window int64) {
+	hits := make(map[int64]uint64)
+	for route, windows := range v.routes {
+		if f.route != "" && f.route != route {
+			continue
+		}
+		for w, p := range windows {
+			if f.reason == reasonErrors {
+				hits[w] += p.to.Errors
+			} else {
+				hits[w] += beyond(&p.to, f.bucket)
+			}
 		}
 	}
-	return worst, len(byInstance)
+	var most uint64
+	for w, n := range hits {
+		if n > most || n == most && w > window {
+			most, window = n, w
+		}
+	}
+	return window
+}
+
+// level is what a comparison needs to show a fault.
+type level struct {
+	alpha float64
+	// samples is a factor for the samples that a quantile needs.
+	samples float64
+	hits    uint64
 }
 
-// fault looks at each route and at all routes, over all windows and over the
-// newest ones.
-func (v view) fault(m fold.Move, now time.Time, alpha float64) (finding, bool) {
-	alpha /= float64(2 * (len(v.routes) + 1) * tests)
-	for _, first := range []int64{math.MinInt64, Window(now) - recentWindows + 1} {
-		var all [][]*pair
-		for _, route := range slices.Sorted(maps.Keys(v.routes)) {
-			b := blocks(v.routes[route], first)
-			if f, ok := compare(m, route, [][]*pair{b}, alpha); ok {
-				return f, true
+// findings yields the faults of each route and of all routes, over all windows
+// and over the newest ones.
+func (v view) findings(m fold.Move, now time.Time, at level) iter.Seq[finding] {
+	return func(yield func(finding) bool) {
+		for _, first := range []int64{math.MinInt64, Window(now) - recentWindows + 1} {
+			var all [][]*pair
+			for _, route := range slices.Sorted(maps.Keys(v.routes)) {
+				b := blocks(v.routes[route], first)
+				for f := range compare(m, route, [][]*pair{b}, at) {
+					if !yield(f) {
+						return
+					}
+				}
+				all = append(all, b)
+			}
+			for f := range compare(m, "", all, at) {
+				if !yield(f) {
+					return
+				}
 			}
-			all = append(all, b)
 		}
-		if f, ok := compare(m, "", all, alpha); ok {
-			return f, true
+	}
+}
+
+// stalled reports whether the time is up and the new version, but not the old one,
+// has been in cold start or overload for the last stallWindows with requests.
+func (v view) stalled(m fold.Move, now time.Time) (finding, bool) {
+	if progress(m, now) < soakEnd {
+		return finding{}, false
+	}
+	n := 0
+	var last pair
+	for _, w := range slices.Backward(slices.Sorted(maps.Keys(v.total))) {
+		p := v.total[w]
+		if p.to.Excluded == 0 && p.to.Requests == 0 {
+			continue
+		}
+		if p.to.Excluded <= p.to.Requests || p.from.Excluded > p.from.Requests {
+			break
+		}
+		last.to.add(&p.to)
+		last.from.add(&p.from)
+		if n++; n == stallWindows {
+			return finding{reason: reasonStalled, detail: fmt.Sprintf("%d of %d requests in cold start or overload on %s, %d of %d on %s",
+				last.to.Excluded, last.to.Excluded+last.to.Requests, m.To, last.from.Excluded, last.from.Excluded+last.from.Requests, m.From)}, true
 		}
 	}
 	return finding{}, false
@@ -210,44 +317,57 @@
 	return out
 }
 
-// compare tests errors and latency quantiles over the blocks of one or more
-// routes.
-func compare(m fold.Move, route string, routes [][]*pair, alpha float64) (finding, bool) {
+// compare yields the faults in errors and latency quantiles over the blocks of
+// one or more routes.
+func compare(m fold.Move, route string, routes [][]*pair, at level) iter.Seq[finding] {
+	return func(yield func(finding) bool) {
+		if f, ok := compareErrors(m, routes, at); ok {
+			f.route = route
+			if !yield(f) {
+				return
+			}
+		}
+		for _, q := range quantiles {
+			if f, ok := q.compare(m, routes, at); ok {
+				f.route = route
+				if !yield(f) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func compareErrors(m fold.Move, routes [][]*pair, at level) (finding, bool) {
 	var strata []stratum
 	for _, b := range routes {
 		for _, p := range b {
 			strata = append(strata, stratum{p.to.Requests, p.from.Requests, p.to.Errors, p.from.Errors})
 		}
 	}
-	if s := sum(strata); s.toHits >= minHits {
-		to, from := s.ratios()
-		if p := excess(strata); p < alpha && to >= from+minErrorRise && to >= from*minErrorFactor {
-			return finding{reason: "errors", route: route, p: p, detail: fmt.Sprintf(
-				"%d of %d requests failed on %s, %d of %d on %s", s.toHits, s.to, m.To, s.fromHits, s.from, m.From)}, true
-		}
-	}
-	for _, q := range quantiles {
-		if f, ok := q.compare(m, routes, alpha); ok {
-			f.route = route
-			return f, true
-		}
+	s := sum(strata)
+	to, from := s.ratios()
+	if s.toHits < at.hits || to < from+minErrorRise || to < from*minErrorFactor {
+		return finding{}, false
 	}
-	return finding{}, false
+	p := excess(strata)
+	return finding{reason: reasonErrors, p: p, detail: fmt.Sprintf("%d of %d requests failed on %s, %d of %d on %s",
+		s.toHits, s.to, m.To, s.fromHits, s.from, m.From)}, p < at.alpha
 }
 
 // compare tests one latency quantile: more requests of the new version than of
 // the old one lie beyond the bucket of the old version's quantile.
-func (q quantile) compare(m fold.Move, routes [][]*pair, alpha float64) (finding, bool) {
+func (q quantile) compare(m fold.Move, routes [][]*pair, at level) (finding, bool) {
 	var strata []stratum
 	var to, from float64
+	bucket := len(Counters{}.Latency)
 	for _, b := range routes {
 		var all pair
 		for _, p := range b {
 			all.to.add(&p.to)
 			all.from.add(&p.from)
 		}
-		toN, fromN := served(&all.to), served(&all.from)
-		if toN < q.samples || fromN < q.samples {
+		if n := float64(min(served(&all.to), served(&all.from))); n < float64(q.samples)*at.samples {
 			continue
 		}
 		oldQ, limit := q.of(&all.from)
@@ -255,19 +375,17 @@
 		if newQ < oldQ*minLatencyFactor || newQ < oldQ+q.rise {
 			continue
 		}
-		to, from = max(to, newQ), max(from, oldQ)
+		to, from, bucket = max(to, newQ), max(from, oldQ), min(bucket, limit)
 		for _, p := range b {
 			strata = append(strata, stratum{served(&p.to), served(&p.from), beyond(&p.to, limit), beyond(&p.from, limit)})
 		}
 	}
-	if s := sum(strata); s.toHits < minHits {
+	if s := sum(strata); s.toHits < at.hits || s.toHits == 0 {
 		return finding{}, false
 	}
 	p := excess(strata)
-	if p >= alpha {
-		return finding{}, false
-	}
-	return finding{reason: q.name, p: p, detail: fmt.Sprintf("%s is %.0f ms on %s, %.0f ms on %s", q.name, to, m.To, from, m.From)}, true
+	return finding{reason: q.name, bucket: bucket, p: p, detail: fmt.Sprintf("%s is %.0f ms on %s, %.0f ms on %s",
+		q.name, to, m.To, from, m.From)}, p < at.alpha
 }
 
 // of returns the estimated quantile in milliseconds and its bucket.
--- a/version/move/evidence.go
+++ b/version/move/evidence.go
@@ -192,21 +192,33 @@
 	total  map[int64]*pair
 }
 
+// omission names evidence that a view leaves out: all samples of a window, and
+// those of the new version on some instances.
+type omission struct {
+	window    int64
+	instances []string
+}
+
 // view sums the counters of a move since its start. Windows that lie in the
-// future come from an instance with a wrong clock and are ignored. Counters of
-// the new version on the instance without are left out.
-func (e *Evidence) view(m fold.Move, now time.Time, without string) view {
+// future come from an instance with a wrong clock and are ignored.
+func (e *Evidence) view(m fold.Move, now time.Time, without omission) view {
 	v := view{routes: make(map[string]map[int64]*pair), total: make(map[int64]*pair)}
 	first, last := Window(m.StartAt), Window(now)+1
 	for s, cells := range e.cells {
 		if s.move != m.ID {
 			continue
 		}
+		skip := slices.Contains(without.instances, s.instance)
 		for i := range cells {
 			c := &cells[i]
-			if c.window < first || c.window > last || (s.instance == without && c.version == m.To) {
+			isNew := c.version == m.To
+			if c.window < first || c.window > last || c.window == without.window || isNew && skip || !isNew && c.version != m.From {
 				continue
 			}
+			add := c.counters
+			if mostlyExcluded(cells, i) {
+				add = Counters{Excluded: add.Excluded}
+			}
 			windows := v.routes[s.route]
 			if windows == nil {
 				windows = make(map[int64]*pair)
@@ -218,14 +230,28 @@
 					p = new(pair)
 					of[c.window] = p
 				}
-				switch c.version {
-				case m.To:
-					p.to.add(&c.counters)
-				case m.From:
-					p.from.add(&c.counters)
+				if isNew {
+					p.to.add(&add)
+				} else {
+					p.from.add(&add)
 				}
 			}
 		}
 	}
 	return v
 }
+
+// mostlyExcluded reports whether most samples of a cell, or of one in a window
+// next to it, were excluded. A host recognises trouble late or in part, so the few
+// samples beside many excluded ones prove nothing.
+func mostlyExcluded(cells []cell, i int) bool {
+	for j := range cells {
+		if d := cells[j].window - cells[i].window; d < -1 || d > 1 {
+			continue
+		}
+		if n := &cells[j].counters; n.Excluded > n.Requests {
+			return true
+		}
+	}
+	return false
+}
--- a/version/move/move.go
+++ b/version/move/move.go
@@ -34,7 +34,15 @@
 // p99, per route and over all routes. The test is exact and stratified by time
 // and route: a period in which both versions fail or are slow together counts
 // against neither. With at least three instances of the new version, the fault
-// must also show without the worst of them.
+// must also show without the worst third of them. A verdict also needs the fault in
+// more than one window, or a few seconds without signs of cold start or overload
+// after it, because a host may recognise these a moment late. Until then the share
+// is lowered to canaryPercent.
+//
+// Samples in cold start, overload or zone trouble are excluded, and so are the few
+// other samples of the same instance beside them. A version without other samples
+// stays at canaryPercent. If it is still so when the time is up, while the old
+// version is not, it is rolled back.
 //
 // # Usage
 //
@@ -68,6 +76,9 @@
 // the comparison until the move is done.
 const finalShare = 0.95
 
+// stageTime is the part of the time that a stage lasts.
+const stageTime = 0.2
+
 // stage is a share and the part of the time at which it begins.
 type stage struct {
 	at, share float64
@@ -83,7 +94,7 @@
 // Verdict is a permanent decision against a move.
 type Verdict struct {
 	Move int64
-	// Reason is the kind of the fault: errors, p50, p90 or p99.
+	// Reason is the kind of the fault: errors, p50, p90, p99 or stalled.
 	Reason string
 	// Evidence names the route and gives the figures of both versions.
 	Evidence string
@@ -96,7 +107,10 @@
 	if m.State != fold.MoveRunning || now.Before(m.StartAt) {
 		return Verdict{}, false
 	}
-	f, ok := e.fault(m, now, judgeAlpha)
+	f, ok := e.fault(m, now, judgeAlpha, true)
+	if !ok {
+		f, ok = e.view(m, now, omission{}).stalled(m, now)
+	}
 	if !ok {
 		return Verdict{}, false
 	}
@@ -117,16 +131,22 @@
 	}
 	limit := float64(min(max(canaryPercent, 0), 100)) / 100
 	elapsed := progress(m, now)
-	v := e.view(m, now, "")
+	v := e.view(m, now, omission{})
 	n := v.proven(elapsed)
 	share := schedule[n].share
 	if n == 0 {
 		share = min(share, limit)
 	}
-	if v.sparse(schedule[n].share) {
-		share = max(share, min(shareAt(schedule, elapsed), limit), shareAt(lateSchedule, elapsed))
+	sparse, overloaded := v.sparse(m, now, schedule[n].share), v.overloaded(now)
+	if sparse || overloaded {
+		// An instance needs requests to leave cold start, so a version without
+		// evidence is not left at the first stage.
+		share = max(share, min(shareAt(schedule, elapsed), limit))
+	}
+	if sparse {
+		share = max(share, shareAt(lateSchedule, elapsed))
 	}
-	if share > limit && (v.overloaded(now) || e.suspect(m, now)) {
+	if share > limit && (overloaded || e.suspect(m, now)) {
 		share = limit
 	}
 	return share
@@ -138,8 +158,8 @@
 	if m.State != fold.MoveRunning || progress(m, now) < soakEnd {
 		return false
 	}
-	v := e.view(m, now, "")
-	if v.exposure(finalShare) < MinSamples && !v.sparse(finalShare) {
+	v := e.view(m, now, omission{})
+	if v.exposure(finalShare) < MinSamples && !v.sparse(m, now, finalShare) {
 		return false
 	}
 	return e.Share(m, 0, false, now) >= finalShare
@@ -182,14 +202,12 @@
 }
 
 // sparse reports whether the traffic is too small to yield enough samples at the
-// given share. A new version that lacks samples although the old one has enough
-// is not sparse: it is not served.
-func (v *view) sparse(share float64) bool {
-	var to, all float64
-	for _, p := range v.total {
-		to += float64(p.to.Requests)
-		all += float64(p.to.Requests + p.from.Requests)
-	}
+// given share within the time of one stage. A new version that lacks samples
+// although the old one has enough is not sparse: it is not served.
+func (v *view) sparse(m fold.Move, now time.Time, share float64) bool {
+	windows := int64(m.DoneBy.Sub(m.StartAt).Seconds() * stageTime / WindowSeconds)
+	p := v.since(Window(now) - min(max(windows, recentWindows), KeptWindows))
+	to, all := float64(p.to.Requests), float64(p.to.Requests+p.from.Requests)
 	if all*share >= 2*MinSamples {
 		return false
 	}
@@ -200,12 +218,17 @@
 // overloaded reports whether most recent samples of the new version, but not of
 // the old one, were excluded. There is then no evidence for a high share.
 func (v *view) overloaded(now time.Time) bool {
-	var to, from Counters
+	p := v.since(Window(now) - recentWindows)
+	return p.to.Excluded > p.to.Requests && p.from.Excluded <= p.from.Requests
+}
+
+// since sums the windows after the given one.
+func (v *view) since(window int64) (sum pair) {
 	for w, p := range v.total {
-		if w > Window(now)-recentWindows {
-			to.add(&p.to)
-			from.add(&p.from)
+		if w > window {
+			sum.to.add(&p.to)
+			sum.from.add(&p.from)
 		}
 	}
-	return to.Excluded > to.Requests && from.Excluded <= from.Requests
+	return sum
 }
