--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,351 @@
+// Package fleet runs a mesh of real processes: the log, upstream instances and
+// a daemon beside each. The demo and the end-to-end tests share it.
+//
+// # Usage
+//
+//	bin, err := fleet.Build(ctx, dir)
+//	f, err := fleet.Start(dir, bin, fleet.Specs(cfg, 1), readyBy)
+//	defer f.Stop(killAt)
+//	out, err := f.Client(ctx, "publish", "--wait", "config.toml")
+//	err = f.AwaitReady(ctx, readyBy)
+//	res, err := fleet.NewCaller().Do(ctx, f.Nodes[0].Settings.CallerAddress, fleet.Call{Method: "GET", Path: "/slots"})
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/kingcuppitch/kingcuppitch/process/settings"
+	"github.com/kingcuppitch/kingcuppitch/standin/launcher"
+	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
+	"github.com/kingcuppitch/kingcuppitch/standin/upstream"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"github.com/kingcuppitch/kingcuppitch/wire/v1/wirev1connect"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	module = "github.com/kingcuppitch/kingcuppitch"
+	// pollEvery is the period of questions to the daemons.
+	pollEvery = 20 * time.Millisecond
+	// askTimeout bounds one question to a process.
+	askTimeout = 2 * time.Second
+)
+
+// Binaries are the paths of the programs.
+type Binaries struct {
+	Standin, Daemon, Client string
+}
+
+// Build builds the programs into dir.
+func Build(ctx context.Context, dir string) (Binaries, error) {
+	err := launcher.Build(ctx, dir, module+"/standin/cmd/standin", module+"/cmd/kingcuppitchd", module+"/cmd/kingcuppitch")
+	return Binaries{
+		Standin: filepath.Join(dir, "standin"), Daemon: filepath.Join(dir, "kingcuppitchd"), Client: filepath.Join(dir, "kingcuppitch"),
+	}, err
+}
+
+// Spec describes an upstream instance and where it runs.
+type Spec struct {
+	Name, Service, Version        string
+	Region, Zone                  string
+	Slots, ColdSlots, Connections int
+	// ColdFor is the length of the cold start, Work that of a request.
+	ColdFor, Work time.Duration
+}
+
+// Specs returns instances of the active version of each upstream in each zone.
+func Specs(cfg config.Config, perZone int) []Spec {
+	var specs []Spec
+	for _, u := range cfg.Upstreams {
+		for _, z := range cfg.Zones {
+			for i := range perZone {
+				specs = append(specs, Spec{
+					Name:    fmt.Sprintf("%s-%s-%d", u.Name, z.Name, i+1),
+					Service: u.Name, Version: u.Active, Region: z.Region, Zone: z.Name,
+					Slots: u.Slots, ColdSlots: u.ColdSlots, Connections: u.Connections,
+					ColdFor: 500 * time.Millisecond, Work: 2 * time.Millisecond,
+				})
+			}
+		}
+	}
+	return specs
+}
+
+// Node is an upstream instance with the daemon beside it.
+type Node struct {
+	Spec
+	Settings              settings.Settings
+	Address, AdminAddress netip.AddrPort
+	Daemon, Instance      launcher.Process
+
+	control wirev1connect.ControlClient
+}
+
+// Fleet is a running mesh.
+type Fleet struct {
+	Nodes []*Node
+	// Log is the process of the log, LogAddress its address.
+	Log        launcher.Process
+	LogAddress netip.AddrPort
+
+	bin      Binaries
+	launcher launcher.Launcher
+}
+
+// Start starts the log, the instances and the daemons; the files are in dir.
+func Start(dir string, bin Binaries, specs []Spec, readyBy time.Time) (f *Fleet, err error) {
+	f = &Fleet{bin: bin, launcher: launcher.NewLauncher(dir)}
+	defer func() {
+		if err != nil {
+			f.Stop(time.Now().Add(time.Second))
+		}
+	}()
+	addrs, err := launcher.FreeAddresses(1 + 6*len(specs))
+	if err != nil {
+		return nil, err
+	}
+	f.LogAddress = addrs[0]
+	f.Log, err = f.launcher.Start(launcher.Command{
+		Name: "log", Path: bin.Standin, Args: []string{"log", "--address", addrs[0].String()},
+		Serves: addrs[:1], ReadyBy: readyBy,
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, spec := range specs {
+		a := addrs[1+6*i:]
+		f.Nodes = append(f.Nodes, &Node{
+			Spec: spec, Address: a[0], AdminAddress: a[1],
+			Settings: settings.Settings{
+				Name: spec.Name, Region: spec.Region, Zone: spec.Zone,
+				CallerAddress: a[2], PeerAddress: a[3], AnnounceAddress: a[4], MetricsAddress: a[5],
+				LogAddress: f.LogAddress, InternalCallers: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+				LogLevel: "info",
+			},
+			control: newControl(a[3]),
+		})
+	}
+	var g errgroup.Group
+	for _, n := range f.Nodes {
+		for _, other := range f.Nodes {
+			if other != n {
+				n.Settings.Seeds = append(n.Settings.Seeds, other.Settings.PeerAddress)
+			}
+		}
+		g.Go(func() error { return f.StartInstance(n, readyBy) })
+		g.Go(func() error { return f.StartDaemon(n, readyBy) })
+	}
+	return f, g.Wait()
+}
+
+// newControl returns a client of the service Control over HTTP/2 without TLS.
+func newControl(addr netip.AddrPort) wirev1connect.ControlClient {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return wirev1connect.NewControlClient(&http.Client{Transport: &http.Transport{Protocols: &protocols}}, "http://"+addr.String())
+}
+
+// StartInstance starts the upstream instance of a node.
+func (f *Fleet) StartInstance(n *Node, readyBy time.Time) (err error) {
+	n.Instance, err = f.launcher.Start(launcher.Command{
+		Name: n.Name + ".upstream", Path: f.bin.Standin,
+		Args: []string{
+			"upstream", "--name", n.Name, "--service", n.Service, "--version", n.Version,
+			"--address", n.Address.String(), "--admin", n.AdminAddress.String(), "--announce", n.Settings.AnnounceAddress.String(),
+			"--slots", strconv.Itoa(n.Slots), "--cold-slots", strconv.Itoa(n.ColdSlots),
+			"--connections", strconv.Itoa(n.Connections), "--cold-for", n.ColdFor.String(), "--work", n.Work.String(),
+		},
+		// The bound on connections and their cost make it better not to
+		// connect to the instance itself.
+		Serves: []netip.AddrPort{n.AdminAddress}, ReadyBy: readyBy,
+	})
+	return err
+}
+
+// StartDaemon starts the daemon of a node, also after it has ended.
+func (f *Fleet) StartDaemon(n *Node, readyBy time.Time) (err error) {
+	path, err := f.launcher.WriteSettings(n.Name, n.Settings)
+	if err != nil {
+		return err
+	}
+	n.Daemon, err = f.launcher.Start(launcher.Command{
+		Name: n.Name, Path: f.bin.Daemon, Args: []string{"--settings", path},
+		Serves: []netip.AddrPort{n.Settings.CallerAddress, n.Settings.PeerAddress}, ReadyBy: readyBy,
+	})
+	return err
+}
+
+// Kill ends a process with SIGKILL and waits for its end.
+func Kill(p launcher.Process) error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	_, err := p.Wait(time.Now().Add(askTimeout))
+	return err
+}
+
+// Stop ends all processes; those that run at killAt are killed.
+func (f *Fleet) Stop(killAt time.Time) { f.launcher.Stop(killAt) }
+
+// Client runs the operators' client with the first daemons of the fleet and
+// returns what it wrote.
+func (f *Fleet) Client(ctx context.Context, args ...string) (string, error) {
+	var all []string
+	for _, n := range f.Nodes[:min(3, len(f.Nodes))] {
+		all = append(all, "--daemon", n.Settings.PeerAddress.String())
+	}
+	var stdout, stderr bytes.Buffer
+	cmd := exec.CommandContext(ctx, f.bin.Client, append(all, args...)...) //nolint:gosec // a program that was built here
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	err := cmd.Run()
+	return stdout.String(), eris.Wrapf(err, "kingcuppitch %q: %s", args, stderr.String())
+}
+
+// Status asks the daemon of a node for its status.
+func (f *Fleet) Status(ctx context.Context, n *Node) (*wirev1.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	res, err := n.control.Status(ctx, connect.NewRequest(&wirev1.StatusRequest{}))
+	if err != nil {
+		return nil, eris.Wrapf(err, "status of %s", n.Name)
+	}
+	return res.Msg, nil
+}
+
+// AwaitVersion waits until all daemons serve with the version, or a later one.
+func (f *Fleet) AwaitVersion(ctx context.Context, version int64, until time.Time) error {
+	return f.awaitAll(ctx, until, func(s *wirev1.StatusResponse) error {
+		if s.Offset < version || !s.Serving {
+			return fmt.Errorf("%s has offset %d and serving %v, want offset %d", s.Daemon, s.Offset, s.Serving, version)
+		}
+		return nil
+	})
+}
+
+// AwaitReady waits until all daemons serve and know all instances as ready.
+func (f *Fleet) AwaitReady(ctx context.Context, until time.Time) error {
+	return f.awaitAll(ctx, until, func(s *wirev1.StatusResponse) error {
+		ready := make(map[string]bool)
+		for _, m := range s.Members {
+			ready[m.Name] = m.State == string(upstream.Ready)
+		}
+		for _, n := range f.Nodes {
+			if !ready[n.Name] || !s.Serving {
+				return fmt.Errorf("%s has serving %v and %s as ready: %v", s.Daemon, s.Serving, n.Name, ready[n.Name])
+			}
+		}
+		return nil
+	})
+}
+
+func (f *Fleet) awaitAll(ctx context.Context, until time.Time, check func(*wirev1.StatusResponse) error) error {
+	var g errgroup.Group
+	for _, n := range f.Nodes {
+		g.Go(func() error {
+			for {
+				s, err := f.Status(ctx, n)
+				if err == nil {
+					err = check(s)
+				}
+				if err == nil || time.Now().After(until) || ctx.Err() != nil {
+					return err
+				}
+				time.Sleep(pollEvery)
+			}
+		})
+	}
+	return g.Wait()
+}
+
+// SetLogFaults sets the faults of the log.
+func (f *Fleet) SetLogFaults(ctx context.Context, faults logservice.Faults) error {
+	return ask(ctx, http.MethodPut, f.LogAddress, "/faults", faults, nil)
+}
+
+// LogStats returns the counts of the log.
+func (f *Fleet) LogStats(ctx context.Context) (s logservice.Stats, err error) {
+	err = ask(ctx, http.MethodGet, f.LogAddress, "/stats", nil, &s)
+	return s, err
+}
+
+// SetFaults sets the faults of an instance.
+func (n *Node) SetFaults(ctx context.Context, faults upstream.Faults) error {
+	return ask(ctx, http.MethodPut, n.AdminAddress, "/faults", faults, nil)
+}
+
+// Order posts an order to the admin address of the instance, such as "/drain".
+func (n *Node) Order(ctx context.Context, path string) error {
+	return ask(ctx, http.MethodPost, n.AdminAddress, path, nil, nil)
+}
+
+// Stats returns the counts of the instance.
+func (n *Node) Stats(ctx context.Context) (s upstream.Stats, err error) {
+	err = ask(ctx, http.MethodGet, n.AdminAddress, "/stats", nil, &s)
+	return s, err
+}
+
+// Runs returns the runs of all instances together.
+func (f *Fleet) Runs(ctx context.Context) (upstream.Runs, error) {
+	sum := upstream.Runs{Keys: make(map[string]upstream.Run), Bodies: make(map[string]upstream.Run)}
+	for _, n := range f.Nodes {
+		var runs upstream.Runs
+		if err := ask(ctx, http.MethodGet, n.AdminAddress, "/runs", nil, &runs); err != nil {
+			return sum, err
+		}
+		add(sum.Keys, runs.Keys)
+		add(sum.Bodies, runs.Bodies)
+	}
+	return sum, nil
+}
+
+func add(sum, runs map[string]upstream.Run) {
+	for k, r := range runs {
+		s := sum[k]
+		sum[k] = upstream.Run{Started: s.Started + r.Started, Completed: s.Completed + r.Completed}
+	}
+}
+
+// ask sends a request with an optional JSON body and reads a JSON answer.
+func ask(ctx context.Context, method string, addr netip.AddrPort, path string, in, out any) (err error) {
+	defer func() { err = eris.Wrapf(err, "%s %v%s", method, addr, path) }()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, body)
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode >= 300 {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(res.Body).Decode(out)
+}
