--- a/request/wire.go
+++ b/request/wire.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +15,7 @@
 // Headers of a forwarded call that only daemons use.
 const (
 	headerClass      = "Kingcuppitch-Class"
+	headerRunBy      = "Kingcuppitch-Run-By-Ms"
 	headerIdempotent = "Kingcuppitch-Idempotent"
 	headerRetryAt    = "Kingcuppitch-Retry-At"
 	headerRefused    = "Kingcuppitch-Refused"
@@ -58,6 +61,9 @@
 	h.Set(HeaderUpstreamVersion, c.UpstreamVersion)
 	h.Set(HeaderVersion, strconv.FormatInt(c.Version, 10))
 	h.Set(HeaderTimeout, strconv.FormatInt(max(1, time.Until(c.Deadline).Milliseconds()), 10))
+	if !c.RunBy.IsZero() {
+		h.Set(headerRunBy, strconv.FormatInt(time.Until(c.RunBy).Milliseconds(), 10))
+	}
 }
 
 // DecodeCall reads a forwarded call, whose path starts with the given prefix.
@@ -72,6 +78,12 @@
 		return nil, errors.New("forwarded call without request id or timeout")
 	}
 	c.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	if text := r.Header.Get(headerRunBy); text != "" {
+		if ms, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return nil, fmt.Errorf("header %s: %w", headerRunBy, err)
+		}
+		c.RunBy = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	if c.Idempotent, err = strconv.ParseBool(r.Header.Get(headerIdempotent)); err != nil {
 		return nil, fmt.Errorf("header %s: %w", headerIdempotent, err)
 	}
@@ -97,6 +109,40 @@
 	return body, nil
 }
 
+// NewHTTPRequest returns the request of one attempt. net/http sends it a second
+// time on its own, when a reused connection breaks, only if it is idempotent:
+// the body then has no GetBody, and the idempotency key keeps net/http from
+// recognising it by a name that is not in canonical form, which makes no
+// difference to the receiver.
+func NewHTTPRequest(ctx context.Context, url string, c *Call) (*http.Request, error) {
+	var body io.Reader
+	if len(c.Body) > 0 || !c.Idempotent && isBodiless(c.Method) {
+		body = struct{ io.Reader }{bytes.NewReader(c.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Body) > 0 {
+		req.ContentLength = int64(len(c.Body))
+	}
+	for name, values := range c.Header {
+		if name == HeaderKey {
+			name = strings.ToLower(name)
+		}
+		req.Header[name] = values
+	}
+	return req, nil
+}
+
+func isBodiless(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // EncodeLoad writes a load report into a header.
 func EncodeLoad(l Load, h http.Header) {
 	h.Set(HeaderLoad, strconv.Itoa(l.InFlight))
