--- a/standin/cmd/standin/demo.go
+++ b/standin/cmd/standin/demo.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,7 +85,7 @@
 	defer func() { f.Stop(time.Now().Add(demoStop)) }()
 	hclog.L().Info("started", "daemons", len(f.Nodes), "zones", len(cfg.Zones))
 	show := func(args ...string) error {
-		_, _ = fmt.Fprintln(w, "\n$ kingcuppitch", args)
+		_, _ = fmt.Fprintln(w, "\n$ kingcuppitch", strings.Join(args, " "))
 		out, err := f.Client(ctx, args...)
 		_, _ = fmt.Fprint(w, out)
 		return err
