--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -24,6 +24,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,10 @@
 // records that were appended twice.
 const KeptOutcomes = 1024
 
+// maxReason bounds the reason of a refusal in bytes. Reasons are part of the
+// state, and a large configuration can have thousands of problems.
+const maxReason = 1024
+
 // KeptMoves is the number of ended moves that the state remembers.
 const KeptMoves = 256
 
@@ -170,7 +175,7 @@
 	}
 	if err := s.apply(offset, rec); err != nil {
 		out.Result = Refused
-		out.Reason = err.Error()
+		out.Reason = shorten(err.Error())
 		var ref *refusal
 		if errors.As(err, &ref) {
 			out.Winner = ref.winner
@@ -185,6 +190,13 @@
 	return out
 }
 
+func shorten(reason string) string {
+	if len(reason) <= maxReason {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReason], "") + " …"
+}
+
 // Outcome returns what became of the record with the given id.
 func (s *State) Outcome(id string) (Outcome, bool) {
 	for i := len(s.Outcomes) - 1; i >= 0; i-- {
