version/move: keep sums of counters up to date in Merge

Judge visited every cell: with 200 instances and 10 routes a decision a second would have visited 48,000 cells several times. Merge now keeps sums by route, window and version; only the look without the worst instances visits cells.

--- a/version/move/evidence.go
+++ b/version/move/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -90,6 +91,20 @@
 	}
 }
 
+// change adds the fields of o, or subtracts what was added before.
+func (c *Counters) change(o *Counters, plus bool) {
+	if plus {
+		c.add(o)
+		return
+	}
+	c.Requests -= o.Requests
+	c.Errors -= o.Errors
+	c.Excluded -= o.Excluded
+	for i := range c.Latency {
+		c.Latency[i] -= o.Latency[i]
+	}
+}
+
 // series names the counters of one instance and route over time.
 type series struct {
 	move            int64
@@ -119,6 +134,15 @@
 type Evidence struct {
 	// cells are sorted by window, incarnation and version.
 	cells map[series][]cell
+	// sums holds the effective counters of all cells by move and route. They are
+	// kept up to date by Merge, so that a decision does not visit every cell.
+	sums map[int64]map[string]map[slot]*Counters
+}
+
+// slot names the counters of all instances in one window.
+type slot struct {
+	window  int64
+	version string
 }
 
 // Merge sets the counters of k to the maximum of the known ones and c. Keeping
@@ -132,21 +156,63 @@
 	cells := e.cells[s]
 	add := cell{window: k.Window, incarnation: k.Incarnation, version: k.Version, counters: c}
 	i, found := slices.BinarySearchFunc(cells, &add, func(c cell, t *cell) int { return c.compare(t) })
-	switch {
-	case found:
-		cells[i].counters.merge(&c)
+	if found {
+		merged := cells[i].counters
+		merged.merge(&c)
+		if merged == cells[i].counters {
+			return
+		}
+		// The effective counters depend on the windows next to a cell.
+		e.account(s, cells, k.Window-1, k.Window+1, false)
+		cells[i].counters = merged
+		e.account(s, cells, k.Window-1, k.Window+1, true)
 		return
-	case len(cells) < KeptWindows:
-		cells = slices.Insert(cells, i, add)
-	case i == 0:
+	}
+	if len(cells) == KeptWindows && i == 0 {
 		return // older than all that are kept
-	default:
+	}
+	e.account(s, cells, math.MinInt64, math.MaxInt64, false)
+	if len(cells) < KeptWindows {
+		cells = slices.Insert(cells, i, add)
+	} else {
 		copy(cells, cells[1:i])
 		cells[i-1] = add
 	}
+	e.account(s, cells, math.MinInt64, math.MaxInt64, true)
 	e.cells[s] = cells
 }
 
+// account adds the effective counters of the cells from one window to another to
+// the sums or subtracts them.
+func (e *Evidence) account(s series, cells []cell, first, last int64, plus bool) {
+	if e.sums == nil {
+		e.sums = make(map[int64]map[string]map[slot]*Counters)
+	}
+	if e.sums[s.move] == nil {
+		e.sums[s.move] = make(map[string]map[slot]*Counters)
+	}
+	slots := e.sums[s.move][s.route]
+	if slots == nil {
+		slots = make(map[slot]*Counters)
+		e.sums[s.move][s.route] = slots
+	}
+	for i := range cells {
+		if w := cells[i].window; w < first || w > last {
+			continue
+		}
+		k := slot{cells[i].window, cells[i].version}
+		sum := slots[k]
+		if sum == nil {
+			sum = new(Counters)
+			slots[k] = sum
+		}
+		c := effective(cells, i)
+		if sum.change(&c, plus); *sum == (Counters{}) {
+			delete(slots, k)
+		}
+	}
+}
+
 // All returns all keys and counters in no particular order.
 func (e *Evidence) All() iter.Seq2[Key, Counters] {
 	return e.Since(-1 << 63)
@@ -177,6 +243,7 @@
 	for s := range e.cells {
 		if !running(s.move) {
 			delete(e.cells, s)
+			delete(e.sums, s.move)
 		}
 	}
 }
@@ -199,48 +266,62 @@
 	instances []string
 }
 
-// view sums the counters of a move since its start. Windows that lie in the
+// view returns the counters of a move since its start. Windows that lie in the
 // future come from an instance with a wrong clock and are ignored.
 func (e *Evidence) view(m fold.Move, now time.Time, without omission) view {
 	v := view{routes: make(map[string]map[int64]*pair), total: make(map[int64]*pair)}
 	first, last := Window(m.StartAt), Window(now)+1
+	visit := func(route string, window int64, version string, c *Counters, plus bool) {
+		if window < first || window > last || window == without.window || version != m.From && version != m.To {
+			return
+		}
+		if v.routes[route] == nil {
+			v.routes[route] = make(map[int64]*pair)
+		}
+		for _, windows := range []map[int64]*pair{v.routes[route], v.total} {
+			p := windows[window]
+			if p == nil {
+				p = new(pair)
+				windows[window] = p
+			}
+			if version == m.To {
+				p.to.change(c, plus)
+			} else {
+				p.from.change(c, plus)
+			}
+		}
+	}
+	for route, slots := range e.sums[m.ID] {
+		for k, c := range slots {
+			visit(route, k.window, k.version, c, true)
+		}
+	}
+	if len(without.instances) == 0 {
+		return v
+	}
 	for s, cells := range e.cells {
-		if s.move != m.ID {
+		if s.move != m.ID || !slices.Contains(without.instances, s.instance) {
 			continue
 		}
-		skip := slices.Contains(without.instances, s.instance)
 		for i := range cells {
-			c := &cells[i]
-			isNew := c.version == m.To
-			if c.window < first || c.window > last || c.window == without.window || isNew && skip || !isNew && c.version != m.From {
-				continue
-			}
-			add := c.counters
-			if mostlyExcluded(cells, i) {
-				add = Counters{Excluded: add.Excluded}
-			}
-			windows := v.routes[s.route]
-			if windows == nil {
-				windows = make(map[int64]*pair)
-				v.routes[s.route] = windows
-			}
-			for _, of := range []map[int64]*pair{windows, v.total} {
-				p := of[c.window]
-				if p == nil {
-					p = new(pair)
-					of[c.window] = p
-				}
-				if isNew {
-					p.to.add(&add)
-				} else {
-					p.from.add(&add)
-				}
+			if cells[i].version == m.To {
+				c := effective(cells, i)
+				visit(s.route, cells[i].window, m.To, &c, false)
 			}
 		}
 	}
 	return v
 }
 
+// effective returns the counters of a cell without samples that prove nothing.
+func effective(cells []cell, i int) Counters {
+	c := cells[i].counters
+	if mostlyExcluded(cells, i) {
+		return Counters{Excluded: c.Excluded}
+	}
+	return c
+}
+
 // mostlyExcluded reports whether most samples of a cell, or of one in a window
 // next to it, were excluded. A host recognises trouble late or in part, so the few
 // samples beside many excluded ones prove nothing.
--- a/version/move/move_test.go
+++ b/version/move/move_test.go
@@ -1,7 +1,9 @@
 package move
 
 import (
+	"strconv"
 	"testing"
+	"time"
 )
 
 // TestReplay guards against a bad version that keeps traffic and a good version
@@ -25,3 +27,47 @@
 		t.Error("the naive version meets all outcomes, so the traces show nothing")
 	}
 }
+
+// BenchmarkMerge merges a second's counters of 200 instances and 10 routes.
+func BenchmarkMerge(b *testing.B) {
+	var e Evidence
+	fill(&e, 200, 10, KeptWindows)
+	for n := 0; b.Loop(); n++ {
+		k := Key{Move: 7, Instance: "v1-" + strconv.Itoa(n%200), Route: "route-" + strconv.Itoa(n/200%10), Version: "v1", Window: Window(epoch) + KeptWindows - 1}
+		e.Merge(k, Counters{Requests: uint64(1000 + n), Latency: [16]uint64{5: uint64(1000 + n)}})
+	}
+}
+
+// BenchmarkDecide judges and shares with 200 instances and 10 routes.
+func BenchmarkDecide(b *testing.B) {
+	var e Evidence
+	fill(&e, 200, 10, KeptWindows)
+	m := testMove(200 * time.Second)
+	now := epoch.Add((KeptWindows*WindowSeconds - 1) * time.Second)
+	b.Run("Judge", func(b *testing.B) {
+		for b.Loop() {
+			e.Judge(m, now)
+		}
+	})
+	b.Run("Share", func(b *testing.B) {
+		for b.Loop() {
+			e.Share(m, 10, false, now)
+		}
+	})
+}
+
+// fill merges healthy counters; every eighth instance has the new version.
+func fill(e *Evidence, instances, routes, windows int) {
+	for i := range instances {
+		version := "v1"
+		if i%8 == 0 {
+			version = "v2"
+		}
+		for r := range routes {
+			for w := range windows {
+				e.Merge(Key{Move: 7, Instance: version + "-" + strconv.Itoa(i), Route: "route-" + strconv.Itoa(r), Version: version, Window: Window(epoch) + int64(w)},
+					Counters{Requests: 100, Errors: 1, Latency: [16]uint64{4: 49, 5: 40, 6: 10}})
+			}
+		}
+	}
+}
--- a/version/move/trace_test.go
+++ b/version/move/trace_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -340,8 +341,7 @@
 		c   Counters
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
-	m := fold.Move{ID: 7, State: fold.MoveRunning, Move: record.Move{
-		Upstream: "catalogue", From: "v1", To: "v2", StartAt: epoch, DoneBy: epoch.Add(time.Duration(tr.MoveSeconds) * time.Second)}}
+	m := testMove(time.Duration(tr.MoveSeconds) * time.Second)
 	r := result{doneAt: -1, backAt: -1, faultAt: -1}
 	counts := make(map[Key]*Counters)
 	due := make(map[int][]delivery)
@@ -385,7 +385,7 @@
 					r.sent++
 				}
 				id := rng.IntN(n)
-				k := Key{Move: m.ID, Instance: fmt.Sprint(version, "-", id), Incarnation: 1, Route: tr.Routes[l.Route], Version: version, Window: Window(now)}
+				k := Key{Move: m.ID, Instance: version + "-" + strconv.Itoa(id), Incarnation: 1, Route: tr.Routes[l.Route], Version: version, Window: Window(now)}
 				if counts[k] == nil {
 					counts[k] = new(Counters)
 				}
@@ -404,6 +404,11 @@
 	return r
 }
 
+func testMove(length time.Duration) fold.Move {
+	return fold.Move{ID: 7, State: fold.MoveRunning, Move: record.Move{
+		Upstream: "catalogue", From: "v1", To: "v2", StartAt: epoch, DoneBy: epoch.Add(length)}}
+}
+
 // hash spreads delays without regard to the order of a map.
 func hash(k Key, second int) uint64 {
 	h := uint64(second) + 7
