--- a/process/client/append.go
+++ b/process/client/append.go
@@ -1,11 +1,13 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -41,11 +43,14 @@
 
 // appendResult is what became of an appended record.
 type appendResult struct {
-	ID      string      `json:"id"`
-	Kind    record.Kind `json:"kind"`
-	Result  string      `json:"result"`
-	Version int64       `json:"version,omitempty"`
-	Reason  string      `json:"reason,omitempty"`
+	ID     string      `json:"id"`
+	Kind   record.Kind `json:"kind"`
+	Result string      `json:"result"`
+	// Offset is the place of the record on the log, and Version the same where
+	// the record was accepted.
+	Offset  int64  `json:"offset,omitempty"`
+	Version int64  `json:"version,omitempty"`
+	Reason  string `json:"reason,omitempty"`
 	// Winner and WinnerAuthor name the version that overtook the record.
 	Winner       int64       `json:"winner,omitempty"`
 	WinnerAuthor string      `json:"winnerAuthor,omitempty"`
@@ -85,8 +90,8 @@
 		}
 	})
 	if res.Wait != nil && len(res.Wait.Lagging) > 0 {
-		return exitf(ExitLagging, "version %d is not in force everywhere: %d of %d daemons lag",
-			res.Version, len(res.Wait.Lagging), res.Wait.Daemons)
+		return exitf(ExitLagging, "version %d is not in force everywhere, lagging: %d of %s",
+			res.Version, len(res.Wait.Lagging), count(res.Wait.Daemons, "daemon"))
 	}
 	return nil
 }
@@ -96,11 +101,7 @@
 
 func (e *refusedError) Error() string {
 	msg := "refused: " + e.Reason
-	switch {
-	case e.Winner == 0:
-	case e.WinnerAuthor == "":
-		msg += fmt.Sprintf("\nversion %d is in force instead", e.Winner)
-	default:
+	if e.Winner != 0 && e.WinnerAuthor != "" {
 		msg += fmt.Sprintf("\nversion %d by %s is in force instead", e.Winner, e.WinnerAuthor)
 	}
 	return msg
@@ -128,7 +129,7 @@
 				return a.resolve(ctx, rec, res), nil
 			case err == nil:
 				sent = true
-				errs = append(errs, fmt.Errorf("%v: the record is not folded yet", d.addr))
+				errs = append(errs, fmt.Errorf("%v: %s", d.addr, cmp.Or(strings.ReplaceAll(res.Reason, "\n", "; "), "the record is not folded yet")))
 			case rejected(err):
 				return appendResult{ID: rec.ID, Kind: rec.Kind, Result: string(fold.Refused), Reason: err.Error()}, nil
 			default:
@@ -143,7 +144,7 @@
 		select {
 		case <-ctx.Done():
 			return appendResult{}, exitf(ExitUnknown,
-				"the result of record %s is unknown; repeat the command with --id %s: %w", rec.ID, rec.ID, err)
+				"the result of record %s is unknown; repeat the command with --id %s\n%w", rec.ID, rec.ID, err)
 		case <-time.After(pause.NextBackOff()):
 		}
 	}
@@ -180,9 +181,10 @@
 // a repeated id, and the author of the version that overtook the record.
 func (a *app) resolve(ctx context.Context, rec record.Record, res *wirev1.AppendResponse) appendResult {
 	out := appendResult{
-		ID: rec.ID, Kind: rec.Kind, Result: res.Result, Version: res.Offset, Reason: res.Reason, Winner: res.Winner,
+		ID: rec.ID, Kind: rec.Kind, Result: res.Result, Offset: res.Offset, Reason: res.Reason, Winner: res.Winner,
 	}
 	if out.Result == string(fold.Accepted) {
+		out.Version = out.Offset
 		return out
 	}
 	st, _, err := a.state(ctx)
@@ -190,7 +192,10 @@
 		return out
 	}
 	if first, ok := st.Outcome(rec.ID); ok && out.Result == string(fold.Duplicate) {
-		out.Result, out.Version, out.Reason, out.Winner = string(first.Result), first.Offset, first.Reason, first.Winner
+		out.Result, out.Offset, out.Reason, out.Winner = string(first.Result), first.Offset, first.Reason, first.Winner
+		if first.Result == fold.Accepted {
+			out.Version = out.Offset
+		}
 	}
 	for _, t := range st.Touched {
 		if t.Version == out.Winner {
--- a/process/client/output.go
+++ b/process/client/output.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// count returns n and a noun in the right number.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return strconv.Itoa(n) + " " + noun + "s"
+}
+
 func decimal(n int64) string { return strconv.FormatInt(n, 10) }
 
 func formatTime(t time.Time) string {
--- a/process/client/publish.go
+++ b/process/client/publish.go
@@ -82,6 +82,9 @@
 
 func describeChange(c config.Change) string {
 	keys := c.Keys()
+	if len(keys) == 0 {
+		return "the file equals the configuration in force"
+	}
 	const shown = 5
 	names := make([]string, 0, shown+1)
 	for i, k := range keys {
@@ -91,5 +94,5 @@
 		}
 		names = append(names, k.String())
 	}
-	return fmt.Sprintf("%d resources changed (%s)", len(keys), strings.Join(names, ", "))
+	return fmt.Sprintf("%s changed (%s)", count(len(keys), "resource"), strings.Join(names, ", "))
 }
--- a/process/client/status.go
+++ b/process/client/status.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -94,7 +95,7 @@
 	p.table([][]string{
 		{"daemon", fmt.Sprintf("%s (%s, %s)", s.Daemon, s.Zone, s.Address)},
 		{"version", fmt.Sprintf("%d (offset %d, state %s)", s.Version, s.Offset, s.StateHash)},
-		{"preset", s.Preset},
+		{"preset", cmp.Or(s.Preset, "none")},
 		{"serving", yesNo(s.Serving)},
 		{"log reachable", yesNo(s.LogReachable)},
 	})
--- a/process/client/timeline.go
+++ b/process/client/timeline.go
@@ -19,7 +19,7 @@
 type timelineOutput struct {
 	Events     []timeline.Event `json:"events"`
 	Daemons    int              `json:"daemons"`
-	Unanswered []lagEntry       `json:"unanswered"`
+	Unanswered []daemonEntry    `json:"unanswered"`
 }
 
 func (a *app) newTimeline() *cobra.Command {
@@ -71,14 +71,14 @@
 	if err != nil {
 		return nil, err
 	}
-	members := make(map[string]*lagEntry)
+	members := make(map[string]*daemonEntry)
 	for _, m := range res.Members {
 		if m.PeerAddress != "" {
-			members[m.PeerAddress] = &lagEntry{Daemon: m.Name, Zone: m.Zone, Address: m.PeerAddress}
+			members[m.PeerAddress] = &daemonEntry{Daemon: m.Name, Zone: m.Zone, Address: m.PeerAddress}
 		}
 	}
-	members[first.addr.String()] = &lagEntry{Daemon: res.Daemon, Zone: res.Zone, Address: first.addr.String()}
-	out := &timelineOutput{Events: []timeline.Event{}, Daemons: len(members), Unanswered: []lagEntry{}}
+	members[first.addr.String()] = &daemonEntry{Daemon: res.Daemon, Zone: res.Zone, Address: first.addr.String()}
+	out := &timelineOutput{Events: []timeline.Event{}, Daemons: len(members), Unanswered: []daemonEntry{}}
 	var (
 		mu    sync.Mutex
 		lists [][]timeline.Event
@@ -100,7 +100,7 @@
 		})
 	}
 	_ = g.Wait()
-	slices.SortFunc(out.Unanswered, func(a, b lagEntry) int {
+	slices.SortFunc(out.Unanswered, func(a, b daemonEntry) int {
 		return strings.Compare(a.Daemon+" "+a.Address, b.Daemon+" "+b.Address)
 	})
 	out.Events = append(out.Events, timeline.Merge(lists...)...)
@@ -139,9 +139,9 @@
 }
 
 func formatEvent(e timeline.Event) string {
-	version := ""
+	text := formatTime(e.Time.Wall) + " " + e.Daemon + " (" + e.Zone + ") " + string(e.Kind) + ": " + e.Detail
 	if e.Version != 0 {
-		version = " version " + decimal(e.Version)
+		text += " [version " + decimal(e.Version) + "]"
 	}
-	return formatTime(e.Time.Wall) + " " + e.Daemon + " (" + e.Zone + ") " + string(e.Kind) + version + ": " + e.Detail
+	return text
 }
--- a/process/client/validate.go
+++ b/process/client/validate.go
@@ -29,8 +29,8 @@
 				Presets   int    `json:"presets"`
 			}{args[0], len(cfg.Zones), len(cfg.Upstreams), len(cfg.Routes), len(cfg.Presets)}
 			a.print(res, func(p *printer) {
-				p.line("%s is valid: %d zones, %d upstreams, %d routes, %d presets",
-					res.File, res.Zones, res.Upstreams, res.Routes, res.Presets)
+				p.line("%s is valid: %s, %s, %s, %s", res.File, count(res.Zones, "availability zone"),
+					count(res.Upstreams, "upstream"), count(res.Routes, "route"), count(res.Presets, "preset"))
 			})
 			return nil
 		},
--- a/process/client/wait.go
+++ b/process/client/wait.go
@@ -22,31 +22,40 @@
 	Seconds float64    `json:"seconds"`
 	Lagging []lagEntry `json:"lagging,omitempty"`
 	// Gone lists the daemons that left the mesh during the wait.
-	Gone []lagEntry `json:"gone,omitempty"`
+	Gone []daemonEntry `json:"gone,omitempty"`
 }
 
-// lagEntry is a daemon that does not hold the version yet.
-type lagEntry struct {
+// daemonEntry names a daemon, with the error of the last question to it.
+type daemonEntry struct {
 	Daemon  string `json:"daemon"`
 	Zone    string `json:"zone,omitempty"`
 	Address string `json:"address"`
-	Offset  int64  `json:"offset"`
 	Error   string `json:"error,omitempty"`
 }
 
+// lagEntry is a daemon that does not hold the version yet.
+type lagEntry struct {
+	daemonEntry
+	Offset int64 `json:"offset"`
+}
+
 func (w *waitResult) text(p *printer, version int64) {
 	for _, l := range w.Gone {
 		p.line("%s (%s, %s) has left or is dead", l.Daemon, l.Zone, l.Address)
 	}
 	if len(w.Lagging) == 0 {
-		p.line("version %d is in force on all %d daemons after %.2f s", version, w.Daemons, w.Seconds)
+		p.line("version %d is in force on %s (all) after %.2f s", version, count(w.Daemons, "daemon"), w.Seconds)
 		return
 	}
-	p.line("after %.2f s version %d is in force on %d of %d daemons; these lag:",
-		w.Seconds, version, w.Daemons-len(w.Lagging), w.Daemons)
+	p.line("version %d is in force on %d of %s after %.2f s; these lag:",
+		version, w.Daemons-len(w.Lagging), count(w.Daemons, "daemon"), w.Seconds)
 	rows := [][]string{{"DAEMON", "ZONE", "ADDRESS", "OFFSET", "ERROR"}}
 	for _, l := range w.Lagging {
-		rows = append(rows, []string{l.Daemon, l.Zone, l.Address, decimal(l.Offset), l.Error})
+		offset := decimal(l.Offset)
+		if l.Error != "" {
+			offset = "-"
+		}
+		rows = append(rows, []string{l.Daemon, l.Zone, l.Address, offset, l.Error})
 	}
 	p.table(rows)
 }
@@ -68,9 +77,9 @@
 	}
 	pending := make(map[string]*lagEntry)
 	for _, m := range memberDaemons(res) {
-		pending[m.PeerAddress] = &lagEntry{Daemon: m.Name, Zone: m.Zone, Address: m.PeerAddress}
+		pending[m.PeerAddress] = &lagEntry{daemonEntry: daemonEntry{Daemon: m.Name, Zone: m.Zone, Address: m.PeerAddress}}
 	}
-	pending[first.addr.String()] = &lagEntry{Daemon: res.Daemon, Zone: res.Zone, Address: first.addr.String()}
+	pending[first.addr.String()] = &lagEntry{daemonEntry: daemonEntry{Daemon: res.Daemon, Zone: res.Zone, Address: first.addr.String()}}
 	w := &waitResult{Daemons: len(pending)}
 	connections := make(map[string]*daemon)
 	defer func() {
@@ -141,7 +150,7 @@
 	for _, l := range sortedEntries(pending) {
 		if !listed[l.Address] {
 			delete(pending, l.Address)
-			w.Gone = append(w.Gone, *l)
+			w.Gone = append(w.Gone, l.daemonEntry)
 			w.Daemons--
 		}
 	}
