--- a/version/config/config.go
+++ b/version/config/config.go
@@ -85,9 +85,6 @@
 // Preset is a set of policies for a kind of day.
 type Preset struct {
 	Name string `toml:"name" json:"name"`
-	// Default puts the preset in force with the first version. At most one
-	// preset has it; without it the first by name is taken.
-	Default bool `toml:"default" json:"default,omitempty"`
 	// Shed lists the priority classes in the order in which they are refused
 	// under overload.
 	Shed []string `toml:"shed" json:"shed,omitempty"`
@@ -181,19 +178,6 @@
 // Preset returns the preset with the given name.
 func (c *Config) Preset(name string) (Preset, bool) { return find(c.Presets, presetName, name) }
 
-// DefaultPreset returns the preset that is in force with the first version.
-func (c *Config) DefaultPreset() (Preset, bool) {
-	for _, p := range c.Presets {
-		if p.Default {
-			return p, true
-		}
-	}
-	if len(c.Presets) == 0 {
-		return Preset{}, false
-	}
-	return c.Presets[0], true
-}
-
 // Route returns the route with the given name.
 func (c *Config) Route(name string) (Route, bool) { return find(c.Routes, routeName, name) }
 
