Choose among all instances that are not saturated

Change: two choices among the instances below saturation, in the own zone, then region, then all; the least loaded where all are saturated. Ruled out: the loss that is left is not the choice; a model without a queue refuses as much at 85 percent load (Erlang B).

--- a/request/route/route.go
+++ b/request/route/route.go
@@ -49,7 +49,16 @@
 	zone, region string
 	state        *fold.State
 	routes       []config.Route
-	instances    map[string][]Instance
+	instances    map[key][]placed
+}
+
+// key names the instances of one version of an upstream.
+type key struct{ upstream, version string }
+
+// placed is an instance with its distance from the daemon.
+type placed struct {
+	Instance
+	distance int
 }
 
 // Query asks for an instance.
@@ -65,7 +74,7 @@
 
 // NewTable builds the table of a daemon in the given zone and region.
 func NewTable(st *fold.State, members []membership.Member, zone, region string) *Table {
-	t := &Table{zone: zone, region: region, state: st, instances: make(map[string][]Instance)}
+	t := &Table{zone: zone, region: region, state: st, instances: make(map[key][]placed)}
 	t.routes = slices.Clone(st.Config.Routes)
 	// The longest prefix comes first; a route with methods precedes one without.
 	slices.SortStableFunc(t.routes, func(a, b config.Route) int {
@@ -75,14 +84,28 @@
 		if m.State != membership.Ready && m.State != membership.Suspect || m.Service == "" {
 			continue
 		}
-		t.instances[m.Service] = append(t.instances[m.Service], Instance{
+		if t.weight(m.Zone, time.Time{}) == 0 {
+			continue
+		}
+		k := key{m.Service, m.Version}
+		t.instances[k] = append(t.instances[k], placed{distance: t.distance(m), Instance: Instance{
 			Name: m.Name, Zone: m.Zone, Region: m.Region, Upstream: m.Service, Version: m.Version,
 			Peer: m.Peer, Suspect: m.State == membership.Suspect,
-		})
+		}})
 	}
 	return t
 }
 
+func (t *Table) distance(m membership.Member) int {
+	switch {
+	case m.Zone == t.zone:
+		return sameZone
+	case m.Region == t.region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
 // Match returns the route of a request.
 func (t *Table) Match(method, path string) (config.Route, bool) {
 	for _, r := range t.routes {
@@ -111,9 +134,7 @@
 }
 
 func (t *Table) hasVersion(upstream, version string) bool {
-	return slices.ContainsFunc(t.instances[upstream], func(in Instance) bool {
-		return in.Version == version && !in.Suspect && t.weight(in.Zone, time.Time{}) > 0
-	})
+	return slices.ContainsFunc(t.instances[key{upstream, version}], func(in placed) bool { return !in.Suspect })
 }
 
 // weight is the share of its normal traffic that a zone receives: 0 for a zone
@@ -134,91 +155,88 @@
 	return float64(now.Sub(z.RampFrom)) / float64(z.RampUntil.Sub(z.RampFrom))
 }
 
-// Pick chooses an instance. It prefers the own zone, then the own region, and
-// widens the choice when the candidates so far are saturated or failing. Among
-// the candidates it takes the less loaded of two.
+// distance of an instance from the daemon; smaller is preferred.
+const (
+	sameZone = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+// candidate is an instance with its score for one request.
+type candidate struct {
+	*placed
+	ratio float64
+}
+
+// Pick chooses an instance. It takes the less loaded of two in the own zone,
+// and widens the choice to the own region and then to all when the instances
+// so far are saturated or failing. If all are, it takes the least loaded.
 func (t *Table) Pick(q Query, loads Loads) (Instance, bool) {
-	candidates := t.candidates(q)
-	if len(candidates) == 0 {
+	var buf [64]candidate
+	all := t.candidates(q, loads, buf[:0])
+	if len(all) == 0 {
 		return Instance{}, false
 	}
-	scopes := []func(Instance) bool{
-		func(in Instance) bool { return in.Zone == t.zone },
-		func(in Instance) bool { return in.Region == t.region },
-		func(Instance) bool { return true },
-	}
-	var best Instance
-	bestRatio, found := 0.0, false
-	for _, in := range scopes {
-		pick, ratio, ok := pickOfTwo(filter(candidates, in), q, loads)
-		if !ok {
-			continue
+	var open [64]candidate
+	for distance := range distances {
+		list := open[:0]
+		for _, c := range all {
+			if c.distance <= distance && c.ratio < SaturatedRatio {
+				list = append(list, c)
+			}
 		}
-		if !found || ratio < bestRatio {
-			best, bestRatio, found = pick, ratio, true
+		if len(list) > 0 {
+			return pickOfTwo(list, q).Instance, true
 		}
-		if bestRatio < SaturatedRatio {
-			break
+	}
+	best := all[int(q.Rnd[1]*float64(len(all)))]
+	for _, c := range all {
+		if c.ratio < best.ratio {
+			best = c
 		}
 	}
-	return best, found
+	return best.Instance, true
 }
 
 // candidates returns the instances that may receive the request. A returning
 // zone takes part with the probability of its weight; if that leaves nothing,
 // it takes part in full, since refusing would be worse than a fast ramp.
-func (t *Table) candidates(q Query) []Instance {
-	all := filter(t.instances[q.Upstream], func(in Instance) bool {
-		return in.Version == q.Version && t.weight(in.Zone, time.Time{}) > 0 && !slices.Contains(q.Exclude, in.Name)
-	})
-	now := filter(all, func(in Instance) bool { return q.Rnd[0] < t.weight(in.Zone, q.Now) })
-	if len(now) > 0 {
-		return now
+func (t *Table) candidates(q Query, loads Loads, buf []candidate) []candidate {
+	list := t.instances[key{q.Upstream, q.Version}]
+	add := func(ramp bool) {
+		for i := range list {
+			in := &list[i]
+			if slices.Contains(q.Exclude, in.Name) || ramp && q.Rnd[0] >= t.weight(in.Zone, q.Now) {
+				continue
+			}
+			ratio, failing := loads.Ratio(in.Name, q.Now)
+			if failing || in.Suspect {
+				ratio += failingRatio
+			}
+			buf = append(buf, candidate{in, ratio})
+		}
+	}
+	if add(true); len(buf) == 0 {
+		add(false)
 	}
-	return all
+	return buf
 }
 
 // failingRatio ranks failing and suspect instances behind all others.
 const failingRatio = 1e6
 
-func pickOfTwo(list []Instance, q Query, loads Loads) (Instance, float64, bool) {
-	if len(list) == 0 {
-		return Instance{}, 0, false
-	}
-	score := func(in Instance) float64 {
-		r, failing := loads.Ratio(in.Name, q.Now)
-		if failing || in.Suspect {
-			return failingRatio + r
-		}
-		return r
-	}
-	healthy := filter(list, func(in Instance) bool { return score(in) < failingRatio })
-	if len(healthy) > 0 {
-		list = healthy
-	}
+func pickOfTwo(list []candidate, q Query) candidate {
 	i := int(q.Rnd[1] * float64(len(list)))
-	a := list[i]
-	ra := score(a)
 	if len(list) == 1 {
-		return a, ra, true
+		return list[i]
 	}
 	j := int(q.Rnd[2] * float64(len(list)-1))
 	if j >= i {
 		j++
 	}
-	b := list[j]
-	if rb := score(b); rb < ra {
-		return b, rb, true
-	}
-	return a, ra, true
-}
-
-func filter(list []Instance, keep func(Instance) bool) []Instance {
-	out := make([]Instance, 0, len(list))
-	for _, in := range list {
-		if keep(in) {
-			out = append(out, in)
-		}
+	if list[j].ratio < list[i].ratio {
+		return list[j]
 	}
-	return out
+	return list[i]
 }
