standin: add end-to-end tests

The tests start a log, six daemons and six instances in three availability zones. They cover calls through all entries, a killed daemon, a log outage, graceful stops, a zone that leaves and returns, and convergence.

--- /dev/null
+++ b/standin/e2e/e2e_test.go
@@ -0,0 +1,451 @@
+package e2e_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
+	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+)
+
+const (
+	// inForce is the target for a version to be in force everywhere.
+	inForce = 4 * time.Second
+	// noNewWork is the time after which an availability zone that is out, or
+	// an instance that drains, receives no new work.
+	noNewWork = 5 * time.Second
+	// startWithin bounds the start of processes on a busy machine.
+	startWithin = 20 * time.Second
+)
+
+var (
+	bin      fleet.Binaries
+	lookUps  = []fleet.Route{{Method: http.MethodGet, Prefix: "/slots"}, {Method: http.MethodGet, Prefix: "/archive"}}
+	allCalls = append(slices.Clone(lookUps), fleet.Route{Method: http.MethodPost, Prefix: "/reservations", Keyed: true})
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "kingcuppitch-e2e-")
+		if err == nil {
+			defer func() { _ = os.RemoveAll(dir) }()
+			bin, err = fleet.Build(context.Background(), dir)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// start starts a mesh with the configuration of testdata in force.
+func start(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	path, err := filepath.Abs("testdata/config.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readyBy := time.Now().Add(startWithin)
+	f, err := fleet.Start(t.TempDir(), bin, fleet.Specs(cfg, 1), readyBy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, n := range f.Nodes {
+				t.Logf("output of %s:\n%s", n.Name, lastLines(n.Daemon.Output(), 20))
+			}
+		}
+		f.Stop(time.Now()) // without the grace of a stop, which TestStopsCutNoCall covers
+	})
+	watchVersions(t, f)
+	client(t, f, "publish", "--wait", path)
+	if err := f.AwaitReady(t.Context(), readyBy); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func lastLines(s string, n int) string {
+	lines := slices.DeleteFunc(strings.Split(s, "\n"), func(l string) bool { return strings.Contains(l, "kind=member") })
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
+
+func client(t *testing.T, f *fleet.Fleet, args ...string) string {
+	t.Helper()
+	out, err := f.Client(t.Context(), args...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// traffic sends calls through the given nodes; except leaves one of them out
+// from then on.
+type traffic struct {
+	stop    func() []fleet.Record
+	entries atomic.Pointer[[]*fleet.Node]
+}
+
+func startTraffic(t *testing.T, f *fleet.Fleet, routes []fleet.Route) *traffic {
+	tr := &traffic{}
+	tr.entries.Store(&f.Nodes)
+	tr.stop = fleet.Traffic{
+		Name: t.Name(), Routes: routes, Workers: 8, Pause: 20 * time.Millisecond, Seed: 1,
+		Entries: func() []*fleet.Node { return *tr.entries.Load() },
+	}.Start(context.WithoutCancel(t.Context()))
+	return tr
+}
+
+func (tr *traffic) except(n *fleet.Node) {
+	rest := slices.DeleteFunc(slices.Clone(*tr.entries.Load()), func(m *fleet.Node) bool { return m == n })
+	tr.entries.Store(&rest)
+}
+
+// watchVersions reports a daemon that serves with an older version than it, or
+// its process before a restart, served with.
+func watchVersions(t *testing.T, f *fleet.Fleet) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, n := range f.Nodes {
+		wg.Go(func() {
+			last := int64(0)
+			for ctx.Err() == nil {
+				if s, err := f.Status(ctx, n); err == nil && s.Serving {
+					if s.Offset < last {
+						t.Errorf("%s serves with version %d after %d", n.Name, s.Offset, last)
+					}
+					last = s.Offset
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+// check reports calls that failed although permit doesn't allow it, and
+// differences between what callers were told and what ran.
+func check(t *testing.T, f *fleet.Fleet, records []fleet.Record, permit func(*fleet.Record) bool) {
+	t.Helper()
+	runs, err := f.Runs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, err := range fleet.CheckRuns(records, runs) {
+		t.Error(err)
+	}
+	good, permitted, shown := 0, 0, 0
+	for _, r := range records {
+		switch {
+		case r.Err == nil && r.Result.Status == http.StatusOK:
+			good++
+		case permit != nil && permit(&r):
+			permitted++
+		default:
+			if shown++; shown <= 10 {
+				t.Errorf("failed: %v", &r)
+			}
+		}
+	}
+	t.Logf("%d calls: %d answered, %d failed as permitted, %d failed", len(records), good, permitted, shown)
+	if good < len(records)/4 {
+		t.Errorf("got %d of %d calls answered, want at least a quarter", good, len(records))
+	}
+}
+
+// Guards against answers to other calls, reservations that run twice, and
+// calls that fail in an undisturbed mesh. It also prints the added latency.
+func TestCallsThroughAllEntries(t *testing.T) {
+	f := start(t)
+	tr := startTraffic(t, f, allCalls)
+	time.Sleep(4 * time.Second)
+	records := tr.stop()
+	check(t, f, records, nil)
+
+	caller := fleet.NewCaller()
+	defer caller.Close()
+	i := slices.IndexFunc(records, func(r fleet.Record) bool { return r.Call.Key != "" && r.Result.Status == http.StatusOK })
+	if i < 0 {
+		t.Fatal("no reservation was answered")
+	}
+	for _, n := range f.Nodes {
+		res, err := caller.Do(t.Context(), n.Settings.CallerAddress, records[i].Call)
+		if err != nil || res.Outcome != request.Replayed || string(res.Body) != string(records[i].Result.Body) {
+			t.Errorf("repeated reservation through %s: got status %d, outcome %q, %v; want the first answer replayed", n.Name, res.Status, res.Outcome, err)
+		}
+	}
+	check(t, f, records, nil)
+	compareLatency(t, f)
+}
+
+// compareLatency calls instances directly and through the mesh in turn.
+func compareLatency(t *testing.T, f *fleet.Fleet) {
+	const calls = 1000
+	caller := fleet.NewCaller()
+	defer caller.Close()
+	direct, mesh := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	booking := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return n.Service != "booking" })
+	call := func(h *hdrhistogram.Histogram, addr netip.AddrPort, i int) {
+		begin := time.Now()
+		res, err := caller.Do(t.Context(), addr, fleet.Call{Method: http.MethodGet, Path: fmt.Sprintf("/slots?n=%d", i)})
+		if err != nil || res.Status != http.StatusOK {
+			t.Fatalf("call to %v: got %d %s, %v", addr, res.Status, res.Body, err)
+		}
+		_ = h.RecordValue(time.Since(begin).Microseconds())
+	}
+	for i := range calls {
+		n := booking[i%len(booking)]
+		call(direct, n.Address, i)
+		call(mesh, n.Settings.CallerAddress, i)
+	}
+	for _, q := range []float64{50, 99} {
+		d, m := direct.ValueAtQuantile(q), mesh.ValueAtQuantile(q)
+		t.Logf("p%.0f of %d look-ups: direct %d us, through the mesh %d us, added %d us", q, calls, d, m, m-d)
+	}
+}
+
+// Guards against reservations that run twice and look-ups that fail when a
+// daemon is killed, and against an older version after its restart.
+func TestDaemonKilledAndRestarted(t *testing.T) {
+	f := start(t)
+	victim := f.Nodes[slices.IndexFunc(f.Nodes, func(n *fleet.Node) bool { return n.Service == "booking" })]
+	before, err := f.Status(t.Context(), victim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := startTraffic(t, f, allCalls)
+	time.Sleep(time.Second)
+	killed := time.Now()
+	if err := fleet.Kill(victim.Daemon); err != nil {
+		t.Fatal(err)
+	}
+	tr.except(victim)
+	time.Sleep(2 * time.Second)
+	if err := f.StartDaemon(victim, time.Now().Add(startWithin)); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitVersion(t.Context(), before.Offset, time.Now().Add(inForce)); err != nil {
+		t.Error(err)
+	}
+	if err := f.AwaitReady(t.Context(), time.Now().Add(noNewWork)); err != nil {
+		t.Error(err)
+	}
+	tr.entries.Store(&f.Nodes)
+	time.Sleep(2 * time.Second)
+	check(t, f, tr.stop(), func(r *fleet.Record) bool {
+		end := r.Begin.Add(r.Took)
+		switch {
+		case end.Before(killed) || r.Begin.After(killed.Add(noNewWork)):
+			return false
+		case r.Entry == victim:
+			return r.Err != nil // the entry died with the call
+		}
+		// A reservation on the killed host has an unknown result, and one whose
+		// shard was written by the killed daemon is refused for some seconds.
+		return r.Call.Key != "" && r.Err == nil && (r.Result.Outcome == request.Unknown || r.Result.Outcome == request.NotRun)
+	})
+}
+
+// Guards against look-ups that depend on the log, reservations that run without
+// a claim, and daemons that can't start while the log is out.
+func TestLogOutage(t *testing.T) {
+	f := start(t)
+	before, err := f.Status(t.Context(), f.Nodes[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := startTraffic(t, f, allCalls)
+	time.Sleep(500 * time.Millisecond)
+	out := time.Now()
+	if err := f.SetLogFaults(t.Context(), logservice.Faults{Outage: true}); err != nil {
+		t.Fatal(err)
+	}
+	victim := f.Nodes[len(f.Nodes)-1]
+	tr.except(victim)
+	time.Sleep(1500 * time.Millisecond) // longer than its calls in flight
+	if err := fleet.Kill(victim.Daemon); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.StartDaemon(victim, time.Now().Add(startWithin)); err != nil {
+		t.Fatal(err)
+	}
+	// The peers in two availability zones answer at once; noNewWork leaves time
+	// for the members to find the daemon again.
+	if err := f.AwaitVersion(t.Context(), before.Offset, time.Now().Add(noNewWork)); err != nil {
+		t.Error(err)
+	}
+	if err := f.AwaitReady(t.Context(), time.Now().Add(noNewWork)); err != nil {
+		t.Error(err)
+	}
+	tr.entries.Store(&f.Nodes)
+	time.Sleep(time.Second)
+	back := time.Now()
+	if err := f.SetLogFaults(t.Context(), logservice.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(inForce + time.Second)
+	records := tr.stop()
+	check(t, f, records, func(r *fleet.Record) bool {
+		return r.Call.Key != "" && r.Err == nil && r.Result.Outcome == request.NotRun && r.Result.RetryAfter != "" &&
+			r.Begin.Add(r.Took).After(out) && r.Begin.Before(back.Add(inForce))
+	})
+	if !slices.ContainsFunc(records, func(r fleet.Record) bool { return r.Result.Outcome == request.NotRun }) {
+		t.Error("no reservation was refused during the outage")
+	}
+}
+
+// Guards against calls that are cut when a daemon stops or an upstream drains,
+// and against new work for an instance that drains.
+func TestStopsCutNoCall(t *testing.T) {
+	f := start(t)
+	booking := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return n.Service != "booking" })
+	leaving, draining := booking[0], booking[1]
+	ending := f.Nodes[slices.IndexFunc(f.Nodes, func(n *fleet.Node) bool { return n.Service == "archive" })]
+
+	// Calls that are in work at the stop, at the entry and at the host.
+	caller := fleet.NewCaller()
+	defer caller.Close()
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			call := fleet.Call{Method: http.MethodGet, Path: fmt.Sprintf("/slots?workMs=2500&i=%d", i)}
+			if res, err := caller.Do(t.Context(), leaving.Settings.CallerAddress, call); err != nil || res.Status != http.StatusOK {
+				t.Errorf("call in work at the stop: got status %d %s, %v", res.Status, res.Body, err)
+			}
+		})
+	}
+	tr := startTraffic(t, f, allCalls)
+	time.Sleep(time.Second)
+	if err := leaving.Daemon.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	wg.Wait()
+	if code, err := leaving.Daemon.Wait(time.Now().Add(startWithin)); err != nil || code != 0 {
+		t.Errorf("daemon after SIGTERM: got exit status %d, %v; want 0", code, err)
+	}
+	tr.except(leaving)
+
+	if err := draining.Order(t.Context(), "/drain"); err != nil {
+		t.Fatal(err)
+	}
+	if err := ending.Instance.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	awaitNoNewWork(t, draining)
+	if code, err := ending.Instance.Wait(time.Now().Add(startWithin)); err != nil || code != 0 {
+		t.Errorf("instance after SIGTERM: got exit status %d, %v; want 0", code, err)
+	}
+	check(t, f, tr.stop(), func(r *fleet.Record) bool { return r.Entry == leaving && r.Refused() })
+}
+
+// awaitNoNewWork checks that nodes get no request later than noNewWork from now.
+func awaitNoNewWork(t *testing.T, nodes ...*fleet.Node) {
+	t.Helper()
+	time.Sleep(noNewWork)
+	count := func() (sum int64) {
+		for _, n := range nodes {
+			s, err := n.Stats(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum += s.Requests
+		}
+		return sum
+	}
+	before := count()
+	time.Sleep(time.Second)
+	if got := count() - before; got != 0 {
+		t.Errorf("got %d new requests after %v, want 0", got, noNewWork)
+	}
+}
+
+// Guards against work in an availability zone that is out, against calls that
+// fail while it leaves, and against a zone that never gets work again.
+func TestZoneOutAndBack(t *testing.T) {
+	f := start(t)
+	out := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return n.Zone != "nl-west-a" })
+	tr := startTraffic(t, f, allCalls)
+	time.Sleep(500 * time.Millisecond)
+	client(t, f, "zone", "out", "nl-west-a")
+	awaitNoNewWork(t, out...)
+	client(t, f, "zone", "back", "nl-west-a", "--ramp", "1s")
+	var before, after int64
+	for i, sum := range []*int64{&before, &after} {
+		time.Sleep(time.Duration(i) * inForce)
+		for _, n := range out {
+			s, err := n.Stats(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			*sum += s.Requests
+		}
+	}
+	if after <= before {
+		t.Errorf("got no new work within %v of the return", inForce)
+	}
+	check(t, f, tr.stop(), nil)
+}
+
+// Guards against versions that take longer than the target, or that a daemon
+// takes back.
+func TestConvergence(t *testing.T) {
+	f := start(t)
+	data, err := os.ReadFile("testdata/config.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.toml")
+	times := hdrhistogram.New(1, 60_000, 3)
+	for i := range 10 {
+		data = fmt.Appendf(data, "\n[[routes]]\nname = \"added-%d\"\nprefix = \"/added-%d\"\nupstream = \"booking\"\nidempotent = true\nclass = \"browse\"\nanswerWithin = \"3s\"\n", i, i)
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		var res struct{ Version int64 }
+		if err := json.Unmarshal([]byte(client(t, f, "--output", "json", "publish", path)), &res); err != nil || res.Version == 0 {
+			t.Fatalf("got version %d, %v", res.Version, err)
+		}
+		if err := f.AwaitVersion(t.Context(), res.Version, begin.Add(inForce)); err != nil {
+			t.Error(err)
+		}
+		_ = times.RecordValue(time.Since(begin).Milliseconds())
+		caller := fleet.NewCaller()
+		for _, n := range f.Nodes {
+			got, err := caller.Do(t.Context(), n.Settings.CallerAddress, fleet.Call{Method: http.MethodGet, Path: fmt.Sprintf("/added-%d", i)})
+			if err != nil || got.Status != http.StatusOK {
+				t.Errorf("route of version %d through %s: got %d %s, %v", res.Version, n.Name, got.Status, got.Body, err)
+			}
+		}
+		caller.Close()
+	}
+	t.Logf("%d versions over %d daemons: p50 %d ms, max %d ms, from the start of the client", times.TotalCount(), len(f.Nodes), times.ValueAtQuantile(50), times.Max())
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -298,10 +298,17 @@
 	return s, err
 }
 
-// Runs returns the runs of all instances together.
+// Runs returns the runs of all instances together. An instance whose process
+// has ended has no counts any more, so a test that compares runs must not end
+// instances that run keyed calls.
 func (f *Fleet) Runs(ctx context.Context) (upstream.Runs, error) {
 	sum := upstream.Runs{Keys: make(map[string]upstream.Run), Bodies: make(map[string]upstream.Run)}
 	for _, n := range f.Nodes {
+		select {
+		case <-n.Instance.Done():
+			continue
+		default:
+		}
 		var runs upstream.Runs
 		if err := ask(ctx, http.MethodGet, n.AdminAddress, "/runs", nil, &runs); err != nil {
 			return sum, err
--- /dev/null
+++ b/standin/fleet/traffic.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/standin/upstream"
+)
+
+// Route is where traffic sends its calls.
+type Route struct {
+	Method, Prefix string
+	// Keyed calls carry an Idempotency-Key and a body.
+	Keyed bool
+}
+
+// Traffic describes calls that workers send until they are stopped.
+type Traffic struct {
+	// Name starts the keys and bodies, which are unique within it.
+	Name   string
+	Routes []Route
+	// Entries returns the nodes through which calls may go now.
+	Entries func() []*Node
+	Workers int
+	// Pause is the time of a worker between two calls.
+	Pause time.Duration
+	Seed  uint64
+}
+
+// Record is one call and what became of it.
+type Record struct {
+	Call   Call
+	Entry  *Node
+	Begin  time.Time
+	Took   time.Duration
+	Result Result
+	Err    error
+}
+
+// Refused reports whether the entry did not take the connection.
+func (r *Record) Refused() bool {
+	var op *net.OpError
+	return errors.As(r.Err, &op) && op.Op == "dial"
+}
+
+// String describes the record for a message.
+func (r *Record) String() string {
+	s := fmt.Sprintf("%s %s %s through %s at %s after %v: ", r.Call.Method, r.Call.Path, r.Call.Key, r.Entry.Name,
+		r.Begin.Format("15:04:05.000"), r.Took.Round(time.Millisecond))
+	if r.Err != nil {
+		return s + r.Err.Error()
+	}
+	return s + fmt.Sprintf("status %d, outcome %q, %.200s", r.Result.Status, r.Result.Outcome, r.Result.Body)
+}
+
+// Start starts the workers. The function that it returns stops them, waits for
+// the calls in flight and returns all records in the order of their begin.
+func (tr Traffic) Start(ctx context.Context) (stop func() []Record) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var records []Record
+	stopped := make(chan struct{})
+	for w := range tr.Workers {
+		wg.Go(func() {
+			caller := NewCaller()
+			defer caller.Close()
+			rnd := rand.New(rand.NewPCG(tr.Seed, uint64(w))) //nolint:gosec // w is not negative
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(tr.Pause):
+				}
+				r := tr.next(rnd, fmt.Sprintf("%s-%d-%d", tr.Name, w, i))
+				r.Begin = time.Now()
+				r.Result, r.Err = caller.Do(ctx, r.Entry.Settings.CallerAddress, r.Call)
+				r.Took = time.Since(r.Begin)
+				mu.Lock()
+				records = append(records, r)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []Record {
+		close(stopped)
+		wg.Wait()
+		slices.SortFunc(records, func(a, b Record) int { return a.Begin.Compare(b.Begin) })
+		return records
+	}
+}
+
+func (tr Traffic) next(rnd *rand.Rand, id string) Record {
+	entries := tr.Entries()
+	route := tr.Routes[rnd.IntN(len(tr.Routes))]
+	call := Call{Method: route.Method, Path: route.Prefix + "?id=" + id}
+	if route.Keyed {
+		call.Key = id
+		call.Body = []byte("body of " + id)
+	}
+	return Record{Call: call, Entry: entries[rnd.IntN(len(entries))]}
+}
+
+// CheckRuns compares what callers were told with what the instances ran. It
+// returns an error for each keyed call that ran more than once, that ran
+// although the caller was told notRun, or that was answered without a run, and
+// for each call that received the answer to another.
+func CheckRuns(records []Record, runs upstream.Runs) (errs []error) {
+	for _, r := range records {
+		var mismatch *MismatchError
+		if errors.As(r.Err, &mismatch) {
+			errs = append(errs, mismatch)
+		}
+		if r.Call.Key == "" {
+			continue
+		}
+		run := runs.Keys[r.Call.Key]
+		body := runs.Bodies[upstream.Hash(r.Call.Body)]
+		switch {
+		case run.Started > 1 || body.Started > 1:
+			errs = append(errs, fmt.Errorf("ran %d times by key and %d by body: %v", run.Started, body.Started, &r))
+		case r.Err == nil && r.Result.Outcome == request.NotRun && run.Started > 0:
+			errs = append(errs, fmt.Errorf("ran in spite of notRun: %v", &r))
+		case r.Refused() && run.Started > 0:
+			errs = append(errs, fmt.Errorf("ran in spite of a refused connection: %v", &r))
+		case r.Err == nil && r.Result.Status == http.StatusOK && run.Completed != 1:
+			errs = append(errs, fmt.Errorf("answered without a run: %v", &r))
+		}
+	}
+	return errs
+}
