standin: end requests that hung in an outage without effect

Cause: TestFaultsOfAppends/hanging_outage failed in about one run of ten: an append whose client had given up took effect when the outage ended, before the server had noticed that the connection was closed. Change: a request that hung is answered with 503 once the outage ends.

--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -270,14 +270,19 @@
 			return false
 		}
 	}
-	for {
+	for hung := false; ; hung = true {
 		s.mu.Lock()
 		f, changed := s.faults, s.changed
-		if f.Outage && !f.Hang {
+		if f.Outage && !f.Hang || hung && !f.Outage {
 			s.stats.Failed++
 		}
 		s.mu.Unlock()
 		switch {
+		case hung && !f.Outage:
+			// The client has usually given up by now. Its request must not take
+			// effect when the outage ends.
+			http.Error(w, "the outage has ended; send the request again", http.StatusServiceUnavailable)
+			return false
 		case !f.Outage:
 			return true
 		case !f.Hang:
