--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -6,6 +6,7 @@
 //	standin log --address 127.0.0.1:7400
 //	standin upstream --service booking --address 127.0.0.1:8080 --announce 127.0.0.1:7403 --admin 127.0.0.1:8081
 //	standin demo
+//	standin measure --daemons 20,60,120
 package main
 
 import (
@@ -27,7 +28,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform and its upstreams", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newLogCommand(), newUpstreamCommand(), newDemoCommand())
+	root.AddCommand(newLogCommand(), newUpstreamCommand(), newDemoCommand(), newMeasureCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		hclog.L().Error("command failed", "error", err)
 		os.Exit(1)
--- /dev/null
+++ b/standin/cmd/standin/measure.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
+	"github.com/kingcuppitch/kingcuppitch/standin/measure"
+	"github.com/spf13/cobra"
+)
+
+// newMeasureCommand measures what control costs a daemon.
+func newMeasureCommand() *cobra.Command {
+	var (
+		daemons, services []int
+		changes           int
+		length            time.Duration
+	)
+	cmd := &cobra.Command{
+		Use:     "measure",
+		Short:   "Measure control bytes, processor time, memory and convergence of real daemons",
+		Example: "  standin measure --daemons 20,60,120 --services 5 --changes 20 --for 20s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			dir, err := os.MkdirTemp("", "measure")
+			if err != nil {
+				return err
+			}
+			defer func() { _ = os.RemoveAll(dir) }()
+			bin, err := fleet.Build(cmd.Context(), dir)
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			_, _ = fmt.Fprintln(out, "daemons services changes seconds bytes/s core% residentKiB goroutines convergedP50ms convergedMaxMs")
+			for _, d := range daemons {
+				for _, s := range services {
+					res, err := measure.Control(cmd.Context(), dir, bin, measure.Plan{Daemons: d, Services: s, Changes: changes, For: length})
+					if err != nil {
+						return err
+					}
+					var p50, last time.Duration
+					if n := len(res.Converged); n > 0 {
+						p50, last = res.Converged[n/2], res.Converged[n-1]
+					}
+					_, _ = fmt.Fprintf(out, "%7d %8d %7d %7.0f %7.0f %5.2f %11.0f %10.0f %14d %14d\n",
+						d, s, changes, length.Seconds(), res.BytesPerSecond, res.CorePercent, res.ResidentKiB, res.Goroutines, p50.Milliseconds(), last.Milliseconds())
+				}
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.IntSliceVar(&daemons, "daemons", []int{20, 60}, "numbers of daemon processes")
+	f.IntSliceVar(&services, "services", []int{5}, "numbers of services among which the daemons are divided")
+	f.IntVar(&changes, "changes", 10, "versions published in the measured time")
+	f.DurationVar(&length, "for", 20*time.Second, "measured time of each row")
+	return cmd
+}
--- /dev/null
+++ b/standin/measure/control.go
@@ -0,0 +1,303 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/kingcuppitch/kingcuppitch/connection/peer"
+	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/process/settings"
+	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
+	"github.com/kingcuppitch/kingcuppitch/standin/launcher"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+	"github.com/kingcuppitch/kingcuppitch/wire/v1/wirev1connect"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	zones     = 3
+	seedCount = 6
+	// settle is the time after the first version before the measurement, so
+	// that starting up is not part of it.
+	settle = 5 * time.Second
+	// readyWithin bounds the start of all daemons.
+	readyWithin = 60 * time.Second
+	// maxWait bounds the wait for a version to be in force everywhere.
+	maxWait   = 10 * time.Second
+	kibibyte  = 1024
+	httpBound = 2 * time.Second
+)
+
+// Plan is one measurement of the control side.
+type Plan struct {
+	// Daemons is the number of daemon processes, Services that of the services
+	// among which they are divided.
+	Daemons, Services int
+	// Changes is the number of versions published in the measured time.
+	Changes int
+	// Until is when the measured time ends; it starts when all is settled.
+	For time.Duration
+}
+
+// Result is what one daemon spends on control, as the mean over all, and how
+// long versions take to be in force everywhere.
+type Result struct {
+	Plan
+	// BytesPerSecond counts both directions of all control connections, those
+	// that the daemon opened and those that it accepted.
+	BytesPerSecond float64
+	// CorePercent is the processor time in percent of one core.
+	CorePercent float64
+	// ResidentKiB is the resident memory of a process, Goroutines their number.
+	ResidentKiB, Goroutines float64
+	// Converged holds, for each version, the time from the append to the last
+	// daemon, sorted.
+	Converged []time.Duration
+}
+
+// mesh is a set of daemons without upstream processes: this process announces
+// the instances.
+type mesh struct {
+	launcher launcher.Launcher
+	log      platform.Log
+	settings []settings.Settings
+	daemons  []launcher.Process
+	pool     peer.Pool
+}
+
+// Control measures one plan; files and processes are in dir.
+func Control(ctx context.Context, dir string, bin fleet.Binaries, p Plan) (res Result, err error) {
+	defer func() { err = eris.Wrapf(err, "measure %d daemons, %d services, %d changes", p.Daemons, p.Services, p.Changes) }()
+	m := &mesh{launcher: launcher.NewLauncher(dir)}
+	defer func() { m.launcher.Stop(time.Now().Add(10 * time.Second)) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err = m.start(bin, p); err != nil {
+		return res, err
+	}
+	go m.announce(ctx, p)
+	cfg := configuration(p)
+	if _, err = m.publish(ctx, 0, config.Change{Upserts: cfg}, p); err != nil {
+		return res, err
+	}
+	time.Sleep(settle)
+	before, err := m.usage(ctx)
+	if err != nil {
+		return res, err
+	}
+	start := time.Now()
+	res = Result{Plan: p}
+	for i := range p.Changes {
+		u := cfg.Upstreams[i%len(cfg.Upstreams)]
+		u.Connections += 1 + i
+		took, err := m.publish(ctx, i+1, config.Change{Upserts: config.Config{Upstreams: []config.Upstream{u}}}, p)
+		if err != nil {
+			return res, err
+		}
+		res.Converged = append(res.Converged, took)
+		time.Sleep(time.Until(start.Add(p.For * time.Duration(i+1) / time.Duration(p.Changes))))
+	}
+	time.Sleep(time.Until(start.Add(p.For)))
+	after, err := m.usage(ctx)
+	if err != nil {
+		return res, err
+	}
+	elapsed := time.Since(start).Seconds()
+	n := float64(p.Daemons)
+	// Each byte crosses one connection between two daemons.
+	res.BytesPerSecond = 2 * (after.bytes - before.bytes) / elapsed / n
+	res.CorePercent = 100 * (after.cpu - before.cpu) / elapsed / n
+	res.ResidentKiB, res.Goroutines = after.resident/n, after.goroutines/n
+	slices.Sort(res.Converged)
+	return res, nil
+}
+
+func (m *mesh) start(bin fleet.Binaries, p Plan) error {
+	readyBy := time.Now().Add(readyWithin)
+	addrs, err := launcher.FreeAddresses(1 + 4*p.Daemons)
+	if err != nil {
+		return err
+	}
+	m.log = platform.NewHTTPLog(addrs[0])
+	_, err = m.launcher.Start(launcher.Command{
+		Name: "log", Path: bin.Standin, Args: []string{"log", "--address", addrs[0].String()}, Serves: addrs[:1], ReadyBy: readyBy,
+	})
+	if err != nil {
+		return err
+	}
+	var seeds []netip.AddrPort
+	for i := range p.Daemons {
+		a := addrs[1+4*i:]
+		if i < seedCount {
+			seeds = append(seeds, a[1])
+		}
+		m.settings = append(m.settings, settings.Settings{
+			Name: fmt.Sprintf("daemon-%d", i), Region: "region", Zone: fmt.Sprintf("zone-%d", i%zones),
+			CallerAddress: a[0], PeerAddress: a[1], AnnounceAddress: a[2], MetricsAddress: a[3],
+			LogAddress: addrs[0], LogLevel: "warn", Services: []string{serviceName(i, p)},
+		})
+	}
+	m.daemons = make([]launcher.Process, p.Daemons)
+	var g errgroup.Group
+	g.SetLimit(16)
+	for i := range m.settings {
+		m.settings[i].Seeds = seeds
+		g.Go(func() error {
+			path, err := m.launcher.WriteSettings(m.settings[i].Name, m.settings[i])
+			if err != nil {
+				return err
+			}
+			m.daemons[i], err = m.launcher.Start(launcher.Command{
+				Name: m.settings[i].Name, Path: bin.Daemon, Args: []string{"--settings", path},
+				Serves: []netip.AddrPort{m.settings[i].PeerAddress}, ReadyBy: readyBy,
+			})
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+func serviceName(daemon int, p Plan) string { return fmt.Sprintf("service-%d", daemon%p.Services) }
+
+// configuration has one upstream and two routes for each service.
+func configuration(p Plan) config.Config {
+	cfg := config.Config{Presets: []config.Preset{{Name: "ordinary", RetryPercent: 10, CanaryPercent: 5}}}
+	for i := range zones {
+		cfg.Zones = append(cfg.Zones, config.Zone{Name: fmt.Sprintf("zone-%d", i), Region: "region"})
+	}
+	for i := range p.Services {
+		name := fmt.Sprintf("service-%d", i)
+		cfg.Upstreams = append(cfg.Upstreams, config.Upstream{Name: name, Versions: []string{"v1"}, Active: "v1", Slots: 20, ColdSlots: 2, Connections: 120})
+		for _, kind := range []string{"read", "write"} {
+			cfg.Routes = append(cfg.Routes, config.Route{
+				Name: name + "-" + kind, Prefix: "/" + name + "/" + kind, Upstream: name, Idempotent: kind == "read",
+				Class: kind, AnswerWithin: config.Duration(2 * time.Second),
+			})
+		}
+	}
+	return cfg
+}
+
+// announce announces the instances each second until ctx ends.
+func (m *mesh) announce(ctx context.Context, p Plan) {
+	for ctx.Err() == nil {
+		next := time.Now().Add(time.Second)
+		for i, s := range m.settings {
+			body := fmt.Sprintf(`{"service":%q,"version":"v1","address":"127.0.0.1:9","incarnation":1,"state":"ready"}`, serviceName(i, p))
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.AnnounceAddress.String()+"/announce", strings.NewReader(body))
+			if err != nil {
+				return
+			}
+			if res, err := http.DefaultClient.Do(req); err == nil {
+				_ = res.Body.Close()
+			}
+		}
+		time.Sleep(time.Until(next))
+	}
+}
+
+// publish appends a change and returns how long it took to be in force on all
+// daemons, by their own time lines.
+func (m *mesh) publish(ctx context.Context, n int, c config.Change, p Plan) (time.Duration, error) {
+	data, err := record.Record{ID: "measure-" + strconv.Itoa(n), Kind: record.KindPublish, Base: int64(n), At: time.Now(), Publish: &c}.Encode()
+	if err != nil {
+		return 0, err
+	}
+	start := time.Now()
+	offset, err := m.log.Append(ctx, record.Stream, data)
+	if err != nil {
+		return 0, err
+	}
+	last := make([]time.Time, p.Daemons)
+	var g errgroup.Group
+	g.SetLimit(32)
+	for i := range m.settings {
+		g.Go(func() (err error) {
+			last[i], err = m.inForce(ctx, i, offset, start)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return 0, err
+	}
+	return slices.MaxFunc(last, time.Time.Compare).Sub(start), nil
+}
+
+func (m *mesh) inForce(ctx context.Context, daemon int, offset int64, start time.Time) (time.Time, error) {
+	addr := m.settings[daemon].PeerAddress
+	client := wirev1connect.NewControlClient(m.pool.Client(addr), "http://"+addr.String())
+	for time.Since(start) < maxWait {
+		res, err := client.Timeline(ctx, connect.NewRequest(&wirev1.TimelineRequest{AfterWall: start.UnixNano()}))
+		if err == nil {
+			for _, e := range res.Msg.GetEvents() {
+				if e.GetVersion() == offset && strings.HasPrefix(e.GetDetail(), "publish record") {
+					return time.Unix(0, e.GetWall()), nil
+				}
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return time.Time{}, fmt.Errorf("version %d is not in force on daemon %d after %v", offset, daemon, maxWait)
+}
+
+// usage is the sum over all daemons.
+type usage struct {
+	bytes, cpu, resident, goroutines float64
+}
+
+func (m *mesh) usage(ctx context.Context) (u usage, err error) {
+	for i, s := range m.settings {
+		var vars map[string]float64
+		if err := getJSON(ctx, s.MetricsAddress, &vars); err != nil {
+			return u, err
+		}
+		u.bytes += vars["control.bytesIn"] + vars["control.bytesOut"]
+		u.cpu += vars["process.cpuSeconds"]
+		u.goroutines += vars["process.goroutines"]
+		resident, err := residentKiB(m.daemons[i].PID())
+		if err != nil {
+			return u, err
+		}
+		u.resident += resident
+	}
+	return u, nil
+}
+
+func getJSON(ctx context.Context, addr netip.AddrPort, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, httpBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/debug/vars", nil)
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return json.NewDecoder(res.Body).Decode(out)
+}
+
+// residentKiB reads the resident memory of a process.
+func residentKiB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := bytes.Fields(data)
+	pages, err := strconv.ParseFloat(string(fields[1]), 64)
+	return pages * float64(os.Getpagesize()) / kibibyte, err
+}
