Leave control connections without pings

Cause: each daemon kept a control connection to every peer it had met in the last minute and pinged all of them each second. Connections that carry calls are still pinged, since a call that must not be repeated is lost with a silent connection.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -15,6 +15,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -31,8 +32,8 @@
 	pingTimeout = time.Second
 	// dialTimeout bounds a connection attempt.
 	dialTimeout = time.Second
-	// idleTimeout closes connections that were not used.
-	idleTimeout = time.Minute
+	// defaultIdleTimeout closes connections that were not used.
+	defaultIdleTimeout = time.Minute
 )
 
 // Pool holds HTTP/2 clients by peer address; the zero value is ready for use.
@@ -40,6 +41,11 @@
 	// Traffic is told the bytes read and written on the connections; it may be
 	// nil.
 	Traffic func(read, written int)
+	// DisablePings leaves silent connections to the timeouts of the calls, for
+	// pools whose calls are short and may be repeated.
+	DisablePings bool
+	// IdleTimeout closes connections that were not used; zero means a minute.
+	IdleTimeout time.Duration
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*http.Client
@@ -89,8 +95,7 @@
 func (p *Pool) transport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
-		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		IdleConnTimeout: cmp.Or(p.IdleTimeout, defaultIdleTimeout),
 		Protocols:       new(http.Protocols),
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
@@ -101,6 +106,9 @@
 		},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
+	if !p.DisablePings {
+		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	}
 	return t
 }
 
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -49,6 +49,8 @@
 	gossipPeriod = time.Second
 	// rpcTimeout bounds a call to a peer.
 	rpcTimeout = 800 * time.Millisecond
+	// peerIdle closes control connections that were not used.
+	peerIdle = 15 * time.Second
 	// pollPeriod is how long a read of the log waits for a record.
 	pollPeriod = 2 * time.Second
 	// logRetryMin and logRetryMax bound the pause after a failed read.
@@ -148,6 +150,9 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	// An exchange meets another peer each second. Pings on all connections
+	// that are kept would cost more than the exchanges.
+	c.peers.DisablePings, c.peers.IdleTimeout = true, peerIdle
 	c.peers.Traffic = func(read, written int) {
 		c.metrics.Add("control.bytesIn", int64(read))
 		c.metrics.Add("control.bytesOut", int64(written))
