--- a/process/client/append.go
+++ b/process/client/append.go
@@ -22,6 +22,9 @@
 // folded the record.
 const resultPending = "pending"
 
+// resultUnchanged is the result of a publication that changes nothing.
+const resultUnchanged = "unchanged"
+
 const (
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 2 * time.Second
@@ -77,6 +80,11 @@
 	if res.Result == string(fold.Refused) {
 		return &refusedError{res}
 	}
+	return a.finish(ctx, res, f, start, fmt.Sprintf("accepted as version %d: %s", res.Version, done))
+}
+
+// finish waits for the version of the result where asked to, and prints both.
+func (a *app) finish(ctx context.Context, res appendResult, f *recordFlags, start time.Time, text string) (err error) {
 	if f.wait {
 		res.Wait, err = a.waitForVersion(ctx, res.Version, start)
 		if err != nil {
@@ -84,7 +92,7 @@
 		}
 	}
 	a.print(res, func(p *printer) {
-		p.line("accepted as version %d: %s", res.Version, done)
+		p.line("%s", text)
 		if res.Wait != nil {
 			res.Wait.text(p, res.Version)
 		}
@@ -122,7 +130,7 @@
 	sent := false
 	for {
 		var errs []error
-		for _, d := range a.daemons {
+		for _, d := range a.order() {
 			res, err := d.append(ctx, data)
 			switch {
 			case err == nil && res.Result != resultPending:
--- a/process/client/client.go
+++ b/process/client/client.go
@@ -21,6 +21,7 @@
 	"net/netip"
 	"os"
 	"os/user"
+	"sync/atomic"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -65,7 +66,11 @@
 	stdout, stderr io.Writer
 
 	daemons []*daemon
-	json    bool
+	// answered is the daemon that answered last.
+	answered atomic.Pointer[daemon]
+	json     bool
+	// printed says that a result was printed.
+	printed bool
 	author  string
 	// deadline ends the command. It is zero for a watch without --timeout.
 	deadline time.Time
--- a/process/client/daemon.go
+++ b/process/client/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -66,12 +67,25 @@
 	return ans.Msg, nil
 }
 
+// order returns the daemons in the order in which they are tried: the one that
+// answered last comes first, so that one that is silent costs its time once.
+func (a *app) order() []*daemon {
+	list := slices.Clone(a.daemons)
+	if i := slices.Index(list, a.answered.Load()); i > 0 {
+		d := list[i]
+		copy(list[1:i+1], list[:i])
+		list[0] = d
+	}
+	return list
+}
+
 // status asks the daemons in order and returns the first answer.
 func (a *app) status(ctx context.Context) (*wirev1.StatusResponse, *daemon, error) {
 	var errs []error
-	for _, d := range a.daemons {
+	for _, d := range a.order() {
 		res, err := d.status(ctx)
 		if err == nil {
+			a.answered.Store(d)
 			return res, d, nil
 		}
 		errs = append(errs, err)
--- a/process/client/output.go
+++ b/process/client/output.go
@@ -28,6 +28,7 @@
 
 // print writes v as JSON or calls text.
 func (a *app) print(v any, text func(p *printer)) {
+	a.printed = true
 	if !a.json {
 		text(&printer{a.stdout})
 		return
@@ -55,7 +56,7 @@
 		a.print(file, nil)
 	case errors.As(err, &refused):
 		a.print(refused.appendResult, nil)
-	case code == ExitLagging:
+	case code == ExitLagging && a.printed:
 	default:
 		a.print(struct {
 			Error    string `json:"error"`
--- a/process/client/publish.go
+++ b/process/client/publish.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
@@ -47,10 +48,8 @@
 		}
 		change := config.Diff(st.Config, cfg)
 		if change.Empty() && f.id == "" {
-			a.print(appendResult{Kind: record.KindPublish, Result: "unchanged", Version: st.Version}, func(p *printer) {
-				p.line("nothing to publish: version %d equals the file", st.Version)
-			})
-			return nil
+			res := appendResult{Kind: record.KindPublish, Result: resultUnchanged, Version: st.Version}
+			return a.finish(ctx, res, f, time.Now(), fmt.Sprintf("nothing to publish: version %d equals the file", st.Version))
 		}
 		if !switchActive {
 			if err := checkActive(st.Config, change); err != nil {
--- a/process/client/wait.go
+++ b/process/client/wait.go
@@ -13,8 +13,12 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// waitPoll is the pause between two rounds of questions to daemons that lag.
-const waitPoll = 100 * time.Millisecond
+// waitFirst and waitMost bound the pause between two rounds of questions to
+// daemons that lag. It grows, because each answer carries the whole state.
+const (
+	waitFirst = 50 * time.Millisecond
+	waitMost  = time.Second
+)
 
 // waitResult says which daemons hold a version.
 type waitResult struct {
@@ -87,7 +91,7 @@
 			d.close()
 		}
 	}()
-	for {
+	for pause := waitFirst; ; pause = min(2*pause, waitMost) {
 		var mu sync.Mutex
 		var g errgroup.Group
 		g.SetLimit(maxParallel)
@@ -131,7 +135,7 @@
 				w.Lagging = append(w.Lagging, *l)
 			}
 			return w, nil
-		case <-time.After(waitPoll):
+		case <-time.After(pause):
 		}
 		w.dropGone(ctx, a, pending)
 	}
--- a/process/client/watch.go
+++ b/process/client/watch.go
@@ -175,7 +175,7 @@
 	lastSeen := time.Now()
 	for {
 		var errs []error
-		for _, d := range a.daemons {
+		for _, d := range a.order() {
 			err := d.watch(ctx, &after, &lastSeen, events)
 			errs = append(errs, fmt.Errorf("watch %v: %w", d.addr, err))
 			if ctx.Err() != nil {
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -122,7 +122,12 @@
 	return res
 }
 
+// moveStatus reports a move with a verdict as taken back also before the
+// verdict is folded, which an outage of the log can delay.
 func (c *core) moveStatus(m fold.Move, now time.Time) *wirev1.MoveStatus {
+	if v, ok := c.decision.verdicts[m.ID]; ok && m.State == fold.MoveRunning {
+		m.State, m.Reason = fold.MoveTakenBack, v.Reason
+	}
 	return &wirev1.MoveStatus{
 		Move: m.ID, Upstream: m.Upstream, From: m.From, To: m.To, State: string(m.State), Reason: m.Reason,
 		Share: c.decision.share(c.state, m, now), StartAtUnixNano: m.StartAt.UnixNano(), DoneByUnixNano: m.DoneBy.UnixNano(),
