--- a/process/client/daemon.go
+++ b/process/client/daemon.go
@@ -56,11 +56,13 @@
 
 func (d *daemon) close() { d.transport.CloseIdleConnections() }
 
-func (d *daemon) status(ctx context.Context) (res *wirev1.StatusResponse, err error) {
+// status asks one daemon; withoutState leaves out the folded state, which is
+// large where there are many services.
+func (d *daemon) status(ctx context.Context, withoutState bool) (res *wirev1.StatusResponse, err error) {
 	defer func() { err = eris.Wrapf(err, "status of %v", d.addr) }()
 	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
 	defer cancel()
-	ans, err := d.control.Status(ctx, connect.NewRequest(&wirev1.StatusRequest{}))
+	ans, err := d.control.Status(ctx, connect.NewRequest(&wirev1.StatusRequest{WithoutState: withoutState}))
 	if err != nil {
 		return nil, err
 	}
@@ -83,7 +85,7 @@
 func (a *app) status(ctx context.Context) (*wirev1.StatusResponse, *daemon, error) {
 	var errs []error
 	for _, d := range a.order() {
-		res, err := d.status(ctx)
+		res, err := d.status(ctx, false)
 		if err == nil {
 			a.answered.Store(d)
 			return res, d, nil
--- a/process/client/wait.go
+++ b/process/client/wait.go
@@ -107,7 +107,7 @@
 				connections[l.Address] = d
 			}
 			g.Go(func() error {
-				res, err := d.status(ctx)
+				res, err := d.status(ctx, true)
 				if err != nil {
 					// An answer cut off by the end of the wait says nothing new.
 					if ctx.Err() == nil || l.Error == "" {
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -83,7 +83,7 @@
 	}
 	leaving  struct{}
 	fetchIn  struct{ req *wirev1.FetchRequest }
-	statusIn struct{}
+	statusIn struct{ withoutState bool }
 )
 
 // Actions of the core, carried out by the runner.
@@ -182,7 +182,7 @@
 	case fetchIn:
 		reply = c.onFetch(ev.req)
 	case statusIn:
-		reply = c.status(now)
+		reply = c.status(now, ev.withoutState)
 	default:
 		reply = c.handleDecision(ev, now, rnd)
 	}
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -88,8 +88,8 @@
 }
 
 // Status implements wirev1connect.ControlHandler.
-func (s *service) Status(context.Context, *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusResponse], error) {
-	res, err := ask[*wirev1.StatusResponse](s.control, statusIn{})
+func (s *service) Status(_ context.Context, req *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusResponse], error) {
+	res, err := ask[*wirev1.StatusResponse](s.control, statusIn{withoutState: req.Msg.GetWithoutState()})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -97,11 +97,11 @@
 }
 
 // status reports the control state to operators.
-func (c *core) status(now time.Time) *wirev1.StatusResponse {
+func (c *core) status(now time.Time, withoutState bool) *wirev1.StatusResponse {
 	self := c.table.Self()
 	res := &wirev1.StatusResponse{
 		Daemon: self.Name, Zone: self.Zone, Offset: c.state.Offset, Version: c.state.Version,
-		StateHash: strconv.FormatUint(c.state.Hash(), 16), Serving: c.serving, LogReachable: c.logReachable,
+		Serving: c.serving, LogReachable: c.logReachable,
 		Members: membersToWire(c.table.All()),
 	}
 	if p, ok := c.state.InForce(now); ok {
@@ -116,8 +116,11 @@
 	for _, z := range c.state.Config.Zones {
 		res.Zones = append(res.Zones, &wirev1.ZoneStatus{Name: z.Name, Region: z.Region, State: zoneState(c.state.Zones[z.Name], now)})
 	}
+	if withoutState {
+		return res
+	}
 	if data, err := c.state.Encode(); err == nil {
-		res.State = data
+		res.State, res.StateHash = data, strconv.FormatUint(fold.HashOf(data), 16)
 	}
 	return res
 }
--- a/process/control/status_test.go
+++ b/process/control/status_test.go
@@ -21,7 +21,7 @@
 	c.handle(recordsArrived{entries: entries, next: 3, first: 1}, epoch, 0)
 	check := func(state fold.MoveState, reason string) {
 		t.Helper()
-		moves := c.status(epoch.Add(time.Second)).Moves
+		moves := c.status(epoch.Add(time.Second), false).Moves
 		if len(moves) != 1 || moves[0].State != string(state) || moves[0].Reason != reason {
 			t.Errorf("moves: got %v, want state %q and reason %q", moves, state, reason)
 		}
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -460,5 +460,8 @@
 	if err != nil {
 		return 0
 	}
-	return xxhash.Sum64(data)
+	return HashOf(data)
 }
+
+// HashOf returns the hash of the state with the given encoding.
+func HashOf(encoded []byte) uint64 { return xxhash.Sum64(encoded) }
