Carry the clock of the time line between daemons

Cause: the events of several daemons were merged by clocks that never met, so an effect could sort before its cause by the skew of two machines. Change: exchanges and pushes carry the hybrid logical clock. Conclusion: shown by TestCausalOrder, which fails without Observe.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -188,11 +188,25 @@
 		}
 		ctx.Respond(reply)
 	}
+	c.stamp(actions)
 	for _, a := range actions {
 		c.run(a)
 	}
 }
 
+// stamp sets the clock in the messages of actions before the first is sent;
+// several actions may share a message.
+func (c *control) stamp(actions []any) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case sendPush:
+			a.req.ClockUnixNano = c.clock()
+		case sendExchange:
+			a.req.ClockUnixNano = c.clock()
+		}
+	}
+}
+
 func (c *control) publish(core *core) {
 	core.dirty = false
 	c.view.Store(core.snapshot())
@@ -456,6 +470,7 @@
 	res, err := c.client(a.to.Peer).Exchange(ctx, connect.NewRequest(a.req))
 	switch {
 	case err == nil:
+		c.observe(res.Msg.GetClockUnixNano())
 		c.send(exchangeDone{to: a.to, res: res.Msg})
 	case !a.news && c.ctx.Err() == nil:
 		c.peers.Retire(a.to.Peer)
@@ -510,6 +525,12 @@
 	}
 }
 
+// clock returns the own clock for a message to a peer.
+func (c *control) clock() int64 { return c.events.Now(time.Now()).UnixNano() }
+
+// observe takes the clock of a peer, so that what it causes here sorts after it.
+func (c *control) observe(unixNano int64) { c.events.Observe(time.Now(), time.Unix(0, unixNano)) }
+
 func entriesFromWire(list []*wirev1.Record) []platform.Entry {
 	out := make([]platform.Entry, 0, len(list))
 	for _, r := range list {
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -42,15 +42,18 @@
 
 // Exchange implements wirev1connect.ControlHandler.
 func (s *service) Exchange(_ context.Context, req *connect.Request[wirev1.ExchangeRequest]) (*connect.Response[wirev1.ExchangeResponse], error) {
+	s.observe(req.Msg.GetClockUnixNano())
 	res, err := ask[*wirev1.ExchangeResponse](s.control, exchangeIn{req.Msg})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	res.ClockUnixNano = s.clock()
 	return connect.NewResponse(res), nil
 }
 
 // Push implements wirev1connect.ControlHandler.
 func (s *service) Push(_ context.Context, req *connect.Request[wirev1.PushRequest]) (*connect.Response[wirev1.PushResponse], error) {
+	s.observe(req.Msg.GetClockUnixNano())
 	offset, err := ask[int64](s.control, recordsArrived{entries: entriesFromWire(req.Msg.GetRecords()), source: req.Msg.GetFrom()})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/process/timeline/timeline.go
+++ b/process/timeline/timeline.go
@@ -24,6 +24,9 @@
 // Capacity is the number of events that a daemon keeps.
 const Capacity = 4096
 
+// MaxAhead bounds how far the clock of a peer may be ahead of the own.
+const MaxAhead = time.Minute
+
 // Kind is the kind of an event.
 type Kind string
 
@@ -78,8 +81,13 @@
 	changed chan struct{}
 }
 
-// Observe moves the clock past a value received from a peer.
-func (t *Timeline) Observe(remote time.Time) {
+// Observe moves the clock past a value received from a peer. A value more than
+// MaxAhead after the own wall time is ignored, since one wrong clock would
+// otherwise take the clocks of all daemons with it.
+func (t *Timeline) Observe(now, remote time.Time) {
+	if remote.Sub(now) > MaxAhead {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if remote.After(t.last.Wall) {
