Make exchanges independent of the number of members

Cause: each exchange hashed all members for its digests and sorted them to draw a few, and each change of one member built a new view for traffic; a zone of 1,200 that returns would have kept a core busy. Change: digests are kept up to date entry by entry, draws keep the best n of mixed keys, ranks need no list of names, and views that differ only in members are made at most every 50 ms.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -63,6 +63,10 @@
 	maxFetches = 4
 	// askTimeout bounds the wait for the actor.
 	askTimeout = 2 * time.Second
+	// publishPeriod is the shortest time between two views that differ only in
+	// members. A zone that returns announces 1,200 members within seconds, and a
+	// view of that size takes milliseconds to build.
+	publishPeriod = 50 * time.Millisecond
 	// validPeriod is how long traffic trusts a snapshot after a control tick.
 	validPeriod = pausePeriod
 )
@@ -136,6 +140,10 @@
 	cancel     context.CancelFunc
 	wg         sync.WaitGroup
 	changed    notifier
+	// published is when the actor made the last view; flushing is set while a
+	// timer runs that asks for the next.
+	published time.Time
+	flushing  atomic.Bool
 
 	recorder *Recorder
 	claims   *claim.Router
@@ -179,8 +187,11 @@
 	if _, ok := ctx.Message().(tick); ok {
 		c.valid.Store(now.Add(validPeriod).UnixNano())
 	}
-	if core.dirty {
+	if core.dirty || core.stale && now.Sub(c.published) >= publishPeriod {
 		c.publish(core)
+		c.published = now
+	} else if core.stale {
+		c.flushLater()
 	}
 	if ctx.Sender() != nil {
 		if reply == nil {
@@ -207,8 +218,18 @@
 	}
 }
 
+// flushLater has the actor look again when a view may be made.
+func (c *control) flushLater() {
+	if c.flushing.CompareAndSwap(false, true) {
+		time.AfterFunc(publishPeriod, func() {
+			c.flushing.Store(false)
+			c.send(flush{})
+		})
+	}
+}
+
 func (c *control) publish(core *core) {
-	core.dirty = false
+	core.dirty, core.stale = false, false
 	c.view.Store(core.snapshot())
 	c.reader.Store(core.isReader())
 	c.changed.notify()
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -48,7 +48,9 @@
 
 // Events of the core.
 type (
-	tick           struct{}
+	tick struct{}
+	// flush has no effect of its own; a view that is due follows each event.
+	flush          struct{}
 	recordsArrived struct {
 		entries []platform.Entry
 		source  string
@@ -137,8 +139,10 @@
 	lastTick time.Time
 	preset   string
 
-	dirty   bool
-	actions []any
+	// dirty asks for a new view for traffic at once, stale for one soon: many
+	// members may change together.
+	dirty, stale bool
+	actions      []any
 }
 
 func newCore(self membership.Member, set *metrics.Set, events *timeline.Timeline) *core {
@@ -155,6 +159,7 @@
 	switch ev := ev.(type) {
 	case tick:
 		c.onTick(now, rnd)
+	case flush:
 	case recordsArrived:
 		reply = c.onRecords(ev, now, rnd)
 	case logFailed:
@@ -451,20 +456,7 @@
 
 // isReader reports whether this daemon tails the log for its zone.
 func (c *core) isReader() bool {
-	return c.zoneRank("reader") < readersPerZone
-}
-
-// zoneRank is the position of this daemon among the live members of its zone
-// for a task.
-func (c *core) zoneRank(task string) int {
-	self := c.table.Self()
-	var names []string
-	for _, m := range c.table.All() {
-		if m.Zone == self.Zone && m.State != membership.Leaving && m.State != membership.Suspect {
-			names = append(names, m.Name)
-		}
-	}
-	return membership.Rank(task+"/"+self.Zone, self.Name, names)
+	return c.table.ZoneRank("reader") < readersPerZone
 }
 
 // snapshotIfDue appends a snapshot well before the records that it replaces
@@ -476,7 +468,7 @@
 	}
 	retained := c.logNext - c.logFirst
 	due := since >= snapshotRecords || since >= snapshotMinRecords && since > retained/2
-	if !due || !c.serving || !c.logReachable || c.zoneRank("snapshot") != 0 {
+	if !due || !c.serving || !c.logReachable || c.table.ZoneRank("snapshot") != 0 {
 		return
 	}
 	c.lastSnapshot = c.state.Offset
--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -113,7 +113,7 @@
 // The id is the same on all daemons, so the fold takes it once.
 func (c *core) appendEnd(now time.Time, m fold.Move) {
 	d := &c.decision
-	if now.Before(d.appendAfter[m.ID]) || !c.logReachable || c.zoneRank("end") >= appendersPerZone {
+	if now.Before(d.appendAfter[m.ID]) || !c.logReachable || c.table.ZoneRank("end") >= appendersPerZone {
 		return
 	}
 	rec := record.Record{At: now, Author: c.table.Self().Name}
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -106,7 +106,7 @@
 		c.event(now, timeline.KindMember, 0, "member %s (%s, %s %s) is %s", m.Name, m.Zone, m.Service, m.Version, m.State)
 	}
 	c.metrics.Add("control.memberChanges", int64(len(changed)))
-	c.dirty = true
+	c.stale = true
 	c.spread(rnd, changed)
 }
 
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -121,6 +122,16 @@
 	Member
 	// deadline is when a suspect becomes dead, or a tombstone is dropped.
 	deadline time.Time
+	// digest is the hash of the content, key that of the name.
+	digest, key uint64
+	scopes      [2]string
+}
+
+func newEntry(m Member) *entry {
+	return &entry{
+		Member: m, digest: m.hash(), key: xxhash.Sum64String(m.Name),
+		scopes: [2]string{ZoneScope(m.Zone), ServiceScope(m.Service)},
+	}
 }
 
 // Table is the members that one daemon knows. It is owned by one goroutine.
@@ -128,6 +139,9 @@
 	self    Member
 	follow  map[string]bool
 	entries map[string]*entry
+	// digests summarise the live entries of every scope, without the daemon
+	// itself.
+	digests map[string]Digest
 	// order is the shuffled order of exchange partners.
 	order []string
 }
@@ -135,7 +149,7 @@
 // NewTable returns a table for the given daemon that follows its own zone, its
 // own service and the given services.
 func NewTable(self Member, follow ...string) *Table {
-	t := &Table{self: self, entries: make(map[string]*entry)}
+	t := &Table{self: self, entries: make(map[string]*entry), digests: make(map[string]Digest)}
 	t.Follow(follow...)
 	return t
 }
@@ -198,17 +212,37 @@
 		// A member that this daemon never held needs no tombstone.
 		return false
 	}
-	e := &entry{Member: m}
+	e := newEntry(m)
 	switch m.State {
 	case Suspect:
 		e.deadline = now.Add(SuspectPeriod)
 	case Dead:
 		e.deadline = now.Add(TombstonePeriod)
 	}
+	if ok {
+		t.count(old, -1)
+	}
+	t.count(e, 1)
 	t.entries[m.Name] = e
 	return true
 }
 
+// count adds an entry to the digests of its scopes, or takes it out.
+func (t *Table) count(e *entry, n int) {
+	if e.State == Dead {
+		return
+	}
+	for _, scope := range e.scopes {
+		d := t.digests[scope]
+		d.Hash ^= e.digest
+		if d.Count += n; d.Count == 0 {
+			delete(t.digests, scope)
+			continue
+		}
+		t.digests[scope] = d
+	}
+}
+
 // wants reports whether the daemon holds the member.
 func (t *Table) wants(m Member) bool {
 	if _, held := t.entries[m.Name]; held || t.Authoritative(ZoneScope(m.Zone)) || t.Authoritative(ServiceScope(m.Service)) {
@@ -260,7 +294,7 @@
 			continue
 		}
 		if e.State == Dead {
-			delete(t.entries, name)
+			delete(t.entries, name) // not counted in the digests any more
 			continue
 		}
 		m := e.Member
@@ -275,30 +309,23 @@
 // Digests returns the digests of the scopes for which the daemon is
 // authoritative.
 func (t *Table) Digests() []Digest {
-	sums := map[string]*Digest{ZoneScope(t.self.Zone): {}}
-	if t.self.Service != "" {
-		sums[ServiceScope(t.self.Service)] = &Digest{}
-	}
-	for s := range t.follow {
-		sums[ServiceScope(s)] = &Digest{}
-	}
-	add := func(m Member) {
-		for _, scope := range []string{ZoneScope(m.Zone), ServiceScope(m.Service)} {
-			if d, ok := sums[scope]; ok {
-				d.Hash ^= m.hash()
-				d.Count++
-			}
+	self := newEntry(t.self)
+	out := make([]Digest, 0, len(t.follow)+len(self.scopes))
+	add := func(scope string) {
+		d := t.digests[scope]
+		d.Scope = scope
+		if slices.Contains(self.scopes[:], scope) {
+			d.Hash ^= self.digest
+			d.Count++
 		}
+		out = append(out, d)
 	}
-	add(t.self)
-	for _, e := range t.entries {
-		if e.State != Dead {
-			add(e.Member)
-		}
+	add(self.scopes[0])
+	if t.self.Service != "" && !t.follow[t.self.Service] {
+		add(self.scopes[1])
 	}
-	out := make([]Digest, 0, len(sums))
-	for scope, d := range sums {
-		out = append(out, Digest{Scope: scope, Hash: d.Hash, Count: d.Count})
+	for s := range t.follow {
+		add(ServiceScope(s))
 	}
 	slices.SortFunc(out, func(a, b Digest) int { return cmp.Compare(a.Scope, b.Scope) })
 	return out
@@ -319,8 +346,11 @@
 		}
 	}
 	out := []Member{t.self}
+	if len(scopes) == 0 {
+		return out
+	}
 	for _, e := range t.entries {
-		if scopes[ZoneScope(e.Zone)] || scopes[ServiceScope(e.Service)] {
+		if scopes[e.scopes[0]] || scopes[e.scopes[1]] {
 			out = append(out, e.Member)
 		}
 	}
@@ -345,9 +375,9 @@
 				t.order = append(t.order, name)
 			}
 		}
-		seed := strconv.FormatFloat(rnd, 'g', -1, 64)
+		salt := math.Float64bits(rnd)
 		slices.SortFunc(t.order, func(a, b string) int {
-			return cmp.Compare(xxhash.Sum64String(a+seed), xxhash.Sum64String(b+seed))
+			return cmp.Compare(mix(t.entries[a].key, salt), mix(t.entries[b].key, salt))
 		})
 	}
 	return Member{}, false
@@ -356,17 +386,33 @@
 // Random returns up to n live members for which accept holds, in the order
 // that rnd in [0,1) gives.
 func (t *Table) Random(rnd float64, n int, accept func(Member) bool) []Member {
-	var out []Member
+	// list holds the n first by their mixed keys, in order.
+	list := make([]*entry, 0, n+1)
+	salt := math.Float64bits(rnd)
+	byKey := func(a, b *entry) int { return cmp.Compare(mix(a.key, salt), mix(b.key, salt)) }
 	for _, e := range t.entries {
-		if e.State != Dead && e.State != Leaving && accept(e.Member) {
-			out = append(out, e.Member)
+		if e.State == Dead || e.State == Leaving || !accept(e.Member) {
+			continue
 		}
+		i, _ := slices.BinarySearchFunc(list, e, byKey)
+		if list = slices.Insert(list, i, e); len(list) > n {
+			list = list[:n]
+		}
+	}
+	out := make([]Member, 0, len(list))
+	for _, e := range list {
+		out = append(out, e.Member)
 	}
-	seed := strconv.FormatFloat(rnd, 'g', -1, 64)
-	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name+seed), xxhash.Sum64String(b.Name+seed))
-	})
-	return out[:min(n, len(out))]
+	return out
+}
+
+// mix returns a hash of a key and a salt.
+func mix(key, salt uint64) uint64 {
+	// The steps of SplitMix64.
+	x := key ^ salt
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // All returns the daemon itself and all members that are not dead, by name.
@@ -393,13 +439,14 @@
 	return e.Member, true
 }
 
-// Rank returns the position of a name among names by rendezvous hashing for
-// the given key; 0 is the first choice.
-func Rank(key, name string, names []string) int {
-	own := xxhash.Sum64String(key + "\n" + name)
-	rank := 0
-	for _, n := range names {
-		if n != name && xxhash.Sum64String(key+"\n"+n) > own {
+// ZoneRank returns the position of the daemon among the live members of its
+// zone for a task, by rendezvous hashing; 0 is the first choice. Daemons that
+// know different members may disagree.
+func (t *Table) ZoneRank(task string) int {
+	key := xxhash.Sum64String(task + "/" + t.self.Zone)
+	own, rank := mix(xxhash.Sum64String(t.self.Name), key), 0
+	for _, e := range t.entries {
+		if e.Zone == t.self.Zone && e.State.rank() == 0 && e.State != Leaving && mix(e.key, key) > own {
 			rank++
 		}
 	}
