--- a/process/control/control.go
+++ b/process/control/control.go
@@ -254,10 +254,11 @@
 // Stop implements Control.
 func (c *control) Stop() {
 	c.cancel()
+	// The actor ends first: it starts the goroutines that are waited for.
+	_ = c.system.Root.StopFuture(c.pid).Wait()
 	c.wg.Wait()
 	c.peers.Close()
 	c.claimPeers.Close()
-	c.system.Root.Stop(c.pid)
 	c.system.Shutdown()
 }
 
