Retry: price retries by their chance, bound storms along a chain

Cause: a budget of a fixed share multiplies along a chain of calls. Change: the share of requests that need a retry is measured over about 32 requests; a retry costs one over its chance, and the earnings fall once more than 40 percent need one.

--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// maxTokens bounds the retries in a burst. An instance has about 20 slots,
-	// so the crash of one instance loses about as many requests at once.
-	maxTokens = 20
+	// maxTokens bounds the retries in a burst. The requests that a crash of an
+	// instance fails are spread over many entries, and the bursts of the
+	// entries along a chain of calls add up.
+	maxTokens = 10
 	// minRate is what a budget earns per second without requests, so that
 	// calls of an entry with little traffic can be retried.
 	minRate = 0.2
@@ -19,9 +20,19 @@
 	// maxStale bounds the refusals by leaving instances that are repeated in
 	// a burst.
 	maxStale = 100
-	// memory is the time constant of the measured share of requests that need
-	// a retry.
-	memory = 5 * time.Second
+	// fullShare of the requests must need no retry for the full earnings, so
+	// the loss of one of three availability zones does not reduce them. Below
+	// it the earnings fall with the square.
+	fullShare = 0.6
+	// The share of requests that need a retry is measured over about the last
+	// memoryRequests requests, of no more than about memory. A time alone
+	// would be too long for an entry with much traffic: the entries of a chain
+	// would multiply their retries until they notice an outage.
+	memoryRequests = 32
+	memory         = 5 * time.Second
+	// priorRequests are assumed to have succeeded, so that a few failures
+	// after a quiet time do not look like an outage.
+	priorRequests = 4
 )
 
 // Budget is a token bucket of retries. It earns a share of the requests and a
@@ -42,28 +53,33 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	b.requests++
-	// The full share is earned while at most half of the requests need a
-	// retry, and nothing when all do.
-	failing := min(1, b.wanted/b.requests)
-	share := float64(min(max(percent, 0), 100)) / 100 * min(1, 2*(1-failing))
+	b.requests += 1 - b.requests/memoryRequests
+	b.wanted -= b.wanted / memoryRequests
+	share := float64(min(max(percent, 0), 100)) / 100 * min(1, math.Pow((1-b.failing())/fullShare, 2))
 	b.tokens = max(b.tokens, min(maxTokens, b.tokens+share))
 	b.stale = min(maxStale, b.stale+1)
 }
 
-// Take takes a token, and reports whether there was one.
+// Take pays for a retry, and reports whether there were enough tokens.
 func (b *Budget) Take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	b.wanted++
-	if b.tokens < 1 {
+	// The price is one over the chance that the retry succeeds.
+	price := 1 / (1 - b.failing())
+	if b.tokens < price {
 		return false
 	}
-	b.tokens--
+	b.tokens -= price
 	return true
 }
 
+// failing returns the share of requests that need a retry, less than 1.
+func (b *Budget) failing() float64 {
+	return min(b.wanted, b.requests) / (b.requests + priorRequests)
+}
+
 // takeStale takes from the separate allowance for refusals by instances that
 // leave. These refusals cost no upstream any work, and a planned stop must not
 // fail a request because the budget is spent; one repetition per request on
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -2,23 +2,29 @@
 // attempt may take.
 //
 // Next and AttemptDeadline are pure: time and random values are arguments. The
-// Budget bounds the retries of one entry. It earns a share of the requests and
-// earns less when most requests need a retry, because a retry hardly helps in
-// a total outage and would multiply along a chain of calls.
+// Budget bounds the retries of one entry. It earns a share of the requests. When
+// most requests need a retry it earns less and a retry costs more, because a
+// retry hardly helps in an outage, and the retries of the entries along a chain
+// of calls multiply.
 //
 // # Usage
 //
 //	budget.Request(now, preset.RetryPercent)
 //	var attempts []retry.Attempt
-//	for d := retry.Next(&call, nil, &budget, now, rand.Float64()); d.Retry; {
+//	for {
+//		d := retry.Next(&call, attempts, &budget, time.Now(), rand.Float64())
+//		if !d.Retry {
+//			break // answer with the last attempt
+//		}
 //		wait(d.NotBefore)
-//		deadline := retry.AttemptDeadline(&call, len(attempts), now)
-//		attempts = append(attempts, try(&call, deadline)) // another instance each time
-//		d = retry.Next(&call, attempts, &budget, now, rand.Float64())
+//		instance := choose(func(name string) bool { return !retry.Tried(attempts, name) })
+//		deadline := retry.AttemptDeadline(&call, len(attempts), time.Now())
+//		attempts = append(attempts, try(instance, &call, deadline))
 //	}
 package retry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
@@ -47,6 +53,11 @@
 	Instance string
 }
 
+// Tried reports whether one of the attempts went to the instance.
+func Tried(attempts []Attempt, instance string) bool {
+	return slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Instance == instance })
+}
+
 // Decision says whether another attempt is allowed.
 type Decision struct {
 	Retry bool
@@ -110,11 +121,12 @@
 		return false
 	}
 	switch a.Reason {
-	case request.ReasonNoRoute, request.ReasonNoInstance, request.ReasonDeadline,
-		request.ReasonQuarantined, request.ReasonTooLarge, request.ReasonMalformed,
+	case request.ReasonNoRoute, request.ReasonNoInstance, request.ReasonQuarantined,
+		request.ReasonTooLarge, request.ReasonMalformed,
 		request.ReasonKeyInUse, request.ReasonLogOut, request.ReasonKeyExpired,
 		request.ReasonInternalRoute:
-		// Every instance would refuse for the same reason.
+		// Every instance would refuse for the same reason. ReasonDeadline is not
+		// among them: an attempt has less time than the call.
 		return false
 	}
 	return true
