Quarantine: keep completions of late reports, deadlines, grace for requests in use

Cause: the first version kept every completion for ever, derived all quarantines anew at each report, and would have renewed one by an old copy. Change: completions are kept per suspect, and in two bounded generations for reports that arrive later than the completion. The quarantine ends 5 minutes after the second crash, an hour after the third, then 12 and 24 hours. A request that completed within the minute before its first crash is quarantined 3 s after the second, so that completions elsewhere are heard of first. At most 1024 crashes of at most 25 hours are kept.

Merge is commutative and idempotent in 500 drawn orders.

--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -6,15 +6,28 @@
 // may arrive late, crossed or repeatedly.
 //
 // A fingerprint is quarantined that was in flight at two crashes and has not
-// completed anywhere since the first of them. A completion clears it, because
-// a request that completes was only in flight beside the one that crashes.
-// The quarantine ends at a deadline that moves further away with each crash.
+// completed anywhere since the first of them. A completion clears it of the
+// crashes before, because a request that completes was only in flight beside
+// the one that crashes the upstream.
+//
+// A popular request may be in flight at two crashes by chance, and the report of
+// its next completion may be on its way. A request that completed within the
+// minute before its first crash is therefore quarantined only 3 seconds after
+// the second. Any other is quarantined at once.
+//
+// The quarantine ends at a deadline: 5 minutes after the second crash, an hour
+// after the third, 12 hours after the fourth and a day after any further one.
+// A neighbour that was in flight at both crashes by chance, and that could not
+// complete because it is quarantined, is blamed for the first term only.
 //
 // # Usage
 //
 //	var set quarantine.Set
 //	set.Merge(crash)                        // own and received reports
 //	set.Completed(call.Fingerprint(), now)  // after each answer
+//	for _, c := range received.Completions {
+//		set.Completed(c.Fingerprint, c.At)
+//	}
 //	if set.Quarantined(call.Fingerprint()) {
 //		// refuse as notRun
 //	}
@@ -28,23 +41,49 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/version/config"
 )
 
 const (
-	// MaxCrashes is the number of crashes that a Set remembers.
-	MaxCrashes = 256
-	// MaxFingerprints is the number of fingerprints kept of one crash.
-	MaxFingerprints = 4096
-	// KeepCrashes is how long a crash is remembered.
-	KeepCrashes = 24 * time.Hour
-	// MaxAhead bounds how far the time of a report may lie ahead of the own
-	// clock; a report from a host with a wrong clock would never expire.
+	// KeepCrashes is how long a crash is remembered. It is longer than the
+	// longest quarantine, so that the next crash after it counts on.
+	KeepCrashes = 25 * time.Hour
+	// MaxCrashes is the number of crashes that a Set remembers. On an ordinary
+	// day fewer than 30 instances of the whole fleet fail, but a bad version
+	// may crash many.
+	MaxCrashes = 1024
+	// MaxFingerprints bounds the fingerprints of one crash, by the requests
+	// that an instance may have in flight.
+	MaxFingerprints = config.MaxSlots
+	// maxTotal bounds the fingerprints of all remembered crashes.
+	maxTotal = 10 * MaxFingerprints
+	// MaxAhead bounds how far a report may be dated ahead of the own clock. The
+	// report of a host with a wrong clock would never expire.
 	MaxAhead = time.Minute
+	// maxRecent bounds each of two generations of completions that are
+	// remembered before a crash report names their fingerprint. At 260 calls a
+	// second and daemon they cover more than half a minute, which is how late a
+	// report may be without blaming a request that has completed.
+	maxRecent = 8192
+)
+
+const (
+	// knownGood is the time for which a completion before the first crash shows
+	// that a request is in use and does not crash its upstream as a rule.
+	knownGood = time.Minute
+	// grace delays the quarantine of a request that is known good, so that
+	// completions on other hosts are heard of before it is blamed. It covers
+	// the exchange of reports, which takes about two seconds.
+	grace = 3 * time.Second
 )
 
+// terms are the lengths of the quarantine after the second and further crashes.
+var terms = []time.Duration{5 * time.Minute, time.Hour, 12 * time.Hour, 24 * time.Hour}
+
 // Crash is the report of one crash.
 type Crash struct {
-	// ID is unique to the crash.
+	// ID is unique to the crash. All reports of one crash carry the same.
 	ID       string
 	Instance string
 	At       time.Time
@@ -52,7 +91,8 @@
 	Fingerprints []uint64
 }
 
-// Completion says when a fingerprint that was in flight at a crash completed.
+// Completion is the last known completion of a fingerprint that was in flight
+// at a crash.
 type Completion struct {
 	Fingerprint uint64
 	At          time.Time
@@ -61,38 +101,102 @@
 // Set holds merged crash reports. The zero value works. It is safe for
 // concurrent use, and Quarantined takes no lock.
 type Set struct {
-	mu        sync.Mutex
-	crashes   map[string]Crash
-	suspects  map[uint64][]string // ids of the crashes by fingerprint
-	completed map[uint64]time.Time
-	blocked   atomic.Pointer[map[uint64]time.Time]
+	mu       sync.Mutex
+	crashes  map[string]Crash
+	suspects map[uint64]*suspect
+	// recent and older hold completions of fingerprints that are no suspects.
+	recent, older map[uint64]time.Time
+	// now is the latest time given to Expire.
+	now time.Time
+	// pending holds suspects whose quarantine begins after now.
+	pending map[uint64]bool
+	blocked atomic.Pointer[map[uint64]time.Time]
+}
+
+// suspect is a fingerprint that was in flight at a remembered crash.
+type suspect struct {
+	crashes   []incident
+	completed time.Time
 }
 
-// Merge adds a crash report.
+// incident is one crash at which a suspect was in flight.
+type incident struct {
+	id string
+	at time.Time
+}
+
+func (p *suspect) add(c Crash) {
+	for i := range p.crashes {
+		if p.crashes[i].id == c.ID {
+			p.crashes[i].at = c.At
+			return
+		}
+	}
+	p.crashes = append(p.crashes, incident{c.ID, c.At})
+}
+
+// term returns when the quarantine begins and ends. It begins at once if from
+// is zero, and there is none if until is zero.
+func (p *suspect) term() (from, until time.Time) {
+	var at []time.Time
+	for _, c := range p.crashes {
+		if c.at.After(p.completed) {
+			at = append(at, c.at)
+		}
+	}
+	if len(at) < 2 {
+		return from, until
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	if at[0].Sub(p.completed) < knownGood {
+		from = at[1].Add(grace)
+	}
+	return from, at[len(at)-1].Add(terms[min(len(at)-2, len(terms)-1)])
+}
+
+// Merge adds a crash report. A report of a known crash adds what it knew more.
 func (s *Set) Merge(c Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.now.IsZero() && (c.At.After(s.now.Add(MaxAhead)) || c.At.Before(s.now.Add(-KeepCrashes))) {
+		return
+	}
+	old, known := s.crashes[c.ID]
+	if !known {
+		old = c
+	}
+	c = join(old, c)
+	if known && c.At.Equal(old.At) && c.Instance == old.Instance && len(c.Fingerprints) == len(old.Fingerprints) {
+		return
+	}
 	if s.crashes == nil {
 		s.crashes = make(map[string]Crash)
-	}
-	if old, ok := s.crashes[c.ID]; ok {
-		c = join(old, c)
-	} else {
-		c = join(c, c)
+		s.suspects = make(map[uint64]*suspect)
+		s.pending = make(map[uint64]bool)
 	}
 	s.crashes[c.ID] = c
-	s.rebuild()
+	for _, fp := range c.Fingerprints {
+		p := s.suspects[fp]
+		if p == nil {
+			p = &suspect{completed: s.lastCompletion(fp)}
+			s.suspects[fp] = p
+		}
+		p.add(c)
+	}
+	s.bound()
+	s.publish(c.Fingerprints)
 }
 
-// join is the least upper bound of two reports of the same crash.
+// join returns the least upper bound of two reports of one crash: the earlier
+// time, and all fingerprints.
 func join(a, b Crash) Crash {
 	if b.At.Before(a.At) {
 		a.At = b.At
 	}
 	a.Instance = min(a.Instance, b.Instance)
-	fps := slices.Concat(a.Fingerprints, b.Fingerprints)
-	slices.Sort(fps)
-	a.Fingerprints = slices.Compact(fps)
+	a.Fingerprints = slices.Concat(a.Fingerprints, b.Fingerprints)
+	slices.Sort(a.Fingerprints)
+	a.Fingerprints = slices.Compact(a.Fingerprints)
 	if len(a.Fingerprints) > MaxFingerprints {
 		a.Fingerprints = a.Fingerprints[:MaxFingerprints]
 	}
@@ -103,14 +207,17 @@
 func (s *Set) Completed(fingerprint uint64, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.completed == nil {
-		s.completed = make(map[uint64]time.Time)
-	}
-	if at.After(s.completed[fingerprint]) {
-		s.completed[fingerprint] = at
+	p := s.suspects[fingerprint]
+	if p == nil {
+		s.remember(fingerprint, at)
+		return
 	}
-	if _, ok := s.suspects[fingerprint]; ok {
-		s.rebuild()
+	if at.After(p.completed) {
+		p.completed = at
+		_, blocked := s.Until(fingerprint)
+		if blocked || s.pending[fingerprint] {
+			s.publish([]uint64{fingerprint})
+		}
 	}
 }
 
@@ -130,76 +237,119 @@
 	return until, ok
 }
 
-// Crashes returns the remembered crashes, the oldest first.
+// Crashes returns the remembered crashes, the oldest first. The caller must
+// not modify their fingerprints.
 func (s *Set) Crashes() []Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.SortedFunc(maps.Values(s.crashes), compare)
 }
 
-// Completions returns the completions of fingerprints of remembered crashes,
-// for exchange with other hosts.
+// Completions returns the completions of fingerprints that were in flight at
+// remembered crashes, for exchange with other hosts.
 func (s *Set) Completions() []Completion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Completion
-	for fp := range s.suspects {
-		if at, ok := s.completed[fp]; ok {
-			out = append(out, Completion{fp, at})
+	for fp, p := range s.suspects {
+		if !p.completed.IsZero() {
+			out = append(out, Completion{fp, p.completed})
 		}
 	}
 	slices.SortFunc(out, func(a, b Completion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return out
 }
 
-// Expire ends quarantines whose deadline has passed and forgets old crashes.
+// Expire ends the quarantines whose deadline has passed and forgets old
+// crashes.
 func (s *Set) Expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.crashes, func(_ string, c Crash) bool {
-		return c.At.Before(now.Add(-KeepCrashes)) || c.At.After(now.Add(MaxAhead))
-	})
-	s.rebuild()
-	if m := s.blocked.Load(); m != nil {
-		left := maps.Clone(*m)
-		maps.DeleteFunc(left, func(_ uint64, until time.Time) bool { return !now.Before(until) })
-		s.blocked.Store(&left)
+	if now.After(s.now) {
+		s.now = now
+	}
+	for _, c := range s.crashes {
+		if c.At.Before(s.now.Add(-KeepCrashes)) || c.At.After(s.now.Add(MaxAhead)) {
+			s.forget(c)
+		}
+	}
+	s.publish(slices.Collect(maps.Keys(s.pending)))
+}
+
+// bound forgets the oldest crashes beyond the limits.
+func (s *Set) bound() {
+	total := 0
+	for _, c := range s.crashes {
+		total += len(c.Fingerprints)
+	}
+	for len(s.crashes) > MaxCrashes || total > maxTotal {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), compare)
+		total -= len(oldest.Fingerprints)
+		s.forget(oldest)
 	}
 }
 
+// forget removes a crash and what follows from it.
+func (s *Set) forget(c Crash) {
+	delete(s.crashes, c.ID)
+	for _, fp := range c.Fingerprints {
+		p := s.suspects[fp]
+		p.crashes = slices.DeleteFunc(p.crashes, func(i incident) bool { return i.id == c.ID })
+		if len(p.crashes) == 0 {
+			delete(s.suspects, fp)
+			if !p.completed.IsZero() {
+				s.remember(fp, p.completed)
+			}
+		}
+	}
+	s.publish(c.Fingerprints)
+}
+
 func compare(a, b Crash) int {
 	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID))
 }
 
-// rebuild derives the quarantined fingerprints.
-func (s *Set) rebuild() {
-	s.suspects = make(map[uint64][]string)
-	blocked := make(map[uint64]time.Time)
-	list := slices.SortedFunc(maps.Values(s.crashes), compare)
-	for len(list) > MaxCrashes {
-		delete(s.crashes, list[0].ID)
-		list = list[1:]
-	}
-	for _, c := range list {
-		for _, fp := range c.Fingerprints {
-			if c.At.After(s.completed[fp]) {
-				s.suspects[fp] = append(s.suspects[fp], c.ID)
-				if n := len(s.suspects[fp]); n >= 2 {
-					blocked[fp] = c.At.Add(term(n))
-				}
-			} else if s.suspects[fp] == nil {
-				s.suspects[fp] = nil
-			}
+// publish renews the quarantine of the given fingerprints, and drops those
+// whose deadline has passed.
+func (s *Set) publish(fingerprints []uint64) {
+	next := make(map[uint64]time.Time)
+	if m := s.blocked.Load(); m != nil {
+		maps.Copy(next, *m)
+	}
+	for _, fp := range fingerprints {
+		delete(next, fp)
+		delete(s.pending, fp)
+		p := s.suspects[fp]
+		if p == nil {
+			continue
+		}
+		switch from, until := p.term(); {
+		case until.IsZero():
+		case s.now.Before(from):
+			s.pending[fp] = true
+		default:
+			next[fp] = until
 		}
 	}
-	s.blocked.Store(&blocked)
+	maps.DeleteFunc(next, func(_ uint64, until time.Time) bool { return !s.now.Before(until) })
+	s.blocked.Store(&next)
+}
+
+// remember keeps a completion in case that a late crash report names it.
+func (s *Set) remember(fp uint64, at time.Time) {
+	if !at.After(s.lastCompletion(fp)) {
+		return
+	}
+	if len(s.recent) >= maxRecent || s.recent == nil {
+		s.older, s.recent = s.recent, make(map[uint64]time.Time)
+	}
+	s.recent[fp] = at
 }
 
-// term returns how long a fingerprint is quarantined after its n-th crash.
-func term(n int) time.Duration {
-	d := 10 * time.Minute
-	for ; n > 2 && d < KeepCrashes; n-- {
-		d *= 6
+func (s *Set) lastCompletion(fp uint64) time.Time {
+	at := s.recent[fp]
+	if o := s.older[fp]; o.After(at) {
+		return o
 	}
-	return min(d, KeepCrashes)
+	return at
 }
--- /dev/null
+++ b/request/quarantine/quarantine_test.go
@@ -0,0 +1,475 @@
+package quarantine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "write the trace in testdata anew")
+
+const seed = 20261204
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// Property tests draw the same cases in every run.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// event is a line of the trace: a crash or a completion.
+type event struct {
+	At           int64    `json:"at"` // ms
+	Host         int      `json:"host"`
+	Crash        string   `json:"crash,omitempty"`
+	Fingerprints []uint64 `json:"fingerprints,omitempty"`
+	Completed    uint64   `json:"completed,omitempty"`
+}
+
+// Fingerprints of the trace: poison crashes each instance that runs it, those
+// up to popular are sent all the time, those up to common now and then, and the
+// others once, with one repetition if their instance crashed.
+const (
+	poison  = 1
+	popular = 8
+	common  = 200
+)
+
+// generate simulates 8 instances without any quarantine. Instances also crash
+// without a cause within a request.
+func generate(rnd *rand.Rand) (events []event) {
+	type job struct {
+		fp    uint64
+		until int64
+		tries int
+	}
+	const instances = 8
+	var running [instances][]job
+	var down [instances]int64
+	unique := uint64(1000)
+	send := func(now int64, j job) {
+		i := rnd.IntN(instances)
+		for down[i] > now || len(running[i]) >= 20 {
+			i = rnd.IntN(instances)
+		}
+		j.until = now + 20 + rnd.Int64N(80)
+		running[i] = append(running[i], j)
+	}
+	for now := int64(0); now < 16000; now++ {
+		if rnd.Float64() < 0.8 {
+			switch k := rnd.IntN(10); {
+			case k < 4:
+				send(now, job{fp: 2 + rnd.Uint64N(popular-1)})
+			case k < 6:
+				send(now, job{fp: popular + 1 + rnd.Uint64N(common-popular)})
+			default:
+				unique++
+				send(now, job{fp: unique})
+			}
+		}
+		if now%2500 == 2000 {
+			send(now, job{fp: poison})
+		}
+		for i := range instances {
+			crash := now%4000 == 3500 && i == int(now/4000)
+			var left, done []job
+			for _, j := range running[i] {
+				switch {
+				case j.until > now:
+					left = append(left, j)
+				case j.fp == poison:
+					crash = true
+					left = append(left, j)
+				default:
+					done = append(done, j)
+				}
+			}
+			running[i] = left
+			for _, j := range done {
+				events = append(events, event{At: now, Host: i, Completed: j.fp})
+			}
+			if !crash {
+				continue
+			}
+			e := event{At: now, Host: i, Crash: fmt.Sprintf("crash-%d-%d", i, now)}
+			running[i] = nil
+			down[i] = now + 2000
+			for _, j := range left {
+				e.Fingerprints = append(e.Fingerprints, j.fp)
+				if j.tries == 0 {
+					send(now, job{fp: j.fp, tries: 1})
+				}
+			}
+			slices.Sort(e.Fingerprints)
+			e.Fingerprints = slices.Compact(e.Fingerprints)
+			events = append(events, e)
+		}
+	}
+	// Completions of requests that were in flight at no crash are left out to
+	// keep the trace small.
+	var blamed []uint64
+	for _, e := range events {
+		blamed = append(blamed, e.Fingerprints...)
+	}
+	return slices.DeleteFunc(events, func(e event) bool { return e.Crash == "" && !slices.Contains(blamed, e.Completed) })
+}
+
+func readTrace(t *testing.T) (events []event) {
+	t.Helper()
+	const path = "testdata/crashes.jsonl"
+	if *update {
+		var buf bytes.Buffer
+		enc := json.NewEncoder(&buf)
+		for _, e := range generate(rand.New(rand.NewPCG(seed, 1))) {
+			if err := enc.Encode(e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := os.WriteFile(path, buf.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	sc := bufio.NewScanner(f)
+	for sc.Scan() {
+		var e event
+		if err := json.Unmarshal(sc.Bytes(), &e); err != nil {
+			t.Fatal(err)
+		}
+		events = append(events, e)
+	}
+	if err := sc.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
+func (e event) apply(s *Set) {
+	at := epoch.Add(time.Duration(e.At) * time.Millisecond)
+	if e.Crash != "" {
+		s.Merge(Crash{ID: e.Crash, Instance: fmt.Sprint(e.Host), At: at, Fingerprints: e.Fingerprints})
+	} else {
+		s.Completed(e.Completed, at)
+	}
+}
+
+// naive quarantines every fingerprint that it has seen in two crashes.
+type naive map[uint64]map[string]bool
+
+func (n naive) apply(e event) {
+	for _, fp := range e.Fingerprints {
+		if n[fp] == nil {
+			n[fp] = make(map[string]bool)
+		}
+		n[fp][e.Crash] = true
+	}
+}
+
+// delivery is the arrival of a report at the set under test.
+type delivery struct {
+	at int64
+	e  event
+}
+
+// deliver returns the events as host 0 receives them: its own at once, and
+// those of others up to delay milliseconds late, crossed, and some twice.
+func deliver(rnd *rand.Rand, events []event, delay int64) (out []delivery) {
+	for _, e := range events {
+		if e.Host == 0 || delay == 0 {
+			out = append(out, delivery{e.At, e})
+			continue
+		}
+		out = append(out, delivery{e.At + rnd.Int64N(delay), e})
+		if rnd.IntN(3) == 0 {
+			out = append(out, delivery{e.At + rnd.Int64N(3*delay), e})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b delivery) int { return int(a.at - b.at) })
+	return out
+}
+
+// TestReplay guards against a poison request that stays in service after two
+// crashes, and against popular and neighbouring requests that are blamed.
+func TestReplay(t *testing.T) {
+	events := readTrace(t)
+	n := naive{}
+	crashes := 0
+	for _, e := range events {
+		n.apply(e)
+		if e.Crash != "" {
+			crashes++
+		}
+	}
+	blamedNaive, popularNaive := 0, 0
+	for fp, ids := range n {
+		if len(ids) > 1 && fp != poison {
+			blamedNaive++
+			if fp <= popular {
+				popularNaive++
+			}
+		}
+	}
+	if popularNaive == 0 {
+		t.Errorf("naive: %d neighbours blamed, %d of them popular, so the trace proves nothing", blamedNaive, popularNaive)
+	}
+	for _, delay := range []int64{0, 200, 2000} {
+		for run := range uint64(20) {
+			blamed, atEnd := replay(t, events, rand.New(rand.NewPCG(run, uint64(delay))), delay)
+			popularEver := 0
+			for fp := range blamed {
+				if fp <= popular {
+					popularEver++
+				}
+			}
+			if run == 0 {
+				t.Logf("delay up to %d ms, %d crashes: own blamed %d neighbours (%d popular), %d to the end, naive %d (%d popular)",
+					delay, crashes, len(blamed), popularEver, atEnd, blamedNaive, popularNaive)
+			}
+			if popularEver > 0 || atEnd >= blamedNaive {
+				t.Errorf("delay up to %d ms, run %d: %d popular requests were blamed and %d neighbours stay so, want none and less than the naive %d",
+					delay, run, popularEver, atEnd, blamedNaive)
+			}
+		}
+	}
+}
+
+// replay delivers the events to a set. It returns the fingerprints but the
+// poison that were quarantined at any time, and the number of those that still
+// are.
+func replay(t *testing.T, events []event, rnd *rand.Rand, delay int64) (blamed map[uint64]bool, atEnd int) {
+	t.Helper()
+	var s Set
+	poisonCrashes := map[string]bool{}
+	blamed = map[uint64]bool{}
+	tick := int64(0)
+	for _, d := range deliver(rnd, events, delay) {
+		for ; tick <= d.at; tick += 1000 {
+			s.Expire(epoch.Add(time.Duration(tick) * time.Millisecond))
+			s.collect(blamed)
+		}
+		d.e.apply(&s)
+		s.collect(blamed)
+		if slices.Contains(d.e.Fingerprints, poison) {
+			poisonCrashes[d.e.Crash] = true
+		}
+		if got, want := s.Quarantined(poison), len(poisonCrashes) >= 2; got != want {
+			t.Fatalf("delay up to %d ms: after %d crashes at %d ms: got quarantined %v, want %v", delay, len(poisonCrashes), d.at, got, want)
+		}
+	}
+	delete(blamed, poison)
+	for fp := range blamed {
+		got, want := s.Quarantined(fp), specified(events, fp)
+		if got != want {
+			t.Errorf("delay up to %d ms: fingerprint %d: got quarantined %v, want %v", delay, fp, got, want)
+		}
+		if got {
+			atEnd++
+		}
+	}
+	return blamed, atEnd
+}
+
+// collect adds the quarantined fingerprints to ever.
+func (s *Set) collect(ever map[uint64]bool) {
+	if m := s.blocked.Load(); m != nil {
+		for fp := range *m {
+			ever[fp] = true
+		}
+	}
+}
+
+// specified restates the rule over a whole trace: in flight at two crashes and
+// not completed since the first of them.
+func specified(events []event, fp uint64) bool {
+	crashes := 0
+	for _, e := range events {
+		if e.Completed == fp {
+			crashes = 0
+		}
+		if slices.Contains(e.Fingerprints, fp) {
+			crashes++
+		}
+	}
+	return crashes >= 2
+}
+
+// TestOrder guards against a result that depends on the order of reports, on
+// repetitions, or on reports that name only some of the requests in flight.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var events []event
+		for i := range rapid.IntRange(1, 12).Draw(t, "events") {
+			e := event{At: int64(1000 + 10*rapid.IntRange(0, 6).Draw(t, "at"))}
+			if rapid.Bool().Draw(t, "crash") {
+				// Two reports of the same crash may differ in the clock and in
+				// what they name.
+				e.Crash = fmt.Sprint(i / 2)
+				e.Fingerprints = rapid.SliceOfNDistinct(rapid.Uint64Range(1, 5), 1, 4, rapid.ID).Draw(t, "fingerprints")
+			} else {
+				e.Completed = rapid.Uint64Range(1, 5).Draw(t, "completed")
+			}
+			events = append(events, e)
+		}
+		var a, b Set
+		for _, e := range events {
+			e.apply(&a)
+		}
+		for _, i := range rapid.Permutation(seq(len(events))).Draw(t, "order") {
+			events[i].apply(&b)
+		}
+		for _, i := range rapid.SliceOf(rapid.IntRange(0, len(events)-1)).Draw(t, "again") {
+			events[i].apply(&b)
+		}
+		if got, want := b.Crashes(), a.Crashes(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got crashes %v, want %v", got, want)
+		}
+		if got, want := b.Completions(), a.Completions(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got completions %v, want %v", got, want)
+		}
+		for fp := range uint64(6) {
+			got, _ := b.Until(fp)
+			if want, _ := a.Until(fp); !got.Equal(want) {
+				t.Fatalf("fingerprint %d: got quarantine until %v, want %v", fp, got, want)
+			}
+		}
+	})
+}
+
+func seq(n int) (out []int) {
+	for i := range n {
+		out = append(out, i)
+	}
+	return out
+}
+
+// TestKnownGood guards against a request in use that is blamed because the
+// report of its completion arrives after those of two crashes, and against a
+// request that is never blamed because it once completed.
+func TestKnownGood(t *testing.T) {
+	const inUse, turned = 2, 3
+	var s Set
+	at := func(d time.Duration) time.Time { return epoch.Add(d) }
+	check := func(when string, want ...uint64) {
+		t.Helper()
+		for _, fp := range []uint64{poison, inUse, turned} {
+			if got := s.Quarantined(fp); got != slices.Contains(want, fp) {
+				t.Errorf("%s: fingerprint %d: got quarantined %v", when, fp, got)
+			}
+		}
+	}
+	s.Completed(inUse, at(0))
+	s.Completed(turned, at(0))
+	s.Expire(at(5 * time.Second))
+	for i, d := range []time.Duration{5 * time.Second, 5050 * time.Millisecond} {
+		s.Merge(Crash{ID: fmt.Sprint(i), At: at(d), Fingerprints: []uint64{poison, inUse, turned}})
+	}
+	check("after two crashes", poison)
+	s.Expire(at(7 * time.Second))
+	s.Completed(inUse, at(5100*time.Millisecond))
+	check("before the end of the grace period", poison)
+	s.Expire(at(8050 * time.Millisecond))
+	check("after the grace period", poison, turned)
+}
+
+// TestDeadline guards against a quarantine without an end, against one that a
+// late copy of an old report renews, and against further crashes that do not
+// lengthen it.
+func TestDeadline(t *testing.T) {
+	var s Set
+	now := epoch
+	var copies []Crash
+	crash := func() {
+		c := Crash{ID: fmt.Sprint(len(copies)), At: now, Fingerprints: []uint64{poison}}
+		copies = append(copies, c)
+		s.Merge(c)
+	}
+	crash()
+	for _, want := range []time.Duration{5 * time.Minute, time.Hour, 12 * time.Hour} {
+		crash()
+		s.Expire(now.Add(want - time.Millisecond))
+		if until, ok := s.Until(poison); !ok || !until.Equal(now.Add(want)) {
+			t.Fatalf("after crash %d: got until %v, %v, want %v", len(copies), until, ok, now.Add(want))
+		}
+		now = now.Add(want)
+		s.Expire(now)
+		for _, c := range copies {
+			s.Merge(c)
+		}
+		if s.Quarantined(poison) {
+			t.Fatalf("after crash %d: still quarantined at the deadline", len(copies))
+		}
+	}
+	s.Expire(now.Add(KeepCrashes + time.Millisecond))
+	if got := s.Crashes(); len(got) > 0 {
+		t.Errorf("got %d crashes after %v, want none", len(got), KeepCrashes)
+	}
+	s.Merge(Crash{ID: "wrong clock", At: now.Add(1000 * time.Hour), Fingerprints: []uint64{poison}})
+	if got := s.Crashes(); len(got) > 0 {
+		t.Errorf("got a crash of the future: %v", got)
+	}
+}
+
+// TestBound guards against memory that grows with the number of crashes and of
+// distinct requests, and against bounds that keep other crashes on each host.
+func TestBound(t *testing.T) {
+	var a, b Set
+	var list []Crash
+	for i := range MaxCrashes + 256 {
+		list = append(list, Crash{ID: fmt.Sprint(i), At: epoch.Add(time.Duration(i*7919%4096) * time.Second), Fingerprints: []uint64{uint64(i), poison}})
+	}
+	for i := range list {
+		a.Merge(list[i])
+		b.Merge(list[len(list)-1-i])
+		a.Completed(uint64(1_000_000+i), epoch)
+	}
+	if got, want := a.Crashes(), b.Crashes(); len(got) != MaxCrashes || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %d and %d crashes, want the same %d", len(got), len(want), MaxCrashes)
+	}
+	if n := len(a.suspects); n > MaxCrashes+1 {
+		t.Errorf("got %d suspects, want at most %d", n, MaxCrashes+1)
+	}
+	for i := range 5 * maxRecent {
+		a.Completed(uint64(2_000_000+i), epoch)
+	}
+	if n := len(a.recent) + len(a.older); n > 2*maxRecent {
+		t.Errorf("got %d completions, want at most %d", n, 2*maxRecent)
+	}
+}
+
+func BenchmarkCompleted(b *testing.B) {
+	var s Set
+	at := epoch
+	for i := uint64(0); b.Loop(); i++ {
+		at = at.Add(time.Millisecond)
+		s.Completed(i, at)
+	}
+}
+
+func BenchmarkQuarantined(b *testing.B) {
+	var s Set
+	s.Merge(Crash{ID: "1", At: epoch, Fingerprints: []uint64{poison}})
+	s.Merge(Crash{ID: "2", At: epoch, Fingerprints: []uint64{poison}})
+	for i := uint64(0); b.Loop(); i++ {
+		s.Quarantined(i & 1)
+	}
+}
