Admission: judge answers that expired by their age

Cause: reported as failures, requests of callers with very short deadlines would make the limit fall back, and left out, a silent upstream would go unseen. Change: Result.Expired counts as slow if the time passed is far above the baseline and says nothing otherwise. Seen to fail first: expired answers counted as bad (limit 2 after short deadlines, want 8), and ignored (limit 8 with a silent upstream, want 2). Conclusion: the host can report every end of a request.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -62,8 +62,13 @@
 type Result struct {
 	// Took is the time from handing the request over to the answer.
 	Took time.Duration
-	// Failed means that there was no answer or a server error.
+	// Failed means that the connection was lost or the answer was a server
+	// error.
 	Failed bool
+	// Expired means that the deadline passed without an answer after Took. It
+	// counts as slow if Took is far above the baseline, and says nothing
+	// otherwise: a caller with a very short deadline is no sign of overload.
+	Expired bool
 	// Shed means that the upstream refused the request for overload.
 	Shed bool
 	// Route names the route, which has its own latency baseline; empty means
@@ -194,7 +199,8 @@
 	l.dispatch(now)
 }
 
-// Cancel gives up a queued request, or a granted one that was not sent.
+// Cancel gives up a queued request, or a granted one that says nothing about
+// the upstream, because it was not sent or its caller went away.
 func (l *Limiter) Cancel(now time.Time, t Ticket) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -210,6 +210,30 @@
 	wantLimit("after answers above 8 times the baseline", 2)
 }
 
+// TestExpired guards against callers with very short deadlines that make the
+// limit fall back, and against a silent upstream that goes unseen.
+func TestExpired(t *testing.T) {
+	var l Limiter
+	l.SetLimits(Limits{8, 2})
+	now := epoch
+	answers := func(n int, r Result) {
+		for range n {
+			d := l.Admit(now, "stock", nil, now.Add(time.Minute))
+			now = now.Add(10 * time.Millisecond)
+			l.Done(now, d.Ticket, r)
+		}
+	}
+	answers(2000, Result{Took: 20 * time.Millisecond})
+	answers(200, Result{Took: 10 * time.Millisecond, Expired: true})
+	if _, _, got, _ := l.Load(); got != 8 {
+		t.Errorf("after short deadlines: got limit %d, want 8", got)
+	}
+	answers(window, Result{Took: 500 * time.Millisecond, Expired: true})
+	if _, _, got, _ := l.Load(); got != 2 {
+		t.Errorf("with a silent upstream: got limit %d, want 2", got)
+	}
+}
+
 // TestNoStarvation guards against a low class that is never served while a
 // higher class saturates the instance.
 func TestNoStarvation(t *testing.T) {
--- a/request/admission/signal.go
+++ b/request/admission/signal.go
@@ -177,11 +177,17 @@
 		return stepNone
 	}
 	rt := s.route(r.Route, now)
-	bad := r.Failed || r.Shed
-	if !bad {
-		bad = s.learn(now, rt, e, math.Log(max(r.Took, time.Microsecond).Seconds()), limits)
+	x := math.Log(max(r.Took, time.Microsecond).Seconds())
+	failed := r.Failed || r.Shed
+	bad := failed || s.isSlow(rt, x)
+	switch {
+	case failed:
+	case !r.Expired:
+		s.learn(now, rt, e, x, limits)
+	case !bad:
+		return stepNone
 	}
-	a := answer{now, bad, r.Failed || r.Shed}
+	a := answer{now, bad, failed}
 	s.remember(a)
 	rt.recent[rt.n%routeWindow] = a
 	rt.n++
@@ -196,7 +202,7 @@
 	switch {
 	case r.Shed:
 		s.sheds++
-	case r.Failed:
+	case r.Failed || r.Expired:
 		s.failures++
 	default:
 		s.successes++
@@ -204,14 +210,22 @@
 	return s.endRound(now, limit, limits)
 }
 
-// learn updates the baselines with a latency in logarithmic seconds, and
-// reports whether the answer was slow.
-func (s *signal) learn(now time.Time, rt *route, e *entry, x float64, limits Limits) (slow bool) {
+// isSlow reports whether a latency in logarithmic seconds is far above the
+// baseline. A cold upstream may be slow even at ColdSlots, so in a ramp it must
+// be far above both baselines.
+func (s *signal) isSlow(rt *route, x float64) bool {
+	if !s.cold {
+		return rt.base.isSlow(x)
+	}
+	return (rt.base.isSlow(x) || rt.base.n == 0) && rt.ramp.isSlow(x-s.warmed)
+}
+
+// learn updates the baselines with a latency in logarithmic seconds.
+func (s *signal) learn(now time.Time, rt *route, e *entry, x float64, limits Limits) {
 	if !s.cold {
-		slow = rt.base.isSlow(x)
 		rt.base.add(now, x, false)
 		s.addRatio(rt, x-rt.base.median.value)
-		return slow
+		return
 	}
 	if e.load <= limits.ColdSlots {
 		rt.ramp.add(now, x, true)
@@ -219,9 +233,6 @@
 	if rt.ramp.n > 0 {
 		s.addRatio(rt, x-rt.ramp.median.value-s.warmed)
 	}
-	// A cold upstream may be slow even at ColdSlots, so an answer is slow only
-	// against both baselines.
-	return (rt.base.isSlow(x) || rt.base.n == 0) && rt.ramp.isSlow(x-s.warmed)
 }
 
 func (s *signal) addRatio(rt *route, x float64) {
