Tell the limiter of expired and cancelled calls apart

Cause: a caller that went away, or one with a very short deadline, counted as a failure of the upstream. Change: both are reported for what they are; exchanges carry a bounded number of crash reports, the newest first.

--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -21,6 +21,10 @@
 	// exchangedWindows is the number of windows of counters that a periodic
 	// exchange carries.
 	exchangedWindows = 3
+	// exchangedFingerprints bounds the fingerprints of crashes, the newest
+	// first, and of completions in a periodic exchange. Each takes about ten
+	// bytes; a report is forwarded to all daemons when it is new.
+	exchangedFingerprints = 128
 	// appendersPerZone is the number of daemons of a zone that append the end
 	// of a move. The fold ignores repeated ids.
 	appendersPerZone = 1
@@ -226,11 +230,17 @@
 
 func (d *decisions) wireCrashes() ([]*wirev1.Crash, []*wirev1.Completion) {
 	var crashes []*wirev1.Crash
-	for _, cr := range d.crashes.Crashes() {
-		crashes = append(crashes, crashToWire(cr))
+	known := d.crashes.Crashes()
+	budget := exchangedFingerprints
+	for i := len(known) - 1; i >= 0 && budget > 0; i-- {
+		budget -= 1 + len(known[i].Fingerprints)
+		crashes = append(crashes, crashToWire(known[i]))
 	}
 	var done []*wirev1.Completion
 	for _, cp := range d.crashes.Completions() {
+		if len(done) == exchangedFingerprints {
+			break
+		}
 		done = append(done, &wirev1.Completion{Fingerprint: cp.Fingerprint, AtUnixNano: cp.At.UnixNano()})
 	}
 	return crashes, done
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -220,14 +220,20 @@
 	start := time.Now()
 	result := admission.Result{Route: call.Route}
 	load := h.load()
-	lost := false
+	lost, cancelled := false, false
 	var connected atomic.Bool
 	h.observer.Started(call)
 	streaming := false
 	finish := func() {
-		result.Took = time.Since(start)
-		h.limiter.Done(time.Now(), ticket, result)
-		h.observer.Finished(call, result.Took, result.Failed, lost, h.warmup.excludes(time.Now(), load, result))
+		now := time.Now()
+		result.Took = now.Sub(start)
+		if cancelled {
+			// A caller that went away says nothing about the upstream.
+			h.limiter.Cancel(now, ticket)
+		} else {
+			h.limiter.Done(now, ticket, result)
+		}
+		h.observer.Finished(call, result.Took, result.Failed || result.Expired, lost, cancelled || h.warmup.excludes(now, load, result))
 	}
 	defer func() {
 		if !streaming {
@@ -253,7 +259,10 @@
 	}
 	res, err := tr.RoundTrip(req)
 	if err != nil {
-		result.Failed, lost = true, connected.Load() && !errors.Is(err, context.Canceled)
+		result.Expired = errors.Is(ctx.Err(), context.DeadlineExceeded)
+		cancelled = errors.Is(ctx.Err(), context.Canceled)
+		result.Failed = !result.Expired && !cancelled
+		lost = result.Failed && connected.Load()
 		return nil, h.lostCall(ctx, call, tgt, err, connected.Load())
 	}
 	if got := res.Header.Get(request.HeaderUpstreamRequest); got != call.ID {
--- a/request/host/warmup.go
+++ b/request/host/warmup.go
@@ -50,5 +50,5 @@
 		// cold start has a fault.
 		return !cold
 	}
-	return cold && !r.Failed && now.Before(w.until)
+	return cold && !r.Failed && !r.Expired && now.Before(w.until)
 }
