Clear a fingerprint only when its request was answered

Cause: a call that expired or was cancelled counted as completed, which would have cleared a request that hangs and then crashes its upstream. Conclusion: by reading.

--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -69,22 +69,22 @@
 }
 
 // Finished implements host.Observer.
-func (r *Recorder) Finished(call *request.Call, took time.Duration, failed, lost, excluded bool) {
+func (r *Recorder) Finished(call *request.Call, s request.Sample) {
 	fp, now := call.Fingerprint(), time.Now()
 	snap := r.control.view.Load()
 	r.mu.Lock()
 	if r.inFlight[fp]--; r.inFlight[fp] <= 0 {
 		delete(r.inFlight, fp)
 	}
-	examine := lost && !r.gathering
-	if lost {
+	examine := s.Lost && !r.gathering
+	if s.Lost {
 		r.lost = append(r.lost, lostCall{fingerprint: fp, route: call.Route})
 		r.gathering = true
 	} else {
-		r.count(snap, call.Route, now, took, failed, excluded)
+		r.count(snap, call.Route, now, s.Took, s.Failed, s.Excluded)
 	}
 	r.mu.Unlock()
-	if !lost {
+	if s.Answered {
 		snap.crashes.Completed(fp, now)
 	}
 	if examine {
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -62,9 +62,8 @@
 type Observer interface {
 	// Started is told a call's fingerprint before it is handed over.
 	Started(call *request.Call)
-	// Finished is told the result; lost means that the connection broke, and
-	// excluded that the sample says nothing about the upstream's version.
-	Finished(call *request.Call, took time.Duration, failed, lost, excluded bool)
+	// Finished is told the result.
+	Finished(call *request.Call, s request.Sample)
 }
 
 // Option configures a Host.
@@ -233,7 +232,10 @@
 		} else {
 			h.limiter.Done(now, ticket, result)
 		}
-		h.observer.Finished(call, result.Took, result.Failed || result.Expired, lost, cancelled || h.warmup.excludes(now, load, result))
+		h.observer.Finished(call, request.Sample{
+			Took: result.Took, Failed: result.Failed || result.Expired, Lost: lost, Answered: ans != nil,
+			Excluded: cancelled || h.warmup.excludes(now, load, result),
+		})
 	}
 	defer func() {
 		if !streaming {
@@ -356,5 +358,5 @@
 
 type noObserver struct{}
 
-func (noObserver) Started(*request.Call)                                   {}
-func (noObserver) Finished(*request.Call, time.Duration, bool, bool, bool) {}
+func (noObserver) Started(*request.Call)                  {}
+func (noObserver) Finished(*request.Call, request.Sample) {}
--- a/request/request.go
+++ b/request/request.go
@@ -160,6 +160,19 @@
 	State    string
 }
 
+// Sample is what one call that was handed over said of the upstream.
+type Sample struct {
+	Took time.Duration
+	// Failed means a server error, no answer, or a broken connection.
+	Failed bool
+	// Lost means that the connection broke before the answer was complete.
+	Lost bool
+	// Answered means that the upstream gave a complete answer.
+	Answered bool
+	// Excluded means that the sample says nothing about the upstream's version.
+	Excluded bool
+}
+
 // Answer is the answer of an upstream.
 type Answer struct {
 	Status int
