request/claim: prove at most one run per key, keep folds consistent

Cause: a fold that starts after records have expired could take a losing claim for the winner, or free a key at the second copy of a release whose first copy it had not seen.

Change: claims and releases count only if the fold has seen all records since the base of their batch; otherwise the key is in doubt and taken. A finish does not end the doubt. Carries count only directly after their base. A fold without the beginning of the stream grants nothing until a batch states that it covers all live keys, or their lifetime has ended. A claim that looks taken is answered after a read. Entries have no pointers.

--- a/request/claim/fake_test.go
+++ b/request/claim/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/connection/platform"
@@ -18,7 +19,13 @@
 	retainRecords int
 	retainAge     time.Duration
 	outages       []span
-	// perAppend is the time that the log is busy with one append.
+	all           []platform.Entry // with the expired ones
+	rate          *rate            // shared by the streams of one log; nil is unlimited
+}
+
+// rate makes appends wait for their turn at a number of appends a second.
+type rate struct {
+	mu        sync.Mutex
 	perAppend time.Duration
 	busyUntil time.Time
 }
@@ -48,7 +55,7 @@
 	faults []fault       // of the appends in turn
 	lag    time.Duration // of late appends
 	pauses []span        // in which the process of the writer stands still
-	n      int
+	n      atomic.Int64
 }
 
 func (l *fakeLog) expire() {
@@ -70,7 +77,8 @@
 	defer l.mu.Unlock()
 	l.expire()
 	offset := l.first + int64(len(l.records))
-	l.records = append(l.records, platform.Entry{Offset: offset, At: time.Now(), Data: data})
+	e := platform.Entry{Offset: offset, At: time.Now(), Data: data}
+	l.records, l.all = append(l.records, e), append(l.all, e)
 	l.expire()
 	return offset
 }
@@ -84,15 +92,17 @@
 	return span{}, false
 }
 
-// busy waits for the log's turn at its rate of appends.
-func (l *fakeLog) busy() {
-	l.mu.Lock()
-	if now := time.Now(); l.busyUntil.Before(now) {
-		l.busyUntil = now
+func (r *rate) wait() {
+	if r == nil {
+		return
 	}
-	l.busyUntil = l.busyUntil.Add(l.perAppend)
-	until := l.busyUntil
-	l.mu.Unlock()
+	r.mu.Lock()
+	if now := time.Now(); r.busyUntil.Before(now) {
+		r.busyUntil = now
+	}
+	r.busyUntil = r.busyUntil.Add(r.perAppend)
+	until := r.busyUntil
+	r.mu.Unlock()
 	time.Sleep(time.Until(until))
 }
 
@@ -109,8 +119,7 @@
 	defer l.stand()
 	f := none
 	if len(l.faults) > 0 {
-		f = l.faults[l.n%len(l.faults)]
-		l.n++
+		f = l.faults[int(l.n.Add(1))%len(l.faults)]
 	}
 	time.Sleep(l.delay)
 	if s, out := l.outage(); out {
@@ -129,7 +138,7 @@
 		time.AfterFunc(l.lag, func() { l.append(data) })
 		return 0, platform.ErrUnknown
 	}
-	l.busy()
+	l.rate.wait()
 	offset := l.append(data)
 	time.Sleep(l.delay)
 	if f == lost {
--- a/request/claim/fold.go
+++ b/request/claim/fold.go
@@ -12,11 +12,19 @@
 // append can act, and with it the number of batch ids that a fold remembers.
 const Window = 1024
 
-// DefaultBodyLimit bounds the stored bodies in the memory of one shard, in
-// bytes. A daemon that owns all shards holds 64 MiB of bodies, half of the
-// memory that a daemon may use.
+// DefaultBodyLimit bounds the memory of one shard for stored bodies, in bytes. A
+// daemon that owns all shards holds 64 MiB of bodies, half of the memory that a
+// daemon may use.
 const DefaultBodyLimit = 4 << 20
 
+// storedOverhead is about the memory of a stored answer beside its body, in
+// bytes: a slot in the map, which may be half empty, and its place in the order.
+const storedOverhead = 256
+
+// maxSkew is added to the lifetime of claims that a fold has not seen. It covers
+// the rounding of deadlines and the skew between the clocks of log and daemons.
+const maxSkew = 5 * time.Second
+
 // A batch of carries holds at most carryItems keys, and about carryBytes of
 // bodies, so that it does not delay the claims behind it for long.
 const (
@@ -106,14 +114,16 @@
 	finished
 )
 
-// entry is the state of one key. The field types keep it at 40 bytes.
+// entry is the state of one key. It has 32 bytes and no pointers, so that the
+// garbage collector does not scan the map of keys.
 type entry struct {
 	claim  Hash
 	offset int64 // of the claim or the last carry
-	stored *Stored
 	// deadline is the end of the lifetime in Unix seconds, rounded up.
 	deadline uint32
+	code     uint16 // HTTP status of the answer
 	status   status
+	cut      bool // the answer had a body, which is not in memory
 }
 
 // mark is the place of a batch on the stream.
@@ -128,13 +138,13 @@
 //
 // A fold may start after the beginning of the stream, when earlier records have
 // expired. It may then miss claims, and it must not take a losing claim for the
-// winner. Two rules keep it from that. A claim counts as won only if the fold
-// has seen all records since the base of its batch, where the writer found the
-// key free; otherwise the key is in doubt and taken until its deadline. And
-// Complete tells whether every live key has been seen.
+// winner. Two rules keep it from that. Claims and releases count only if the
+// fold has seen all records since the base of their batch, where the writer
+// found the claimed keys free; otherwise the key is in doubt and taken until its
+// deadline. And Complete tells whether every live key has been seen.
 type Fold struct {
-	// BodyLimit bounds the stored bodies in bytes; zero means DefaultBodyLimit.
-	// Beyond it the oldest bodies are dropped and marked as truncated.
+	// BodyLimit bounds the memory for stored bodies in bytes; zero means
+	// DefaultBodyLimit. Beyond it the oldest are dropped and marked as truncated.
 	BodyLimit int
 
 	start   int64 // offsets before it were not seen; zero means 1
@@ -146,13 +156,17 @@
 	keys    map[Hash]entry
 	batches map[Hash]int64
 	recent  []mark
-	bodies  []Hash
-	size    int // of the stored bodies
-	applied int // items since the last sweep
+	stored  map[Hash]Stored // answers with a body
+	kept    []Hash          // the keys of stored, oldest first; may repeat
+	size    int             // of stored, in bytes
+	applied int             // items since the last sweep
 }
 
-// NewFold returns a fold that starts at an offset, with nothing before it.
-func NewFold(first int64) *Fold { return &Fold{start: first, offset: first - 1} }
+// NewFold returns a fold that starts at an offset, which was the oldest that the
+// log retained at the given time.
+func NewFold(first int64, at time.Time) *Fold {
+	return &Fold{start: first, startAt: at, offset: first - 1}
+}
 
 // Offset returns the offset of the last folded record.
 func (f *Fold) Offset() int64 { return f.offset }
@@ -161,13 +175,13 @@
 func (f *Fold) Len() int { return len(f.keys) }
 
 // Complete tells whether the fold has seen every live key of the stream, given
-// the longest lifetime of a key.
-func (f *Fold) Complete(lifetime time.Duration) bool {
+// the longest lifetime of a key: from its beginning, or by a statement in a
+// batch, or because the lifetime of all that came before its start has ended.
+func (f *Fold) Complete(now time.Time, lifetime time.Duration) bool {
 	if f.newer {
 		return false
 	}
-	return f.start <= 1 || f.covered >= f.start ||
-		!f.startAt.IsZero() && !f.now.Before(f.startAt.Add(lifetime))
+	return f.start <= 1 || f.covered >= f.start || !now.Before(f.startAt.Add(lifetime+maxSkew))
 }
 
 // Apply folds one record. Records are folded in the order of their offsets.
@@ -179,21 +193,28 @@
 		return Outcome{Effect: Gap}
 	}
 	f.offset = offset
-	if f.startAt.IsZero() {
+	if f.offset == f.start && at.Before(f.startAt) {
 		f.startAt = at
 	}
 	if at.After(f.now) {
 		f.now = at
 	}
 	var b Batch
-	if err := json.Unmarshal(data, &b); err != nil {
-		return Outcome{Effect: Skipped}
+	err := json.Unmarshal(data, &b)
+	if err != nil { // a newer format may have other types
+		var header struct{ Format int }
+		_ = json.Unmarshal(data, &header)
+		b = Batch{Format: header.Format}
 	}
 	out = Outcome{Offset: offset, ID: b.ID}
-	if b.Format > Format {
+	switch {
+	case b.Format > Format:
 		f.newer = true
 		out.Effect = Newer
 		return out
+	case err != nil:
+		out.Effect = Skipped
+		return out
 	}
 	if offset-b.Base > Window || b.Base >= offset {
 		out.Effect = Stale
@@ -228,6 +249,8 @@
 // item applies one item.
 func (f *Fold) item(b *Batch, it *Item) Effect {
 	e, held := f.live(it.Key)
+	// Records between the base and this batch came before the fold's start.
+	unseen := b.Base < f.start-1
 	switch it.Kind {
 	case KindClaim:
 		deadline := unixCeil(it.Deadline)
@@ -242,10 +265,11 @@
 			return Lost
 		}
 		e = entry{claim: it.Claim, offset: f.offset, deadline: deadline}
-		if b.Base < f.start-1 {
+		if unseen {
 			e.status = doubt
 		}
-		f.put(it.Key, e)
+		f.forget(it.Key) // of a lifetime that has ended
+		f.keys[it.Key] = e
 		if e.status == doubt {
 			return Doubtful
 		}
@@ -254,16 +278,27 @@
 		if !held || e.status != claimed || e.claim != it.Claim {
 			return Lost
 		}
+		if unseen {
+			// The batch may be the second copy of one that released before the
+			// claim, without effect.
+			e.status = doubt
+			f.keys[it.Key] = e
+			return Doubtful
+		}
 		delete(f.keys, it.Key)
 		return Applied
 	case KindDone:
-		// Only the holder of a grant finishes, so in doubt it names the holder.
-		if !held || it.Stored == nil || e.status == finished || e.status == claimed && e.claim != it.Claim {
+		switch {
+		case held && e.status == doubt:
+			// The answer may be that of a claim whose lifetime ended before the
+			// present holder claimed the key.
+			return Doubtful
+		case !held || it.Stored == nil || e.status == finished || e.claim != it.Claim:
 			return Lost
 		}
-		e.claim, e.status = it.Claim, finished
+		e.status = finished
 		f.keep(it.Key, &e, it.Stored)
-		f.put(it.Key, e)
+		f.keys[it.Key] = e
 		return Applied
 	case KindCarry:
 		if b.Base != f.offset-1 {
@@ -284,9 +319,10 @@
 		return Lost // this fold knows more, and carries the key itself
 	case it.Doubtful:
 		e.status, e.deadline = doubt, max(e.deadline, deadline)
-	case held && e.status == finished:
+	case held && e.status == finished && e.claim == it.Claim:
 		e.deadline = deadline
 	default:
+		f.forget(it.Key)
 		e = entry{claim: it.Claim, deadline: deadline}
 		if it.Stored != nil {
 			e.status = finished
@@ -294,7 +330,7 @@
 		}
 	}
 	e.offset = f.offset
-	f.put(it.Key, e)
+	f.keys[it.Key] = e
 	return Applied
 }
 
@@ -307,20 +343,12 @@
 	return e, true
 }
 
-// put sets the entry of a key; an entry whose lifetime has ended gives up its
-// body first.
-func (f *Fold) put(key Hash, e entry) {
-	if old, ok := f.keys[key]; ok && old.stored != e.stored {
-		f.drop(key)
-	}
-	f.keys[key] = e
-}
-
 func (f *Fold) ended(e entry) bool { return f.now.Unix() >= int64(e.deadline) }
 
 // keep stores an answer within the limit of bodies.
 func (f *Fold) keep(key Hash, e *entry, s *Stored) {
-	e.stored = s
+	f.forget(key)
+	e.code, e.cut = uint16(s.Status), s.Truncated
 	if len(s.Body) == 0 {
 		return
 	}
@@ -328,24 +356,44 @@
 	if limit == 0 {
 		limit = DefaultBodyLimit
 	}
-	f.size += len(s.Body)
-	f.bodies = append(f.bodies, key)
-	for f.size > limit && len(f.bodies) > 1 {
-		f.drop(f.bodies[0])
-		f.bodies = f.bodies[1:]
+	if f.stored == nil {
+		f.stored = make(map[Hash]Stored)
+	}
+	f.stored[key] = *s
+	f.size += s.memory()
+	f.kept = append(f.kept, key)
+	for f.size > limit && len(f.kept) > 1 {
+		oldest := f.kept[0]
+		f.kept = f.kept[1:]
+		if old, ok := f.keys[oldest]; ok && f.forget(oldest) {
+			old.cut = true
+			f.keys[oldest] = old
+		}
+	}
+	if _, ok := f.stored[key]; !ok {
+		e.cut = true
 	}
 }
 
-// drop forgets the body of a key. The answer is replaced, because it may be in
-// the hands of a requester.
-func (f *Fold) drop(key Hash) {
-	e := f.keys[key]
-	if e.stored == nil || len(e.stored.Body) == 0 {
-		return
+// forget drops the body of a key and tells whether there was one.
+func (f *Fold) forget(key Hash) bool {
+	s, ok := f.stored[key]
+	if ok {
+		f.size -= s.memory()
+		delete(f.stored, key)
 	}
-	f.size -= len(e.stored.Body)
-	e.stored = &Stored{Status: e.stored.Status, ContentType: e.stored.ContentType, Truncated: true}
-	f.keys[key] = e
+	return ok
+}
+
+// memory returns about the bytes that the answer takes in a fold.
+func (s *Stored) memory() int { return len(s.Body) + len(s.ContentType) + storedOverhead }
+
+// answer returns the answer of a finished key.
+func (f *Fold) answer(key Hash, e entry) Stored {
+	if s, ok := f.stored[key]; ok {
+		return s
+	}
+	return Stored{Status: int(e.code), Truncated: e.cut}
 }
 
 // remember notes the id of a batch and forgets those outside the window.
@@ -366,7 +414,7 @@
 	f.applied = 0
 	for key, e := range f.keys {
 		if f.ended(e) {
-			f.drop(key)
+			f.forget(key)
 			delete(f.keys, key)
 		}
 	}
@@ -380,7 +428,7 @@
 	case !held:
 		return Grant{Result: Granted}
 	case e.status == finished:
-		return Grant{Result: Done, Stored: *e.stored}
+		return Grant{Result: Done, Stored: f.answer(key, e)}
 	}
 	return Grant{Result: Taken}
 }
@@ -415,14 +463,16 @@
 		if !held || e.offset >= cutoff {
 			continue
 		}
-		if e.stored != nil {
-			size += len(e.stored.Body)
-		}
-		items = append(items, Item{
+		it := Item{
 			Kind: KindCarry, Key: key, Claim: e.claim,
-			Deadline: time.Unix(int64(e.deadline), 0).UTC(),
-			Stored:   e.stored, Doubtful: e.status == doubt,
-		})
+			Deadline: time.Unix(int64(e.deadline), 0).UTC(), Doubtful: e.status == doubt,
+		}
+		if e.status == finished {
+			stored := f.answer(key, e)
+			it.Stored = &stored
+			size += len(stored.Body)
+		}
+		items = append(items, it)
 	}
 	return items, nil
 }
--- a/request/claim/router.go
+++ b/request/claim/router.go
@@ -27,7 +27,8 @@
 type Router struct {
 	// Owners returns the owner of a shard and whether it is this daemon.
 	Owners func(shard int) (name string, local bool)
-	// Peer returns the named daemon, or nil if it is not known.
+	// Peer returns the named daemon, or nil if it is not known. A peer reports
+	// that its writer refused a claim as Unavailable without an error.
 	Peer func(name string) Owner
 	// Open opens the writer of a shard on this daemon.
 	Open func(shard int) *Writer
@@ -36,6 +37,8 @@
 	writers   map[int]*Writer
 	closed    bool
 	abandoned int
+	ctx       context.Context // of the releases in the background
+	stop      context.CancelFunc
 	wg        sync.WaitGroup
 }
 
@@ -48,12 +51,12 @@
 		return Grant{Result: Unavailable}, err
 	}
 	grant, err = o.Claim(ctx, key, claimID)
-	if err == nil && grant.Result != Unavailable {
+	switch {
+	case err == nil && grant.Result != Unavailable:
 		return grant, nil
-	}
-	// A writer of this process releases its undecided claims itself. Of a peer
-	// only the answer may have been lost.
-	if !local {
+	case err != nil && !local:
+		// The peer may have granted the claim and its answer got lost. A writer
+		// that refuses a claim releases it itself.
 		r.abandon(key, claimID)
 	}
 	return Grant{Result: Unavailable}, errors.Join(ErrUnavailable, err)
@@ -115,10 +118,14 @@
 	return closeAll(ctx, drop)
 }
 
-// Close closes all writers and waits for the releases in the background.
+// Close closes all writers and gives up the releases in the background. It is
+// called when all calls have ended.
 func (r *Router) Close(ctx context.Context) error {
 	r.mu.Lock()
 	r.closed = true
+	if r.stop != nil {
+		r.stop()
+	}
 	var drop []*Writer
 	for _, w := range r.writers {
 		drop = append(drop, w)
@@ -183,21 +190,18 @@
 		return
 	}
 	r.abandoned++
+	if r.ctx == nil {
+		r.ctx, r.stop = context.WithCancel(context.Background())
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, abandonFor)
 	r.wg.Go(func() {
 		defer func() {
+			cancel()
 			r.mu.Lock()
 			r.abandoned--
 			r.mu.Unlock()
 		}()
-		ctx, cancel := context.WithTimeout(context.Background(), abandonFor)
-		defer cancel()
 		_, _ = backoff.Retry(ctx, func() (struct{}, error) {
-			r.mu.Lock()
-			closed := r.closed
-			r.mu.Unlock()
-			if closed {
-				return struct{}{}, backoff.Permanent(ErrUnavailable)
-			}
 			return struct{}{}, r.Release(ctx, key, claimID)
 		})
 	})
--- a/request/claim/writer.go
+++ b/request/claim/writer.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -18,6 +19,8 @@
 	// maxQueue bounds the operations that wait in a writer. Finishes wait
 	// through an outage, and with the largest bodies they need 16 MiB.
 	maxQueue = 4096
+	// defaultKeys is just below a step in the size of the map of keys.
+	defaultKeys = 400_000
 	// freshFor is the age of the fold up to which a writer builds a batch on it
 	// without reading the stream first. An older fold may miss what another
 	// writer appended.
@@ -39,10 +42,12 @@
 	lifetime, runWithin, gather, retainAge, timeout time.Duration
 	items, keys, bodies                             int
 	retainRecords                                   int64
+	jitter                                          float64 // of the pauses between attempts
 }
 
 // WithLifetime sets the lifetime of a key, 24 h by default. All writers of a
-// deployment use the same. It is at least four times the time to start a run.
+// deployment use the same; a fold without the beginning of its stream relies on
+// it. It is at least four times the time to start a run.
 func WithLifetime(d time.Duration) Option { return func(o *options) { o.lifetime = d } }
 
 // WithRunWithin sets the time between the writing of a claim and RunBy, 10 s by
@@ -55,9 +60,9 @@
 	return func(o *options) { o.gather, o.items = d, items }
 }
 
-// WithRetention states what the log retains at least: a record is kept until it
-// is older than age or followed by that many records. 10 min and 2,048 records
-// by default.
+// WithRetention states what the log retains at least: it keeps a record that is
+// younger than age and followed by fewer than that many records. 10 min and
+// 2,048 records by default.
 func WithRetention(age time.Duration, records int64) Option {
 	return func(o *options) { o.retainAge, o.retainRecords = age, records }
 }
@@ -66,8 +71,9 @@
 // 1 s by default.
 func WithTimeout(d time.Duration) Option { return func(o *options) { o.timeout = d } }
 
-// WithLimits sets the number of keys above which claims are refused, 524,288 by
-// default, and the bytes of stored bodies in memory.
+// WithLimits sets the number of keys above which claims are refused, 400,000 by
+// default, and the bytes of memory for stored bodies, DefaultBodyLimit by
+// default.
 func WithLimits(keys, bodies int) Option {
 	return func(o *options) { o.keys, o.bodies = keys, bodies }
 }
@@ -98,7 +104,7 @@
 
 	// The fields below belong to the goroutine run.
 	fold    *Fold
-	readAt  time.Time // of the last read up to the end of the stream
+	readAt  time.Time // start of the last read that reached the end of the stream
 	first   int64     // oldest retained offset
 	floor   int64     // the stream holds all live keys from it on
 	stated  int64     // offset of the last batch with Covered
@@ -143,7 +149,8 @@
 		lifetime: 24 * time.Hour, runWithin: 10 * time.Second,
 		gather: 20 * time.Millisecond, items: 512,
 		retainAge: 10 * time.Minute, retainRecords: 2048,
-		timeout: time.Second, keys: 1 << 19, bodies: DefaultBodyLimit,
+		timeout: time.Second, keys: defaultKeys, bodies: DefaultBodyLimit,
+		jitter: backoff.DefaultRandomizationFactor,
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -157,7 +164,7 @@
 		pending: make(map[Hash]*op), granted: make(map[grantKey]Grant), dead: make(map[Hash]time.Time),
 		retry: backoff.NewExponentialBackOff(),
 	}
-	w.retry.InitialInterval, w.retry.MaxInterval = retryFirst, retryMax
+	w.retry.InitialInterval, w.retry.MaxInterval, w.retry.RandomizationFactor = retryFirst, retryMax, o.jitter
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	go w.run()
 	return w
@@ -227,6 +234,7 @@
 	if len(s.Body) > MaxBody {
 		s.Body, s.Truncated = nil, true
 	}
+	s.Body = bytes.Clone(s.Body) // the append may outlast this call
 	w.mu.Lock()
 	p, err := w.submit(Item{Kind: KindDone, Key: HashOf(key), Claim: HashOf(claimID), Stored: &s})
 	w.mu.Unlock()
@@ -337,7 +345,7 @@
 // error the log did not answer; the undecided releases and answers are queued
 // again.
 func (w *Writer) step(ops []*op) error {
-	if len(ops) == 0 || w.isDown() || time.Since(w.readAt) >= freshFor || w.fold == nil {
+	if len(ops) == 0 || w.isDown() || w.outdated(ops) {
 		if err := w.refresh(); err != nil {
 			w.requeue(ops)
 			return err
@@ -353,6 +361,16 @@
 	return w.maintain()
 }
 
+// outdated tells whether the stream must be read before a batch of ops. A key
+// that looks taken may have been released through another writer before its
+// claim came in.
+func (w *Writer) outdated(ops []*op) bool {
+	return w.fold == nil || time.Since(w.readAt) >= freshFor ||
+		slices.ContainsFunc(ops, func(p *op) bool {
+			return p.item.Kind == KindClaim && !w.readAt.After(p.at) && w.fold.Find(p.item.Key).Result == Taken
+		})
+}
+
 // gather waits for a full batch, the end of the gather time, the next check or
 // the end of the writer, for which ok is false.
 func (w *Writer) gather() (ops []*op, ok bool) {
@@ -477,10 +495,11 @@
 // batch on the stream and folded, or certainly without effect.
 func (w *Writer) commit(ops []*op) error {
 	b := Batch{Format: Format, ID: newID(), Base: w.fold.Offset(), Covered: w.covered()}
-	now := time.Now()
+	// Without the monotonic reading: it stands still while a machine sleeps.
+	now := time.Now().Round(0)
 	deadline := now.Add(w.opts.lifetime).UTC()
 	runBy := now.Add(w.opts.runWithin)
-	complete := w.fold.Complete(w.opts.lifetime)
+	complete := w.fold.Complete(now, w.opts.lifetime)
 	sent := make([]*op, 0, len(ops))
 	w.mu.Lock()
 	for _, p := range ops {
@@ -528,7 +547,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	// The fold may have been started again while the batch was in doubt.
-	complete := w.fold.Complete(w.opts.lifetime)
+	complete := w.fold.Complete(now, w.opts.lifetime)
 	for i, p := range sent {
 		effect := w.outcome.Effect
 		if effect == Applied {
@@ -628,8 +647,9 @@
 		if w.fold != nil {
 			next = w.fold.Offset() + 1
 		}
+		at := time.Now()
 		ctx, cancel := context.WithTimeout(w.ctx, w.opts.timeout)
-		page, err := w.log.Read(ctx, w.stream, next, time.Now())
+		page, err := w.log.Read(ctx, w.stream, next, at)
 		cancel()
 		if errors.Is(err, platform.ErrExpired) && page.First > next {
 			// The records that follow are gone. Start again from the oldest.
@@ -647,7 +667,7 @@
 			w.apply(e)
 		}
 		if len(page.Records) == 0 || w.fold.Offset()+1 >= page.Next {
-			w.readAt = time.Now()
+			w.readAt = at
 			return nil
 		}
 	}
@@ -655,7 +675,7 @@
 
 // reset starts a new fold at an offset.
 func (w *Writer) reset(first int64) {
-	w.fold = NewFold(first)
+	w.fold = NewFold(first, time.Now())
 	w.fold.BodyLimit = w.opts.bodies
 	w.floor, w.stated, w.ages, w.old = 0, 0, nil, nil
 }
@@ -675,7 +695,7 @@
 // covered returns the offset from which the stream holds all live keys, or zero
 // if the writer does not know.
 func (w *Writer) covered() int64 {
-	if !w.fold.Complete(w.opts.lifetime) {
+	if !w.fold.Complete(time.Now(), w.opts.lifetime) {
 		return 0
 	}
 	return max(w.floor, w.fold.covered, w.fold.start, 1)
@@ -699,7 +719,7 @@
 // with those in the third quarter, so that a pass over all keys is needed once
 // in a quarter of the retention. Between two batches it lets claims pass.
 func (w *Writer) maintain() error {
-	for w.fold.Complete(w.opts.lifetime) {
+	for w.fold.Complete(time.Now(), w.opts.lifetime) {
 		cut := w.cutoff(2)
 		// What the log is seen to retain counts more than the settings.
 		if seen := w.fold.Offset() + 1 - w.first; w.first > 1 {
