--- a/request/claim/writer.go
+++ b/request/claim/writer.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -12,12 +13,22 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/kingcuppitch/kingcuppitch/connection/platform"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 )
 
 const (
 	// maxQueue bounds the operations that wait in a writer. Finishes wait
 	// through an outage, and with the largest bodies they need 16 MiB.
 	maxQueue = 4096
+	// defaultKeys is just below a step in the size of the map of keys.
+	defaultKeys = 400_000
+	// defaultRate is the number of appends a second of one writer. All shards
+	// share four fifths of the 300 that the log accepts; the rest is for other
+	// streams. Without it, 16 writers that gather for 20 ms exceed 300 appends a
+	// second at 1,000 claims a second, and the log refuses a third of the claims.
+	defaultRate = 240.0 / Shards
+	// rateBurst lets a writer with little load append without waiting.
+	rateBurst = 2
 	// freshFor is the age of the fold up to which a writer builds a batch on it
 	// without reading the stream first. An older fold may miss what another
 	// writer appended.
@@ -39,10 +50,13 @@
 	lifetime, runWithin, gather, retainAge, timeout time.Duration
 	items, keys, bodies                             int
 	retainRecords                                   int64
+	rate                                            float64
+	jitter                                          float64 // of the pauses between attempts
 }
 
 // WithLifetime sets the lifetime of a key, 24 h by default. All writers of a
-// deployment use the same. It is at least four times the time to start a run.
+// deployment use the same; a fold without the beginning of its stream relies on
+// it. It is at least four times the time to start a run.
 func WithLifetime(d time.Duration) Option { return func(o *options) { o.lifetime = d } }
 
 // WithRunWithin sets the time between the writing of a claim and RunBy, 10 s by
@@ -55,9 +69,13 @@
 	return func(o *options) { o.gather, o.items = d, items }
 }
 
-// WithRetention states what the log retains at least: a record is kept until it
-// is older than age or followed by that many records. 10 min and 2,048 records
-// by default.
+// WithRate sets the mean number of appends a second, 15 by default. When they
+// are used up, a writer gathers longer.
+func WithRate(perSecond float64) Option { return func(o *options) { o.rate = perSecond } }
+
+// WithRetention states what the log retains at least: it keeps a record that is
+// younger than age and followed by fewer than that many records. 10 min and
+// 2,048 records by default.
 func WithRetention(age time.Duration, records int64) Option {
 	return func(o *options) { o.retainAge, o.retainRecords = age, records }
 }
@@ -66,8 +84,9 @@
 // 1 s by default.
 func WithTimeout(d time.Duration) Option { return func(o *options) { o.timeout = d } }
 
-// WithLimits sets the number of keys above which claims are refused, 524,288 by
-// default, and the bytes of stored bodies in memory.
+// WithLimits sets the number of keys above which claims are refused, 400,000 by
+// default, and the bytes of memory for stored bodies, DefaultBodyLimit by
+// default.
 func WithLimits(keys, bodies int) Option {
 	return func(o *options) { o.keys, o.bodies = keys, bodies }
 }
@@ -98,13 +117,14 @@
 
 	// The fields below belong to the goroutine run.
 	fold    *Fold
-	readAt  time.Time // of the last read up to the end of the stream
+	readAt  time.Time // start of the last read that reached the end of the stream
 	first   int64     // oldest retained offset
 	floor   int64     // the stream holds all live keys from it on
 	stated  int64     // offset of the last batch with Covered
 	ages    []age
 	pruneAt time.Time
 	retry   *backoff.ExponentialBackOff
+	limit   *rate.Limiter
 	// watched is the batch whose outcome is awaited; found is set with it.
 	watched Hash
 	found   bool
@@ -143,7 +163,9 @@
 		lifetime: DefaultLifetime, runWithin: 10 * time.Second,
 		gather: 20 * time.Millisecond, items: 512,
 		retainAge: 10 * time.Minute, retainRecords: 2048,
-		timeout: time.Second, keys: 1 << 19, bodies: DefaultBodyLimit,
+		timeout: time.Second, keys: defaultKeys, bodies: DefaultBodyLimit,
+		rate:   defaultRate,
+		jitter: backoff.DefaultRandomizationFactor,
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -155,9 +177,9 @@
 		log: log, stream: Stream(shard), opts: o,
 		wake: make(chan struct{}, 1), exited: make(chan struct{}),
 		pending: make(map[Hash]*op), granted: make(map[grantKey]Grant), dead: make(map[Hash]time.Time),
-		retry: backoff.NewExponentialBackOff(),
+		retry: backoff.NewExponentialBackOff(), limit: rate.NewLimiter(rate.Limit(o.rate), rateBurst),
 	}
-	w.retry.InitialInterval, w.retry.MaxInterval = retryFirst, retryMax
+	w.retry.InitialInterval, w.retry.MaxInterval, w.retry.RandomizationFactor = retryFirst, retryMax, o.jitter
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	go w.run()
 	return w
@@ -227,6 +249,7 @@
 	if len(s.Body) > MaxBody {
 		s.Body, s.Truncated = nil, true
 	}
+	s.Body = bytes.Clone(s.Body) // the append may outlast this call
 	w.mu.Lock()
 	p, err := w.submit(Item{Kind: KindDone, Key: HashOf(key), Claim: HashOf(claimID), Stored: &s})
 	w.mu.Unlock()
@@ -337,7 +360,7 @@
 // error the log did not answer; the undecided releases and answers are queued
 // again.
 func (w *Writer) step(ops []*op) error {
-	if len(ops) == 0 || w.isDown() || time.Since(w.readAt) >= freshFor || w.fold == nil {
+	if len(ops) == 0 || w.isDown() || w.outdated(ops) {
 		if err := w.refresh(); err != nil {
 			w.requeue(ops)
 			return err
@@ -353,6 +376,16 @@
 	return w.maintain()
 }
 
+// outdated tells whether the stream must be read before a batch of ops. A key
+// that looks taken may have been released through another writer before its
+// claim came in.
+func (w *Writer) outdated(ops []*op) bool {
+	return w.fold == nil || time.Since(w.readAt) >= freshFor ||
+		slices.ContainsFunc(ops, func(p *op) bool {
+			return p.item.Kind == KindClaim && !w.readAt.After(p.at) && w.fold.Find(p.item.Key).Result == Taken
+		})
+}
+
 // gather waits for a full batch, the end of the gather time, the next check or
 // the end of the writer, for which ok is false.
 func (w *Writer) gather() (ops []*op, ok bool) {
@@ -360,7 +393,7 @@
 	if w.fold == nil {
 		check = time.Now() // fold the stream before the first claim comes
 	}
-	for {
+	for paced := false; ; {
 		w.mu.Lock()
 		now := time.Now()
 		w.prune(now)
@@ -370,6 +403,12 @@
 			at = w.queue[0].at.Add(w.opts.gather)
 		}
 		if n >= w.opts.items || closed || down || !now.Before(at) {
+			if n > 0 && !paced {
+				w.mu.Unlock()
+				w.pace()
+				paced = true
+				continue // with what came in meanwhile
+			}
 			k := min(n, w.opts.items)
 			ops = slices.Clone(w.queue[:k])
 			w.queue = slices.Delete(w.queue, 0, k)
@@ -389,6 +428,9 @@
 	}
 }
 
+// pace waits until the rate of appends allows another one.
+func (w *Writer) pace() { w.sleep(w.limit.Reserve().Delay()) }
+
 // prune forgets grants and released ids that can't be used any more; mu is held.
 func (w *Writer) prune(now time.Time) {
 	if now.Before(w.pruneAt) {
@@ -465,6 +507,9 @@
 }
 
 func (w *Writer) sleep(d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -477,10 +522,11 @@
 // batch on the stream and folded, or certainly without effect.
 func (w *Writer) commit(ops []*op) error {
 	b := Batch{Format: Format, ID: newID(), Base: w.fold.Offset(), Covered: w.covered()}
-	now := time.Now()
+	// Without the monotonic reading: it stands still while a machine sleeps.
+	now := time.Now().Round(0)
 	deadline := now.Add(w.opts.lifetime).UTC()
 	runBy := now.Add(w.opts.runWithin)
-	complete := w.fold.Complete(w.opts.lifetime)
+	complete := w.fold.Complete(now, w.opts.lifetime)
 	sent := make([]*op, 0, len(ops))
 	w.mu.Lock()
 	for _, p := range ops {
@@ -528,7 +574,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	// The fold may have been started again while the batch was in doubt.
-	complete := w.fold.Complete(w.opts.lifetime)
+	complete := w.fold.Complete(now, w.opts.lifetime)
 	for i, p := range sent {
 		effect := w.outcome.Effect
 		if effect == Applied {
@@ -628,8 +674,9 @@
 		if w.fold != nil {
 			next = w.fold.Offset() + 1
 		}
+		at := time.Now()
 		ctx, cancel := context.WithTimeout(w.ctx, w.opts.timeout)
-		page, err := w.log.Read(ctx, w.stream, next, time.Now())
+		page, err := w.log.Read(ctx, w.stream, next, at)
 		cancel()
 		if errors.Is(err, platform.ErrExpired) && page.First > next {
 			// The records that follow are gone. Start again from the oldest.
@@ -647,7 +694,7 @@
 			w.apply(e)
 		}
 		if len(page.Records) == 0 || w.fold.Offset()+1 >= page.Next {
-			w.readAt = time.Now()
+			w.readAt = at
 			return nil
 		}
 	}
@@ -655,7 +702,7 @@
 
 // reset starts a new fold at an offset.
 func (w *Writer) reset(first int64) {
-	w.fold = NewFold(first)
+	w.fold = NewFold(first, time.Now())
 	w.fold.BodyLimit = w.opts.bodies
 	w.floor, w.stated, w.ages, w.old = 0, 0, nil, nil
 }
@@ -675,7 +722,7 @@
 // covered returns the offset from which the stream holds all live keys, or zero
 // if the writer does not know.
 func (w *Writer) covered() int64 {
-	if !w.fold.Complete(w.opts.lifetime) {
+	if !w.fold.Complete(time.Now(), w.opts.lifetime) {
 		return 0
 	}
 	return max(w.floor, w.fold.covered, w.fold.start, 1)
@@ -699,7 +746,7 @@
 // with those in the third quarter, so that a pass over all keys is needed once
 // in a quarter of the retention. Between two batches it lets claims pass.
 func (w *Writer) maintain() error {
-	for w.fold.Complete(w.opts.lifetime) {
+	for w.fold.Complete(time.Now(), w.opts.lifetime) {
 		cut := w.cutoff(2)
 		// What the log is seen to retain counts more than the settings.
 		if seen := w.fold.Offset() + 1 - w.first; w.first > 1 {
@@ -718,6 +765,7 @@
 			}
 			w.old, w.oldFloor = w.fold.Old(w.oldCut)
 		}
+		w.pace()
 		items, rest := w.fold.Carry(w.old, w.oldCut)
 		b := Batch{Format: Format, ID: newID(), Base: w.fold.Offset(), Covered: w.covered(), Items: items}
 		if len(rest) == 0 {
