version/move: sample random moves and find faults with less traffic

Random moves vary traffic, instances, faults and disturbances (overload, cold start, zone trouble, a broken instance, a noisy route).

Quantiles now need samples of the old version only, and are compared over all routes together. Little traffic gets the share that yields enough samples, up to canaryPercent, and ends at equal shares before it is done. Windows in which the old version was partly excluded are not compared.

--- a/version/move/compare.go
+++ b/version/move/compare.go
@@ -16,10 +16,10 @@
 	// judgeAlpha bounds the probability that one look at a good version finds a
 	// fault. It is divided among the tests of the look. Looks overlap in most of
 	// their samples, so an hour has in the order of a hundred independent looks.
-	judgeAlpha = 1e-5
+	judgeAlpha = 1e-4
 	// suspectAlpha is the same bound for lowering the share, which is harmless to
 	// a good version.
-	suspectAlpha = 1e-3
+	suspectAlpha = 1e-2
 	// recentWindows is the shorter of the two periods that are compared. It shows
 	// a fault that begins late, which the longer period dilutes.
 	recentWindows = 3
@@ -63,7 +63,7 @@
 type quantile struct {
 	name string
 	q    float64
-	// samples is the number of samples of each version that the estimate needs.
+	// samples is the number of samples of the old version that the estimate needs.
 	samples uint64
 	// rise is the smallest rise in milliseconds that is a fault. Scheduling and
 	// garbage collection alone move the tail by several milliseconds.
@@ -131,7 +131,7 @@
 		if old.Requests >= 2*blockSamples {
 			continue
 		}
-		for range compare(m, route, [][]*pair{{&p}}, level{alpha, 1, minHits}) {
+		for range compare(m, route, [][]*pair{{&p}}, level{alpha, minHits}) {
 			return true
 		}
 	}
@@ -143,7 +143,7 @@
 // its window must have ended long enough ago for hosts to recognise trouble.
 func (e *Evidence) fault(m fold.Move, now time.Time, alpha float64, settled bool) (finding, bool) {
 	v := e.view(m, now, omission{})
-	for f := range v.findings(m, now, level{alpha / float64(2*(len(v.routes)+1)*tests), 1, minHits}) {
+	for f := range v.findings(m, now, level{alpha / float64(2*(len(v.routes)+1)*tests), minHits}) {
 		if !e.confirmed(m, now, f, omission{instances: e.worst(m, now, f.route)}) {
 			continue
 		}
@@ -166,7 +166,7 @@
 	if len(without.instances) == 0 && without.window == 0 {
 		return true
 	}
-	for g := range e.view(m, now, without).findings(m, now, level{secondAlpha, 0.5, secondHits}) {
+	for g := range e.view(m, now, without).findings(m, now, level{secondAlpha, secondHits}) {
 		if g.route == f.route && g.reason == f.reason {
 			return true
 		}
@@ -238,9 +238,7 @@
 // level is what a comparison needs to show a fault.
 type level struct {
 	alpha float64
-	// samples is a factor for the samples that a quantile needs.
-	samples float64
-	hits    uint64
+	hits  uint64
 }
 
 // findings yields the faults of each route and of all routes, over all windows
@@ -356,35 +354,37 @@
 }
 
 // compare tests one latency quantile: more requests of the new version than of
-// the old one lie beyond the bucket of the old version's quantile.
+// the old one lie beyond the bucket of the old version's quantile, and so many lie
+// beyond the tolerated rise that the quantile of the new version does.
 func (q quantile) compare(m fold.Move, routes [][]*pair, at level) (finding, bool) {
 	var strata []stratum
-	var to, from float64
-	bucket := len(Counters{}.Latency)
+	var n, risen, to, from float64
+	last := len(Counters{}.Latency)
 	for _, b := range routes {
 		var all pair
 		for _, p := range b {
 			all.to.add(&p.to)
 			all.from.add(&p.from)
 		}
-		if n := float64(min(served(&all.to), served(&all.from))); n < float64(q.samples)*at.samples {
+		if served(&all.from) < q.samples {
 			continue
 		}
-		oldQ, limit := q.of(&all.from)
-		newQ, _ := q.of(&all.to)
-		if newQ < oldQ*minLatencyFactor || newQ < oldQ+q.rise {
-			continue
+		ms, limit := q.of(&all.from)
+		n += float64(served(&all.to))
+		risen += above(&all.to, max(ms*minLatencyFactor, ms+q.rise))
+		if newMs, _ := q.of(&all.to); newMs > to {
+			to, from = newMs, ms
 		}
-		to, from, bucket = max(to, newQ), max(from, oldQ), min(bucket, limit)
+		last = min(last, limit)
 		for _, p := range b {
 			strata = append(strata, stratum{served(&p.to), served(&p.from), beyond(&p.to, limit), beyond(&p.from, limit)})
 		}
 	}
-	if s := sum(strata); s.toHits < at.hits || s.toHits == 0 {
+	if s := sum(strata); n < blockSamples || s.toHits < at.hits || risen < (1-q.q)*n {
 		return finding{}, false
 	}
 	p := excess(strata)
-	return finding{reason: q.name, bucket: bucket, p: p, detail: fmt.Sprintf("%s is %.0f ms on %s, %.0f ms on %s",
+	return finding{reason: q.name, bucket: last, p: p, detail: fmt.Sprintf("%s is %.0f ms on %s, %.0f ms on %s",
 		q.name, to, m.To, from, m.From)}, p < at.alpha
 }
 
@@ -401,6 +401,14 @@
 	return 0, 0
 }
 
+// above returns the estimated number of requests above a latency.
+func above(c *Counters, ms float64) float64 {
+	at := math.Log2(ms) + 1
+	i := min(max(int(at), 0), len(c.Latency)-1)
+	inBucket := min(max(at-float64(i), 0), 1)
+	return float64(beyond(c, i)) + float64(c.Latency[i])*(1-inBucket)
+}
+
 // served returns the number of requests with a latency.
 func served(c *Counters) (n uint64) {
 	for _, k := range c.Latency {
--- a/version/move/evidence.go
+++ b/version/move/evidence.go
@@ -19,6 +19,10 @@
 // takes no place.
 const KeptWindows = 24
 
+// maxExcluded is the largest ratio of excluded samples of the old version in a
+// window that is compared.
+const maxExcluded = 0.2
+
 // Window returns the window that holds the given time.
 func Window(at time.Time) int64 {
 	return at.Unix() / WindowSeconds
@@ -296,21 +300,45 @@
 			visit(route, k.window, k.version, c, true)
 		}
 	}
-	if len(without.instances) == 0 {
-		return v
+	if len(without.instances) > 0 {
+		for s, cells := range e.cells {
+			if s.move != m.ID || !slices.Contains(without.instances, s.instance) {
+				continue
+			}
+			for i := range cells {
+				if cells[i].version == m.To {
+					c := effective(cells, i)
+					visit(s.route, cells[i].window, m.To, &c, false)
+				}
+			}
+		}
 	}
-	for s, cells := range e.cells {
-		if s.move != m.ID || !slices.Contains(without.instances, s.instance) {
-			continue
+	v.dropDisturbed()
+	return v
+}
+
+// dropDisturbed drops the windows in which a good part of the samples of the old
+// version, or in a window next to it, was excluded. The trouble is then not that
+// of the new version. The samples that are left are no fair sample: those of the
+// old version are mainly from before the trouble.
+func (v view) dropDisturbed() {
+	disturbed := make(map[int64]bool)
+	for w, p := range v.total {
+		if n := p.from.Excluded; float64(n) > maxExcluded*float64(n+p.from.Requests) {
+			disturbed[w-1], disturbed[w], disturbed[w+1] = true, true, true
 		}
-		for i := range cells {
-			if cells[i].version == m.To {
-				c := effective(cells, i)
-				visit(s.route, cells[i].window, m.To, &c, false)
+	}
+	drop := func(windows map[int64]*pair) {
+		for w, p := range windows {
+			if disturbed[w] {
+				p.to, p.from = Counters{Excluded: p.to.Excluded}, Counters{Excluded: p.from.Excluded}
 			}
 		}
 	}
-	return v
+	drop(v.total)
+	for _, windows := range v.routes {
+		drop(windows)
+	}
 }
 
 // effective returns the counters of a cell without samples that prove nothing.
--- a/version/move/move.go
+++ b/version/move/move.go
@@ -19,8 +19,9 @@
 // 80 percent of the time between startAt and doneBy. Each stage beyond the
 // first needs MinSamples samples of the new version in windows in which it
 // received at least half of the share of the stage before. Where the traffic is
-// too small for that, the share follows the same times up to canaryPercent, and
-// then a later schedule (25%, 50% and 95% at 55, 70 and 85 percent).
+// too small for that, the share is what yields enough samples, up to canaryPercent,
+// and then follows a later schedule (25% and 50% at 55 and 70 percent), from which the move is
+// done directly.
 //
 // The old version keeps 5% of the traffic until the move is done, so that both
 // versions are always compared over the same period. A comparison with the past
@@ -79,6 +80,11 @@
 // stageTime is the part of the time that a stage lasts.
 const stageTime = 0.2
 
+// estimateAt is the part of the time after which the traffic is estimated. A
+// version with little traffic then receives the share that yields enough samples,
+// up to canaryPercent.
+const estimateAt = 0.05
+
 // stage is a share and the part of the time at which it begins.
 type stage struct {
 	at, share float64
@@ -88,8 +94,9 @@
 var schedule = []stage{{0, 0.01}, {0.2, 0.05}, {0.4, 0.25}, {0.6, 0.5}, {0.8, finalShare}}
 
 // lateSchedule is followed beyond canaryPercent where the traffic is too small
-// for enough evidence.
-var lateSchedule = []stage{{0, 0}, {0.55, 0.25}, {0.7, 0.5}, {0.85, finalShare}}
+// for enough evidence. It ends at equal shares, at which the least traffic is
+// needed to compare both versions.
+var lateSchedule = []stage{{0, 0}, {0.55, 0.25}, {0.7, 0.5}}
 
 // Verdict is a permanent decision against a move.
 type Verdict struct {
@@ -145,6 +152,9 @@
 	}
 	if sparse {
 		share = max(share, shareAt(lateSchedule, elapsed))
+		if elapsed >= estimateAt {
+			share = max(share, min(2*MinSamples/v.expected(m, now), limit))
+		}
 	}
 	if share > limit && (overloaded || e.suspect(m, now)) {
 		share = limit
@@ -158,11 +168,12 @@
 	if m.State != fold.MoveRunning || progress(m, now) < soakEnd {
 		return false
 	}
+	share := e.Share(m, 0, false, now)
 	v := e.view(m, now, omission{})
-	if v.exposure(finalShare) < MinSamples && !v.sparse(m, now, finalShare) {
-		return false
+	if share < finalShare {
+		return share >= 0.5 && v.sparse(m, now, 0.5)
 	}
-	return e.Share(m, 0, false, now) >= finalShare
+	return v.exposure(finalShare) >= MinSamples || v.sparse(m, now, finalShare)
 }
 
 // progress returns the part of the time between startAt and doneBy that passed.
@@ -205,14 +216,27 @@
 // given share within the time of one stage. A new version that lacks samples
 // although the old one has enough is not sparse: it is not served.
 func (v *view) sparse(m fold.Move, now time.Time, share float64) bool {
-	windows := int64(m.DoneBy.Sub(m.StartAt).Seconds() * stageTime / WindowSeconds)
-	p := v.since(Window(now) - min(max(windows, recentWindows), KeptWindows))
-	to, all := float64(p.to.Requests), float64(p.to.Requests+p.from.Requests)
-	if all*share >= 2*MinSamples {
+	if v.expected(m, now)*share >= 2*MinSamples {
 		return false
 	}
-	expected := all * schedule[0].share
-	return expected < 4 || to >= expected/4
+	p := v.since(Window(now) - stageWindows(m))
+	want := float64(p.to.Requests+p.from.Requests) * schedule[0].share
+	return want < 4 || float64(p.to.Requests) >= want/4
+}
+
+// stageWindows returns the number of windows of a stage, as far as instances keep
+// them.
+func stageWindows(m fold.Move) int64 {
+	n := int64(m.DoneBy.Sub(m.StartAt).Seconds() * stageTime / WindowSeconds)
+	return min(max(n, recentWindows), KeptWindows)
+}
+
+// expected returns the number of requests in the time of a stage.
+func (v *view) expected(m fold.Move, now time.Time) float64 {
+	n := stageWindows(m)
+	p := v.since(Window(now) - n)
+	passed := min(max(Window(now)-Window(m.StartAt), 1), n)
+	return max(float64(p.to.Requests+p.from.Requests)*float64(n)/float64(passed), 1)
 }
 
 // overloaded reports whether most recent samples of the new version, but not of
--- /dev/null
+++ b/version/move/random_test.go
@@ -0,0 +1,202 @@
+package move
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+)
+
+var moves = flag.Int("moves", 240, "number of random moves")
+
+// randomScenario returns a good or a bad version, with disturbances that are not
+// its fault.
+func randomScenario(rng *rand.Rand, bad bool) *scenario {
+	between := func(lo, hi float64) float64 { return lo + rng.Float64()*(hi-lo) }
+	logBetween := func(lo, hi float64) float64 { return math.Exp(between(math.Log(lo), math.Log(hi))) }
+	likely := func(p float64) bool { return rng.Float64() < p }
+	s := &scenario{faultAt: -1, faultRoute: -1}
+	s.MoveSeconds, s.CanaryPercent = 120+rng.IntN(360), 5+rng.IntN(16)
+	s.OldInstances, s.NewInstances = 3+rng.IntN(6), 2+rng.IntN(7)
+	rate := logBetween(1, 250)
+	for i := range 1 + rng.IntN(4) {
+		s.Routes = append(s.Routes, fmt.Sprint("route-", i))
+		s.rate = append(s.rate, rate*between(0.1, 1))
+	}
+	s.base = mix{errors: between(0, 0.02), median: logBetween(5, 80), sigma: between(0.3, 0.9), tail: between(0, 0.01), tailFactor: between(2, 8)}
+	s.disturb = func(int, int, int, bool, *mix) {}
+	during := func(length float64, in func(second, route, group int, isNew bool, m *mix)) {
+		from := int(between(0, float64(s.MoveSeconds)*0.8))
+		to, next := from+int(length), s.disturb
+		s.disturb = func(second, route, group int, isNew bool, m *mix) {
+			next(second, route, group, isNew, m)
+			if second >= from && second < to {
+				in(second-from, route, group, isNew, m)
+			}
+		}
+	}
+	if likely(0.3) { // cold start of the new version at the beginning
+		cold, next := rng.IntN(s.MoveSeconds/5), s.disturb
+		s.disturb = func(second, route, group int, isNew bool, m *mix) {
+			next(second, route, group, isNew, m)
+			if isNew && second < cold {
+				m.excluded = 1
+			}
+		}
+	}
+	if likely(0.3) { // overload of both, recognised in part
+		errors, slow, excluded := between(0.05, 0.4), between(2, 8), between(0, 0.6)
+		during(between(20, 60), func(_, _, _ int, _ bool, m *mix) {
+			m.worsen(errors, slow)
+			m.excluded = excluded
+		})
+	}
+	if likely(0.3) { // zone trouble or a relapse into cold start, recognised after 2 s
+		s.groups = 4
+		both := likely(0.5)
+		during(between(10, 40), func(second, _, group int, isNew bool, m *mix) {
+			if group == 0 && (both || isNew) {
+				m.worsen(0.6, 6)
+				if second >= 2 {
+					m.excluded = 0.95
+				}
+			}
+		})
+	}
+	if likely(0.2) { // one broken instance of the new version, never recognised
+		s.groups, s.NewInstances = 4, max(s.NewInstances, 4)
+		errors := between(0.1, 1)
+		during(between(10, 60), func(_, _, group int, isNew bool, m *mix) {
+			if group == 1 && isNew {
+				m.worsen(errors, 1)
+			}
+		})
+		s.NewInstances -= s.NewInstances % 4
+	}
+	if likely(0.3) { // a noisy route
+		noisy, errors, next := rng.IntN(len(s.rate)), between(0.05, 0.2), s.disturb
+		s.disturb = func(second, route, group int, isNew bool, m *mix) {
+			if route == noisy {
+				m.worsen(errors, 1)
+			}
+			next(second, route, group, isNew, m)
+		}
+	}
+	if !bad {
+		return s
+	}
+	s.bad = s.base
+	switch rng.IntN(3) {
+	case 0:
+		s.Name = "errors"
+		s.bad.errors += logBetween(0.08, 0.98)
+	case 1:
+		s.Name = "slow"
+		s.bad.slowdown, s.bad.overhead = between(4, 10), 30
+	case 2:
+		s.Name = "slowTail"
+		s.bad.tail, s.bad.tailFactor = between(0.08, 0.2), between(10, 30)
+	}
+	s.faultAt = 0
+	switch rng.IntN(4) {
+	case 0:
+		s.faultAt = int(between(0, 0.9) * float64(s.MoveSeconds))
+	case 1:
+		s.faultRoute = rng.IntN(len(s.rate))
+	case 2:
+		s.LoadedFrom = between(0.05, 0.5)
+	}
+	return s
+}
+
+// worsen adds errors and slowness to what a version has of its own.
+func (m *mix) worsen(errors, slowdown float64) {
+	m.errors = 1 - (1-m.errors)*(1-errors)
+	m.slowdown = max(m.slowdown, 1) * slowdown
+}
+
+// TestRandomMoves guards against rules that fit the recorded traces only. It
+// samples good and bad versions under disturbances, with a fixed seed.
+func TestRandomMoves(t *testing.T) {
+	type outcome struct {
+		bad       bool
+		rate      float64
+		own, base result
+		kind      string
+		length    int
+	}
+	outcomes := make([]outcome, *moves)
+	var g errgroup.Group
+	g.SetLimit(max(runtime.GOMAXPROCS(0)/2, 1))
+	for i := range outcomes {
+		g.Go(func() error {
+			rng := rand.New(rand.NewPCG(2026, uint64(i)))
+			s := randomScenario(rng, i%2 == 1)
+			tr := s.generate(rng)
+			o := &outcomes[i]
+			o.bad, o.length, o.kind = i%2 == 1, s.MoveSeconds, s.Name
+			for _, r := range s.rate {
+				o.rate += r
+			}
+			o.own, o.base = tr.replay(new(own), uint64(i)), tr.replay(new(naive), uint64(i))
+			return nil
+		})
+	}
+	_ = g.Wait()
+	type tally struct {
+		good, back, late int // good versions, rolled back, not done by doneBy
+		bad, missed      int // bad versions whose fault was met, and not rolled back
+		met, sent        int
+		took             []int
+	}
+	var tallies [2][2]tally // own and naive, below 10 requests a second and above
+	for i, o := range outcomes {
+		busy := 0
+		if o.rate >= 10 {
+			busy = 1
+		}
+		for who, r := range []result{o.own, o.base} {
+			ty := &tallies[who][busy]
+			switch {
+			case !o.bad:
+				ty.good++
+				if r.backAt >= 0 {
+					ty.back++
+				} else if r.doneAt < 0 || r.doneAt > o.length {
+					ty.late++
+				}
+			case r.faultAt >= 0:
+				ty.bad++
+				ty.met += r.met
+				ty.sent += r.sent
+				if r.backAt < 0 {
+					ty.missed++
+				} else {
+					ty.took = append(ty.took, max(r.backAt-r.faultAt, 0))
+				}
+			}
+			if who == 0 && (!o.bad && (r.backAt >= 0 || r.doneAt < 0 || r.doneAt > o.length) || o.bad && r.faultAt >= 0 && r.backAt < 0) {
+				t.Logf("move %d: bad %v %s, %.0f requests a second, %d s: %s", i, o.bad, o.kind, o.rate, o.length, r)
+			}
+		}
+	}
+	for who, name := range []string{"own", "naive"} {
+		for busy, rates := range []string{"below 10/s", "from 10/s"} {
+			ty := tallies[who][busy]
+			slices.Sort(ty.took)
+			quantile := func(q float64) int {
+				if len(ty.took) == 0 {
+					return -1
+				}
+				return ty.took[int(q*float64(len(ty.took)-1))]
+			}
+			t.Logf("%-5s %-10s good: %d, rolled back %d, late %d; bad: %d, missed %d, share of traffic after the fault %.4f, seconds to rollback p50 %d, p90 %d, max %d",
+				name, rates, ty.good, ty.back, ty.late, ty.bad, ty.missed, float64(ty.met)/float64(max(ty.sent, 1)), quantile(0.5), quantile(0.9), quantile(1))
+		}
+	}
+}
