--- a/version/move/property_test.go
+++ b/version/move/property_test.go
@@ -152,6 +152,73 @@
 	})
 }
 
+// TestJudge guards against verdicts for reasons other than the new version, and
+// against a fault that is lost among the requests of a busier route. Each case
+// gives the requests of one instance of four in one window of twenty.
+func TestJudge(t *testing.T) {
+	counts := func(requests, failed, excluded uint64) Counters {
+		return Counters{Requests: requests, Errors: failed, Excluded: excluded, Latency: [16]uint64{5: requests - failed}}
+	}
+	for _, tc := range []struct {
+		name   string
+		counts func(route string, isNew bool, window int64) Counters
+		now    int64 // seconds
+		want   string
+	}{
+		{"both fail while the share is high", func(_ string, isNew bool, w int64) Counters {
+			if w >= 10 && isNew {
+				return counts(45, 15, 0)
+			} else if w >= 10 {
+				return counts(5, 2, 0)
+			} else if isNew {
+				return counts(5, 0, 0)
+			}
+			return counts(45, 0, 0)
+		}, 99, ""},
+		{"cold start of the whole new version, not yet recognised", func(_ string, isNew bool, w int64) Counters {
+			if isNew && w == 19 {
+				return counts(40, 20, 0)
+			}
+			return counts(40, 0, 0)
+		}, 98, ""},
+		{"the same, not cold start", func(_ string, isNew bool, w int64) Counters {
+			if isNew && w == 19 {
+				return counts(40, 20, 0)
+			}
+			return counts(40, 0, 0)
+		}, 103, reasonErrors},
+		{"overload recognised more fully on the old version", func(_ string, isNew bool, w int64) Counters {
+			if w >= 16 && isNew {
+				return counts(40, 20, 5)
+			} else if w >= 16 {
+				return counts(25, 1, 20)
+			}
+			return counts(45, 0, 0)
+		}, 99, ""},
+		{"fault on a route beside a busy one", func(route string, isNew bool, _ int64) Counters {
+			if route == "stock" {
+				return counts(2000, 100, 0)
+			} else if isNew {
+				return counts(10, 3, 0)
+			}
+			return counts(10, 1, 0)
+		}, 99, reasonErrors},
+	} {
+		var e Evidence
+		for w := range int64(20) {
+			for _, route := range []string{"price", "stock"} {
+				for i, instance := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+					version := []string{"v1", "v2"}[i/4]
+					e.Merge(Key{Move: 7, Instance: instance, Route: route, Version: version, Window: Window(epoch) + w}, tc.counts(route, i >= 4, w))
+				}
+			}
+		}
+		if v, ok := e.Judge(testMove(200*time.Second), epoch.Add(time.Duration(tc.now)*time.Second)); v.Reason != tc.want || ok != (tc.want != "") {
+			t.Errorf("%s: got %+v, want reason %q", tc.name, v, tc.want)
+		}
+	}
+}
+
 // TestWithoutOldTraffic guards against a verdict on a fault of a dependency that
 // only the new version met, because the old one had no traffic. The share must
 // fall to canaryPercent, so that both can be compared.
