--- a/request/claim/trace_test.go
+++ b/request/claim/trace_test.go
@@ -119,6 +119,11 @@
 	if g := late.Find(k); g.Result != Taken {
 		t.Errorf("release with an unseen first copy: got %s, want taken", g.Result)
 	}
+	// In doubt an answer may be that of an earlier lifetime of the key.
+	apply(late, at, Batch{Format: Format, ID: HashOf("3"), Base: 3, Items: []Item{{Kind: KindDone, Key: k, Claim: c, Stored: &Stored{Status: 200}}}})
+	if g := late.Find(k); g.Result != Taken {
+		t.Errorf("answer for a key in doubt: got %s, want taken", g.Result)
+	}
 	if out := f.Apply(f.Offset()+1, at, []byte("{")); out.Effect != Skipped {
 		t.Errorf("malformed record: got %v, want skipped", out)
 	}
