Give each shard of claims one writer in the whole mesh

Cause: each zone knows only its own members at the design size, so each would have chosen its own writers: 10 zones with 16 writers of 15 appends a second exceed the log. Writers were opened at the first claim only, so a shard without claims was not carried forward. Change: the zone of a shard is chosen first, then the daemon in it; a daemon that is asked but is not the owner passes the request on once. The owned writers are opened and closed every 2 s. A refusal of the owner is an answer, not an error, and the owners are found once per view.

--- a/process/control/claims.go
+++ b/process/control/claims.go
@@ -2,30 +2,59 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 	"github.com/kingcuppitch/kingcuppitch/wire/v1/wirev1connect"
 )
 
-// newRouter returns the router of claims. The owner of a shard is chosen among
-// the members that this daemon knows; a wrong choice costs appends only.
+// owner is the owner of a shard as this daemon sees it.
+type owner struct {
+	name  string
+	local bool
+	// certain is false in another zone, of which this daemon may know only a few
+	// members; these know the owner.
+	certain bool
+}
+
+// shardOwners chooses the owner of each shard. The zone is chosen among the
+// configured ones, on which all daemons agree, and the daemon among the members
+// of that zone, so that a shard has one writer in the whole mesh. A wrong choice
+// costs appends only.
+func (s *Snapshot) shardOwners() (owners [claim.Shards]owner) {
+	byZone := make(map[string][]string)
+	for _, m := range s.Members {
+		if m.State != membership.Leaving && m.State != membership.Suspect {
+			byZone[m.Zone] = append(byZone[m.Zone], m.Name)
+		}
+	}
+	zones := slices.Sorted(maps.Keys(byZone))
+	for shard := range owners {
+		zone := claim.OwnerOf(shard, zones)
+		name := claim.OwnerOf(shard, byZone[zone])
+		owners[shard] = owner{name: name, local: name == s.Self.Name, certain: zone == s.Self.Zone}
+	}
+	return owners
+}
+
+// newRouter returns the router of claims.
 func newRouter(c *control) *claim.Router {
 	return &claim.Router{
 		Owners: func(shard int) (string, bool) {
-			snap := c.view.Load()
-			name := claim.OwnerOf(shard, snap.members())
-			return name, name == snap.Self.Name
+			o := c.view.Load().owners()[shard]
+			return o.name, o.local
 		},
 		Peer: func(name string) claim.Owner {
-			for _, m := range c.view.Load().Members {
-				if m.Name == name {
-					return &remoteOwner{control: c, peer: m.Peer}
-				}
+			if o := c.peerOwner(name, false); o != nil {
+				return o
 			}
 			return nil
 		},
@@ -33,10 +62,37 @@
 	}
 }
 
+// claimLoop opens the writers of the shards that this daemon owns and closes
+// those of others. A shard without an open writer is not carried forward when
+// its records expire from the log.
+func (c *control) claimLoop() {
+	for c.pause(jitter(claimSyncPeriod)) {
+		if !c.view.Load().Serving {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, claimSyncTimeout)
+		if err := c.claims.Sync(ctx); err != nil {
+			c.metrics.Add("control.claimSyncFailures", 1)
+		}
+		cancel()
+	}
+}
+
+// peerOwner returns the named member as an owner, or nil if it is not known.
+func (c *control) peerOwner(name string, forwarded bool) *remoteOwner {
+	for _, m := range c.view.Load().Members {
+		if m.Name == name {
+			return &remoteOwner{control: c, peer: m.Peer, forwarded: forwarded}
+		}
+	}
+	return nil
+}
+
 // remoteOwner serves claims through the daemon that owns the shard.
 type remoteOwner struct {
 	*control
-	peer netip.AddrPort
+	peer      netip.AddrPort
+	forwarded bool
 }
 
 // claimClient returns the client of a peer for claims.
@@ -48,7 +104,7 @@
 func (o *remoteOwner) Claim(ctx context.Context, key, claimID string) (claim.Grant, error) {
 	deadline, _ := ctx.Deadline()
 	res, err := o.claimClient(o.peer).Claim(ctx, connect.NewRequest(&wirev1.ClaimRequest{
-		Shard: shardOf(key), Key: key, ClaimId: claimID, DeadlineUnixNano: deadline.UnixNano(),
+		Shard: shardOf(key), Key: key, ClaimId: claimID, DeadlineUnixNano: deadline.UnixNano(), Forwarded: o.forwarded,
 	}))
 	if err != nil {
 		return claim.Grant{Result: claim.Unavailable}, err
@@ -62,7 +118,7 @@
 
 // Release implements claim.Owner.
 func (o *remoteOwner) Release(ctx context.Context, key, claimID string) error {
-	_, err := o.claimClient(o.peer).Release(ctx, connect.NewRequest(&wirev1.ReleaseRequest{Shard: shardOf(key), Key: key, ClaimId: claimID}))
+	_, err := o.claimClient(o.peer).Release(ctx, connect.NewRequest(&wirev1.ReleaseRequest{Shard: shardOf(key), Key: key, ClaimId: claimID, Forwarded: o.forwarded}))
 	return err
 }
 
@@ -70,7 +126,8 @@
 func (o *remoteOwner) Finish(ctx context.Context, key, claimID string, s claim.Stored) error {
 	_, err := o.claimClient(o.peer).Finish(ctx, connect.NewRequest(&wirev1.FinishRequest{
 		Shard: shardOf(key), Key: key, ClaimId: claimID,
-		Status: int32(s.Status), ContentType: s.ContentType, Body: s.Body, Truncated: s.Truncated, //nolint:gosec // an HTTP status
+		Forwarded: o.forwarded,
+		Status:    int32(s.Status), ContentType: s.ContentType, Body: s.Body, Truncated: s.Truncated, //nolint:gosec // an HTTP status
 	}))
 	return err
 }
@@ -81,14 +138,19 @@
 func (s *service) Claim(ctx context.Context, req *connect.Request[wirev1.ClaimRequest]) (*connect.Response[wirev1.ClaimResponse], error) {
 	ctx, cancel := context.WithDeadline(ctx, time.Unix(0, req.Msg.GetDeadlineUnixNano()))
 	defer cancel()
-	owner, err := s.localOwner(req.Msg.GetKey(), req.Msg.GetShard())
+	owner, err := s.owner(req.Msg)
 	if err != nil {
 		return nil, err
 	}
 	g, err := owner.Claim(ctx, req.Msg.GetKey(), req.Msg.GetClaimId())
-	if err != nil {
+	if err != nil && !errors.Is(err, claim.ErrUnavailable) {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	if err != nil {
+		// The writer releases what it did not grant. An error would make the
+		// router of the requester release it once more.
+		g = claim.Grant{Result: claim.Unavailable}
+	}
 	return connect.NewResponse(&wirev1.ClaimResponse{
 		Result: string(g.Result), RunByUnixNano: g.RunBy.UnixNano(), Status: int32(g.Stored.Status), //nolint:gosec // an HTTP status
 		ContentType: g.Stored.ContentType, Body: g.Stored.Body, Truncated: g.Stored.Truncated,
@@ -97,7 +159,7 @@
 
 // Release implements wirev1connect.ControlHandler.
 func (s *service) Release(ctx context.Context, req *connect.Request[wirev1.ReleaseRequest]) (*connect.Response[wirev1.ReleaseResponse], error) {
-	owner, err := s.localOwner(req.Msg.GetKey(), req.Msg.GetShard())
+	owner, err := s.owner(req.Msg)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +171,7 @@
 
 // Finish implements wirev1connect.ControlHandler.
 func (s *service) Finish(ctx context.Context, req *connect.Request[wirev1.FinishRequest]) (*connect.Response[wirev1.FinishResponse], error) {
-	owner, err := s.localOwner(req.Msg.GetKey(), req.Msg.GetShard())
+	owner, err := s.owner(req.Msg)
 	if err != nil {
 		return nil, err
 	}
@@ -123,14 +185,28 @@
 	return connect.NewResponse(&wirev1.FinishResponse{}), nil
 }
 
-// localOwner checks that both releases place the key in the same shard.
-func (s *service) localOwner(key string, shard int32) (claim.Owner, error) {
-	if shardOf(key) != shard {
-		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("key belongs to shard %d, not %d", shardOf(key), shard))
+// claimMessage is a request that names a key.
+type claimMessage interface {
+	GetKey() string
+	GetShard() int32
+	GetForwarded() bool
+}
+
+// owner returns who serves a request of a peer: this daemon, or, where the peer
+// knows only some members of this zone, the owner in it.
+func (s *service) owner(msg claimMessage) (claim.Owner, error) {
+	shard := shardOf(msg.GetKey())
+	if shard != msg.GetShard() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("key belongs to shard %d, not %d", shard, msg.GetShard()))
+	}
+	if o := s.view.Load().owners()[shard]; !msg.GetForwarded() && !o.local && o.certain {
+		if next := s.peerOwner(o.name, true); next != nil {
+			return next, nil
+		}
 	}
-	owner, err := s.claims.Local(key)
+	local, err := s.claims.Local(msg.GetKey())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return owner, nil
+	return local, nil
 }
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -61,6 +61,10 @@
 	// maxFetches bounds the fetches served at once, so that peers that return
 	// together do not take the daemon's processor from its calls.
 	maxFetches = 4
+	// claimSyncPeriod is the period in which the owned shards of claims are
+	// compared with the open writers, claimSyncTimeout bounds closing one.
+	claimSyncPeriod  = 2 * time.Second
+	claimSyncTimeout = 5 * time.Second
 	// askTimeout bounds the wait for the actor.
 	askTimeout = 2 * time.Second
 	// publishPeriod is the shortest time between two views that differ only in
@@ -241,6 +245,7 @@
 	c.loop(c.gossipLoop)
 	c.loop(c.tailLoop)
 	c.loop(c.seedLoop)
+	c.loop(c.claimLoop)
 }
 
 func (c *control) loop(f func()) {
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/connection/platform"
@@ -491,5 +492,6 @@
 		Table: route.NewTable(c.state, members, self.Zone, self.Region),
 	}
 	c.decision.fill(s, c.state)
+	s.owners = sync.OnceValue(s.shardOwners)
 	return s
 }
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -5,13 +5,11 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/kingcuppitch/kingcuppitch/connection/platform"
-	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
@@ -289,15 +287,3 @@
 		Kind: string(e.Kind), Detail: e.Detail, Version: e.Version,
 	}
 }
-
-// members returns the names of the members that may own shared tasks.
-func (s *Snapshot) members() []string {
-	var names []string
-	for _, m := range s.Members {
-		if m.State != membership.Leaving && m.State != membership.Suspect {
-			names = append(names, m.Name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
--- a/process/control/snapshot.go
+++ b/process/control/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
@@ -27,6 +28,8 @@
 	TakenBack map[int64]bool
 	// crashes is the merged set of crash reports; it is safe for concurrent use.
 	crashes *quarantine.Set
+	// owners holds the owner of each shard of claims, made at first use.
+	owners func() [claim.Shards]owner
 }
 
 // Share returns the share of traffic of the new version of a move.
