--- a/version/move/random_test.go
+++ b/version/move/random_test.go
@@ -121,7 +121,8 @@
 }
 
 // TestRandomMoves guards against rules that fit the recorded traces only. It
-// samples good and bad versions under disturbances, with a fixed seed.
+// samples good and bad versions under disturbances, with a fixed seed that differs
+// from the one on which the constants of the rules were chosen.
 func TestRandomMoves(t *testing.T) {
 	type outcome struct {
 		bad       bool
@@ -135,7 +136,7 @@
 	g.SetLimit(max(runtime.GOMAXPROCS(0)/2, 1))
 	for i := range outcomes {
 		g.Go(func() error {
-			rng := rand.New(rand.NewPCG(2026, uint64(i)))
+			rng := rand.New(rand.NewPCG(990017, uint64(i)))
 			s := randomScenario(rng, i%2 == 1)
 			tr := s.generate(rng)
 			o := &outcomes[i]
