Decide on moves once a second

Figures: one decision takes 1.2 ms for verdicts and 1.3 ms for the share with 200 instances, so four a second would take 1% of a core.

--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// decidePeriod is the period of decisions on moves. One takes 2.5 ms with
+	// 200 instances and 10 routes.
+	decidePeriod = time.Second
 	// appendRepeat is the pause before a verdict or the end of a move is
 	// appended again while it is not folded.
 	appendRepeat = 2 * time.Second
@@ -39,6 +42,7 @@
 	appendAfter map[int64]time.Time
 	shares      map[int64]float64
 	window      int64
+	decideAfter time.Time
 }
 
 // Events of the decisions.
@@ -66,9 +70,13 @@
 	return nil
 }
 
-// decide runs with each control tick: shares, verdicts and ends of moves.
+// decide makes the periodic decisions: shares, verdicts and ends of moves.
 func (c *core) decide(now time.Time, rnd float64) {
 	d := &c.decision
+	if now.Before(d.decideAfter) {
+		return
+	}
+	d.decideAfter = now.Add(decidePeriod)
 	d.crashes.Expire(now)
 	d.window = move.Window(now)
 	d.evidence.Retain(func(id int64) bool { return c.running(id) })
