Stop a daemon without cutting a request that callers send meanwhile

Faults, each seen as a failing test before the change: - http.ServeMux answered a forwarded call with an unclean path such as /a//b by a redirect of its own, which the entry took for a crossed answer; - a header of 55 kB in 600 fields was accepted from the caller and refused by the peer, where HTTP/2 counts 32 bytes more for each field; the call was reported as unknown and the instance as failing; - an answer whose call began before the daemon left kept its connection open, though the connection was about to be closed (TestCloseWhenLeaving); - connections in the queue of the listener were reset by its close (TestCloseOfListener), and http.Server.Shutdown drops a request that it has read but not begun to serve (TestFinish). Ruled out: a longer notice, which does not change the moment of the close. The listener now hands out what waits in its queue, and Shutdown begins when no connection is busy.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,10 @@
 	idleWithin = 2 * time.Minute
 	// maxHeader bounds request headers, in bytes.
 	maxHeader = 64 << 10
+	// maxForwardedHeader bounds the headers of a forwarded call, in bytes. HTTP/2
+	// counts 32 bytes more for each field, so a header that a caller may send
+	// can count more than seven times its length.
+	maxForwardedHeader = 8 * maxHeader
 )
 
 // Daemon is one kingcuppitchd process.
@@ -65,6 +70,7 @@
 	*http.Server
 	name     string
 	listener net.Listener
+	busy     busyConns
 }
 
 // New returns a daemon that is not started.
@@ -131,7 +137,6 @@
 	path, ctl := d.control.Handler()
 	peers := http.NewServeMux()
 	peers.Handle(path, ctl)
-	peers.Handle(host.ForwardPrefix, d.host)
 	announce := http.NewServeMux()
 	announce.HandleFunc("POST /announce", d.announce)
 	vars := http.NewServeMux()
@@ -141,15 +146,16 @@
 		addr    netip.AddrPort
 		handler http.Handler
 		http2   bool
+		header  int
 	}{
-		{"callers", d.settings.CallerAddress, d.closeWhenLeaving(d.entry), false},
-		{"announcements", d.settings.AnnounceAddress, announce, false},
-		{"metrics", d.settings.MetricsAddress, vars, false},
-		{"peers", d.settings.PeerAddress, peers, true},
+		{"callers", d.settings.CallerAddress, d.closeWhenLeaving(d.entry), false, maxHeader},
+		{"announcements", d.settings.AnnounceAddress, announce, false, maxHeader},
+		{"metrics", d.settings.MetricsAddress, vars, false, maxHeader},
+		{"peers", d.settings.PeerAddress, d.forwardFirst(peers), true, maxForwardedHeader},
 	}
 	for _, l := range list {
 		s := &server{name: l.name, Server: &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: maxHeader,
+			Handler: l.handler, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: l.header,
 			ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}}
 		if l.http2 {
@@ -157,7 +163,8 @@
 			s.Protocols.SetHTTP1(true)
 			s.Protocols.SetUnencryptedHTTP2(true)
 		}
-		if s.listener, err = net.Listen("tcp", l.addr.String()); err != nil {
+		s.ConnState = s.busy.set
+		if s.listener, err = listen(context.Background(), l.addr.String()); err != nil {
 			for _, open := range d.servers {
 				_ = open.listener.Close()
 			}
@@ -168,17 +175,44 @@
 	return nil
 }
 
+// forwardFirst serves forwarded calls without http.ServeMux, which answers a
+// path such as /a//b with a redirect of its own.
+func (d *Daemon) forwardFirst(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, host.ForwardPrefix) {
+			d.host.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // closeWhenLeaving ends the connections of callers with an answer while the
 // daemon leaves, so that none is cut between two requests.
 func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(&leavingWriter{ResponseWriter: w, leaving: &d.leaving}, r)
 	})
 }
 
+// leavingWriter asks for the end of the connection in each answer that begins
+// while the daemon leaves, also where the call began before.
+type leavingWriter struct {
+	http.ResponseWriter
+	leaving *atomic.Bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *leavingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *leavingWriter) WriteHeader(status int) {
+	if w.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // shutdown leaves the mesh, answers the calls in flight and stops.
 func (d *Daemon) shutdown() error {
 	d.events.Add(time.Now(), timeline.KindStop, 0, "daemon is leaving")
@@ -194,6 +228,9 @@
 			d.entry.Close()
 			errs = append(errs, d.host.Drain(ctx), d.control.Claims().Close(ctx))
 		}
+		if s.name == "callers" {
+			errs = append(errs, s.finish(ctx))
+		}
 		errs = append(errs, s.Shutdown(ctx))
 	}
 	d.control.Stop()
