--- a/standin/fleet/caller.go
+++ b/standin/fleet/caller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"time"
 
@@ -32,6 +33,8 @@
 	Body       []byte
 	// Answer is of the upstream; it is empty unless Status is 200.
 	Answer upstream.Answer
+	// Idle is how long the connection had been idle; zero means a new one.
+	Idle time.Duration
 }
 
 // Caller sends calls to entries.
@@ -53,6 +56,7 @@
 // Do sends a call. An error means that the whole answer to this call did not
 // arrive; a refusal is not an error.
 func (c *Caller) Do(ctx context.Context, entry netip.AddrPort, call Call) (r Result, err error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { r.Idle = info.IdleTime }})
 	// A body without GetBody keeps net/http from sending the call twice.
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+entry.String()+call.Path, struct{ io.Reader }{bytes.NewReader(call.Body)})
 	if err != nil {
