standin: test faults, quarantine and moves end to end

Cause: the tests covered stops, outages and zones, but no fault of an upstream and no move. Change: tests for crossed, cut and late answers with lost answers of the log, for a request that crashes instances, and for good and bad versions.

--- /dev/null
+++ b/standin/e2e/fault_test.go
@@ -0,0 +1,241 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
+	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
+	"github.com/kingcuppitch/kingcuppitch/standin/upstream"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+)
+
+// Guards against answers to other calls, cut answers and second runs while
+// upstreams cross and cut answers, connections go silent and the log loses
+// answers, and callers repeat reservations whose result they don't know.
+func TestFaultyUpstreamsAndLostAnswers(t *testing.T) {
+	t.Parallel()
+	f := start(t, mesh{})
+	faults := upstream.Faults{Crossed: 0.02, Truncated: 0.02, Late: 0.02, LateMs: 500}
+	for _, n := range f.Nodes {
+		if err := n.SetFaults(t.Context(), faults); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.SetLogFaults(t.Context(), logservice.Faults{LoseAnswers: 0.2, LatencyMs: 5}); err != nil {
+		t.Fatal(err)
+	}
+	tr := startTraffic(t, f, allCalls)
+	time.Sleep(2 * time.Second)
+	if err := f.Nodes[len(f.Nodes)-1].Order(t.Context(), "/silence"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+	records := tr.stop()
+	check(t, f, records, func(r *fleet.Record) bool {
+		// A look-up may fail in all of its attempts; the count is below.
+		return r.Err == nil && r.Result.Status != http.StatusOK
+	})
+	failed, sum := 0, 0
+	for _, r := range records {
+		if r.Call.Key == "" {
+			sum++
+			if r.Result.Status != http.StatusOK {
+				failed++
+			}
+		}
+	}
+	if failed*50 > sum {
+		t.Errorf("got %d of %d look-ups failed, want at most 2 %%", failed, sum)
+	}
+}
+
+// Guards against a request that crashes one instance after the other when its
+// caller repeats it, and against refusals of requests that were beside it.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	t.Parallel()
+	f := start(t, mesh{})
+	for _, n := range f.Nodes {
+		if err := n.SetFaults(t.Context(), upstream.Faults{CrashBody: "crash", CrashForMs: 300}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tr := startTraffic(t, f, lookUps)
+	caller := fleet.NewCaller()
+	defer caller.Close()
+	last := fleet.Result{}
+	for i := range 8 {
+		var err error
+		last, err = caller.Do(t.Context(), f.Nodes[i%len(f.Nodes)].Settings.CallerAddress,
+			fleet.Call{Method: http.MethodPost, Path: "/reservations", Body: []byte("crash")})
+		if err != nil {
+			t.Errorf("attempt %d: %v", i, err)
+		}
+		time.Sleep(time.Second) // reports reach all daemons
+	}
+	if last.Status != http.StatusUnprocessableEntity || last.Outcome != request.NotRun {
+		t.Errorf("got status %d, outcome %q, want 422 and notRun", last.Status, last.Outcome)
+	}
+	runs, err := f.Runs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := runs.Bodies[upstream.Hash([]byte("crash"))].Started; got != 2 {
+		t.Errorf("got %d runs of the request that crashes, want 2", got)
+	}
+	check(t, f, tr.stop(), func(r *fleet.Record) bool {
+		// Look-ups beside the crash may fail in all attempts, but none is
+		// quarantined for it.
+		return r.Err == nil && r.Result.Status != http.StatusUnprocessableEntity
+	})
+}
+
+// goodWithin and badWithin are the lengths of the moves. A stage is a fifth and
+// must be longer than the windows of 5 s in which daemons count. The move to a
+// bad version ends at its verdict, so its length only bounds the time on a busy
+// machine.
+const (
+	goodWithin = 30 * time.Second
+	badWithin  = 40 * time.Second
+)
+
+// moveWorkers send about 500 calls a second on an idle machine, which gives a
+// version at 1 % the samples for a judgement within a few windows.
+const moveWorkers = 16
+
+// moveBooking starts a move of booking from v1 to v2 and returns its status
+// once it has ended.
+func moveBooking(t *testing.T, f *fleet.Fleet, within time.Duration) *wirev1.MoveStatus {
+	t.Helper()
+	client(t, f, "move", "start", "booking", "--from", "v1", "--to", "v2", "--within", within.String())
+	until := time.Now().Add(within + inForce)
+	for {
+		s, err := f.Status(t.Context(), f.Nodes[0])
+		if err == nil && len(s.Moves) > 0 && s.Moves[0].State != "running" {
+			return s.Moves[0]
+		}
+		if time.Now().After(until) {
+			t.Fatalf("the move has not ended: %v, %v", s.GetMoves(), err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func requests(t *testing.T, f *fleet.Fleet, version string) (sum int64) {
+	t.Helper()
+	for _, n := range f.Nodes {
+		if n.Service == "booking" && n.Version == version {
+			s, err := n.Stats(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum += s.Requests
+		}
+	}
+	return sum
+}
+
+// Guards against a bad version that gets more than a small share of the
+// traffic, or any once its fault has shown.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	t.Parallel()
+	testBadVersion(t, mesh{secondVersion: true, alwaysWarm: true})
+}
+
+// Guards against a bad version that stays in cold start because of its fault,
+// and is not judged for that.
+func TestBadVersionWithColdStartIsTakenBack(t *testing.T) {
+	t.Parallel()
+	testBadVersion(t, mesh{secondVersion: true})
+}
+
+func testBadVersion(t *testing.T, m mesh) {
+	f := start(t, m)
+	for _, n := range f.Nodes {
+		if n.Version == "v2" {
+			if err := n.SetFaults(t.Context(), upstream.Faults{ErrorRatio: 0.5, PathPrefix: "/slots"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	tr := startWorkers(t, f, lookUps[:1], moveWorkers)
+	begin := time.Now()
+	ended := moveBooking(t, f, badWithin)
+	t.Logf("move ended after %v: %s, %s", time.Since(begin).Round(time.Millisecond), ended.State, ended.Reason)
+	if ended.State != "takenBack" || ended.Share != 0 {
+		t.Errorf("got state %s with share %v, want takenBack with 0", ended.State, ended.Share)
+	}
+	time.Sleep(time.Second) // calls in flight, and verdicts on the way to other daemons
+	bad, good := requests(t, f, "v2"), requests(t, f, "v1")
+	if bad*10 > good {
+		t.Errorf("got %d requests on the bad version beside %d on the good one, want at most 10 %%", bad, good)
+	}
+	time.Sleep(2 * time.Second)
+	if got := requests(t, f, "v2") - bad; got != 0 {
+		t.Errorf("got %d requests on the bad version after the verdict, want 0", got)
+	}
+	check(t, f, tr.stop(), func(r *fleet.Record) bool { return r.Err == nil && r.Result.Status == http.StatusInternalServerError })
+}
+
+// Guards against a good version that is not done in time or taken back, and
+// against calls that fail on the way.
+func TestGoodVersionIsDoneInTime(t *testing.T) {
+	t.Parallel()
+	testGoodVersion(t, mesh{secondVersion: true, alwaysWarm: true})
+}
+
+// Guards against a move that waits for instances to leave cold start, which
+// need more requests for that than the first stages give them.
+func TestGoodVersionWithColdStartIsDoneInTime(t *testing.T) {
+	t.Parallel()
+	testGoodVersion(t, mesh{secondVersion: true})
+}
+
+func testGoodVersion(t *testing.T, m mesh) {
+	f := start(t, m)
+	tr := startWorkers(t, f, lookUps[:1], moveWorkers)
+	t.Cleanup(func() {
+		if t.Failed() {
+			out, err := f.Client(context.Background(), "timeline")
+			t.Log(out, err)
+		}
+	})
+	ended := moveBooking(t, f, goodWithin)
+	if ended.State != "done" {
+		t.Errorf("got state %s (%s), want done", ended.State, ended.Reason)
+	}
+	time.Sleep(time.Second)
+	before := requests(t, f, "v1")
+	time.Sleep(time.Second)
+	if got := requests(t, f, "v1") - before; got != 0 {
+		t.Errorf("got %d requests on the old version after the move, want 0", got)
+	}
+	records := tr.stop()
+	check(t, f, records, nil)
+	t.Log(versions(records))
+}
+
+// versions counts the answers of booking by second and version.
+func versions(records []fleet.Record) string {
+	counts := make(map[int]map[string]int)
+	last := 0
+	for _, r := range records {
+		if r.Result.Status == http.StatusOK && r.Call.Path[:2] != "/a" {
+			last = int(r.Begin.Sub(records[0].Begin).Seconds())
+			if counts[last] == nil {
+				counts[last] = make(map[string]int)
+			}
+			counts[last][r.Result.Answer.Version]++
+		}
+	}
+	s := "answers of v1/v2 by second:"
+	for i := range last + 1 {
+		s += fmt.Sprintf(" %s/%s", strconv.Itoa(counts[i]["v1"]), strconv.Itoa(counts[i]["v2"]))
+	}
+	return s
+}
