Count answers in cold start as evidence, without their latency

Ruled out: excluding errors, which already counted; the ratio of errors had no denominator. Change: an answer within the limit of cold start counts, its latency does not.

--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -81,7 +81,7 @@
 		r.lost = append(r.lost, lostCall{fingerprint: fp, route: call.Route})
 		r.gathering = true
 	} else {
-		r.count(snap, call.Route, now, s.Took, s.Failed, s.Excluded)
+		r.count(snap, call.Route, now, s)
 	}
 	r.mu.Unlock()
 	if s.Answered {
@@ -93,20 +93,24 @@
 }
 
 // count adds a sample to the counters of a running move.
-func (r *Recorder) count(snap *Snapshot, route string, now time.Time, took time.Duration, failed, excluded bool) {
+func (r *Recorder) count(snap *Snapshot, route string, now time.Time, s request.Sample) {
 	m, ok := snap.State.Move(snap.Self.Service)
 	if !ok {
 		return
 	}
 	if z := snap.State.Zones[snap.Self.Zone]; z.Out || now.Before(z.RampUntil) {
-		excluded = true
+		s.Excluded = true
 	}
 	k := move.Key{
 		Move: m.ID, Instance: snap.Self.Name, Incarnation: snap.Self.Incarnation,
 		Route: route, Version: snap.Self.Version, Window: move.Window(now),
 	}
 	n := r.counters[k]
-	n.Add(took, failed, excluded)
+	if s.Untimed && !s.Failed && !s.Excluded {
+		n.AddUntimed()
+	} else {
+		n.Add(s.Took, s.Failed, s.Excluded)
+	}
 	r.counters[k] = n
 	r.changed[k] = true
 }
@@ -132,7 +136,7 @@
 	}
 	snap, now := r.control.view.Load(), time.Now()
 	for _, l := range r.lost {
-		r.count(snap, l.route, now, 0, true, false)
+		r.count(snap, l.route, now, request.Sample{Failed: true})
 	}
 	r.lost = nil
 }
@@ -148,7 +152,7 @@
 		// The calls of a crash fail together, so they are one failure of a route.
 		if !counted[l.route] {
 			counted[l.route] = true
-			r.count(snap, l.route, now, 0, true, snap.crashes.Quarantined(l.fingerprint))
+			r.count(snap, l.route, now, request.Sample{Failed: true, Excluded: snap.crashes.Quarantined(l.fingerprint)})
 		}
 	}
 	r.lost = nil
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -235,9 +235,10 @@
 		} else {
 			h.limiter.Done(now, ticket, result)
 		}
+		excluded, untimed := h.warmup.judge(now, load, result)
 		h.observer.Finished(call, request.Sample{
 			Took: result.Took, Failed: result.Failed || result.Expired, Lost: lost, Answered: ans != nil,
-			Excluded: cancelled || h.warmup.excludes(now, load, result),
+			Excluded: cancelled || excluded, Untimed: untimed,
 		})
 	}
 	defer func() {
--- a/request/host/warmup.go
+++ b/request/host/warmup.go
@@ -21,7 +21,9 @@
 
 // warmup decides which samples say nothing about the version of an upstream.
 // Within the limit of cold start an upstream is expected to answer without
-// errors, so errors always count; its latency is not expected to be normal.
+// errors, so its answers count, but not their latency. If they did not count at
+// all, a version whose errors keep it cold could not be judged, and a good one
+// with a small share would not collect evidence.
 type warmup struct {
 	mu    sync.Mutex
 	cold  bool
@@ -35,9 +37,9 @@
 	w.cold, w.until = true, now.Add(startExclusion)
 }
 
-// excludes reports whether a sample that began under the given load says
-// nothing about the version.
-func (w *warmup) excludes(now time.Time, load request.Load, r admission.Result) bool {
+// judge reports whether a sample that began under the given load says nothing
+// about the version, and whether its time says nothing.
+func (w *warmup) judge(now time.Time, load request.Load, r admission.Result) (excluded, untimed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	cold := load.State == stateCold
@@ -45,10 +47,7 @@
 		w.until = now.Add(fallbackExclusion)
 	}
 	w.cold = cold
-	if r.Shed {
-		// A warm upstream sheds in overload; one that sheds within the limit of
-		// cold start has a fault.
-		return !cold
-	}
-	return cold && !r.Failed && !r.Expired && now.Before(w.until)
+	// A warm upstream sheds in overload; one that sheds within the limit of cold
+	// start has a fault.
+	return r.Shed && !cold, cold && now.Before(w.until)
 }
--- a/request/request.go
+++ b/request/request.go
@@ -176,6 +176,8 @@
 	Answered bool
 	// Excluded means that the sample says nothing about the upstream's version.
 	Excluded bool
+	// Untimed means that the time says nothing about it, as in cold start.
+	Untimed bool
 }
 
 // Answer is the answer of an upstream.
--- a/version/move/evidence.go
+++ b/version/move/evidence.go
@@ -52,6 +52,10 @@
 	Latency [16]uint64
 }
 
+// AddUntimed counts a request that was answered without an error and whose
+// latency says nothing, as in cold start.
+func (c *Counters) AddUntimed() { c.Requests++ }
+
 // Add counts one request.
 func (c *Counters) Add(took time.Duration, failed, excluded bool) {
 	if excluded {
