Apply limits with the version that brings them

Ruled out: the shutdown itself; no call was cut. Change: limits are applied with each new view. A seed is asked now and then, so that parts of the mesh that were separated for longer than dead members are remembered find each other.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -49,6 +49,8 @@
 	gossipPeriod = time.Second
 	// rpcTimeout bounds a call to a peer.
 	rpcTimeout = 800 * time.Millisecond
+	// seedShare is the share of gossip periods in which a seed is asked too.
+	seedShare = 0.05
 	// peerIdle closes control connections that were not used.
 	peerIdle = 15 * time.Second
 	// pollPeriod is how long a read of the log waits for a record.
@@ -117,6 +119,10 @@
 // WithTimeline sets the time line of events.
 func WithTimeline(t *timeline.Timeline) Option { return func(c *control) { c.events = t } }
 
+// WithViewObserver sets a function that is called with each new view. It runs
+// on the thread of the control state and must not block.
+func WithViewObserver(f func(*Snapshot)) Option { return func(c *control) { c.onView = f } }
+
 // WithLogger sets the logger of the actor system.
 func WithLogger(l *slog.Logger) Option { return func(c *control) { c.logger = l } }
 
@@ -128,6 +134,7 @@
 	metrics  *metrics.Set
 	events   *timeline.Timeline
 	logger   *slog.Logger
+	onView   func(*Snapshot)
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -234,7 +241,11 @@
 
 func (c *control) publish(core *core) {
 	core.dirty, core.stale = false, false
-	c.view.Store(core.snapshot())
+	view := core.snapshot()
+	c.view.Store(view)
+	if c.onView != nil {
+		c.onView(view)
+	}
 	c.reader.Store(core.isReader())
 	c.changed.notify()
 }
@@ -330,16 +341,18 @@
 	}
 }
 
-// seedLoop exchanges with the seeds until members are known, and again while
-// none is left.
+// seedLoop exchanges with the seeds until members are known, and with one of
+// them from time to time. Parts of the mesh that were cut off from each other
+// for longer than they remember dead members find each other again by it.
 func (c *control) seedLoop() {
 	for {
-		if len(c.view.Load().Members) <= 1 {
+		switch {
+		case len(c.view.Load().Members) <= 1:
 			for _, addr := range c.seeds {
-				if addr != c.self.Peer {
-					c.exchangeWithSeed(addr)
-				}
+				c.exchangeWithSeed(addr)
 			}
+		case len(c.seeds) > 0 && rand.Float64() < seedShare:
+			c.exchangeWithSeed(c.seeds[rand.IntN(len(c.seeds))])
 		}
 		if !c.pause(jitter(gossipPeriod)) {
 			return
@@ -348,6 +361,9 @@
 }
 
 func (c *control) exchangeWithSeed(addr netip.AddrPort) {
+	if addr == c.self.Peer {
+		return
+	}
 	v := c.view.Load()
 	req := &wirev1.ExchangeRequest{
 		From: toWire(v.Self), Offset: v.State.Offset,
--- a/process/daemon/announce.go
+++ b/process/daemon/announce.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
 )
@@ -55,15 +56,10 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// setUpstream applies the limits of the configuration. Before the first
-// version the upstream has none, and the limiter refuses all calls.
+// setUpstream takes an announcement that was checked.
 func (d *Daemon) setUpstream(a announcement) {
-	snap := d.control.Snapshot()
-	u, ok := snap.State.Config.Upstream(a.Service)
-	if ok {
-		d.limiter.SetLimits(admission.Limits{Slots: u.Slots, ColdSlots: u.ColdSlots})
-		d.host.SetUpstream(a.Address, u.Connections)
-	}
+	d.announced.Store(&a)
+	d.applyLimits(d.control.Snapshot())
 	if old := d.incarnation.Swap(a.Incarnation); old != a.Incarnation {
 		now := time.Now()
 		d.host.Restarted(now)
@@ -73,3 +69,17 @@
 	}
 	d.control.Recorder().SetUpstream(a.Address.String(), a.Incarnation)
 }
+
+// applyLimits applies the limits of the configuration to the upstream, with
+// each announcement and each new view. Without a configuration there are none,
+// and the limiter refuses all calls.
+func (d *Daemon) applyLimits(snap *control.Snapshot) {
+	a := d.announced.Load()
+	if a == nil {
+		return
+	}
+	if u, ok := snap.State.Config.Upstream(a.Service); ok {
+		d.limiter.SetLimits(admission.Limits{Slots: u.Slots, ColdSlots: u.ColdSlots})
+		d.host.SetUpstream(a.Address, u.Connections)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -62,7 +62,9 @@
 	leaving  atomic.Bool
 	// incarnation is the last announced incarnation of the upstream.
 	incarnation atomic.Uint64
-	servers     []*server
+	// announced is the last announcement of the upstream.
+	announced atomic.Pointer[announcement]
+	servers   []*server
 }
 
 // server is an HTTP server with its listener.
@@ -95,6 +97,7 @@
 		control.WithServices(s.Services...),
 		control.WithMetrics(d.metrics),
 		control.WithTimeline(d.events),
+		control.WithViewObserver(d.applyLimits),
 		control.WithLogger(newSlog(logger.Named("actor"))),
 	)
 	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()))
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -202,8 +202,10 @@
 		return refuse(request.ReasonNotReady, "daemon %s has no current configuration", self.Name)
 	case snap.ZoneOut():
 		return refuse(request.ReasonZoneOut, "availability zone %s is out", self.Zone)
-	case h.target.Load() == nil || self.State != "ready":
+	case self.State != "ready":
 		return refuse(request.ReasonNotReady, "upstream beside %s is %s", self.Name, self.State)
+	case h.target.Load() == nil:
+		return refuse(request.ReasonNotReady, "the limits of the upstream beside %s are not known", self.Name)
 	case call.UpstreamVersion != "" && call.UpstreamVersion != self.Version:
 		return refuse(request.ReasonWrongVersion, "instance %s runs version %s, not %s", self.Name, self.Version, call.UpstreamVersion)
 	case !time.Now().Before(call.StartBy()):
