--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -114,13 +114,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	go func() {
-		err := New(n.settings, hclog.NewNullLogger()).Run(ctx)
-		if err != nil {
-			t.Logf("%s ended: %v", name, err)
-		}
-		n.done <- err
-	}()
+	go func() { n.done <- New(n.settings, hclog.NewNullLogger()).Run(ctx) }()
 	announcing, stopAnnouncing := context.WithCancel(context.Background())
 	go func() {
 		body, _ := json.Marshal(announcement{
@@ -159,6 +153,11 @@
 		}
 		ready = true
 		for _, n := range all {
+			select {
+			case err := <-n.done:
+				t.Fatalf("%s ended: %v", n.settings.Name, err)
+			default:
+			}
 			_, ok := n.runs.Load(path)
 			ready = ready && ok
 		}
--- a/standin/measure/control.go
+++ b/standin/measure/control.go
@@ -48,7 +48,7 @@
 	Daemons, Services int
 	// Changes is the number of versions published in the measured time.
 	Changes int
-	// Until is when the measured time ends; it starts when all is settled.
+	// For is the length of the measured time, which starts when all is settled.
 	For time.Duration
 }
 
@@ -80,7 +80,9 @@
 
 // Control measures one plan; files and processes are in dir.
 func Control(ctx context.Context, dir string, bin fleet.Binaries, p Plan) (res Result, err error) {
-	defer func() { err = eris.Wrapf(err, "measure %d daemons, %d services, %d changes", p.Daemons, p.Services, p.Changes) }()
+	defer func() {
+		err = eris.Wrapf(err, "measure %d daemons, %d services, %d changes", p.Daemons, p.Services, p.Changes)
+	}()
 	m := &mesh{launcher: launcher.NewLauncher(dir)}
 	defer func() { m.launcher.Stop(time.Now().Add(10 * time.Second)) }()
 	ctx, cancel := context.WithCancel(ctx)
--- a/standin/measure/latency_test.go
+++ b/standin/measure/latency_test.go
@@ -41,7 +41,7 @@
 
 func freeAddress(b *testing.B) netip.AddrPort {
 	b.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.2:0") // connections take their ports from 127.0.0.1
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -65,8 +65,8 @@
 	p.logAddr = netip.MustParseAddrPort(strings.TrimPrefix(logServer.URL, "http://"))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	p.host = p.daemon(b, ctx, "host")
-	p.entry = p.daemon(b, ctx, "entry", p.host.PeerAddress)
+	p.host = p.daemon(ctx, b, "host")
+	p.entry = p.daemon(ctx, b, "entry", p.host.PeerAddress)
 	b.Cleanup(func() {
 		cancel()
 		<-p.done
@@ -78,7 +78,7 @@
 	return p
 }
 
-func (p *pair) daemon(b *testing.B, ctx context.Context, name string, seeds ...netip.AddrPort) settings.Settings {
+func (p *pair) daemon(ctx context.Context, b *testing.B, name string, seeds ...netip.AddrPort) settings.Settings {
 	b.Helper()
 	s := settings.Settings{
 		Name: name, Region: "r", Zone: "z", CallerAddress: freeAddress(b), PeerAddress: freeAddress(b),
