control: end a pause only with answers asked for after it

Cause: after a SIGSTOP of 5.5 s a daemon answered look-ups on a route that had been published meanwhile with 404, so it served its state from before the pause. Three ways led there: the tick that finds the pause made the old view valid before it replaced the view; a goroutine paused between loading the view and checking its validity kept it; and the answer to a read of the log that had waited since before the pause counted as caught up. Change: validity is stored after the view and loaded before it. Reads of the log, exchanges and fetches carry the time at which they began; only those begun after the pause was found bring the daemon back. A read does not wait for a record while the view is not valid. TestPaused now gives the time of the read, and checks that older reads and offers don't count.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -188,15 +188,17 @@
 	}
 	now := time.Now()
 	reply, actions := core.handle(ctx.Message(), now, rand.Float64())
-	if _, ok := ctx.Message().(tick); ok {
-		c.valid.Store(now.Add(validPeriod).UnixNano())
-	}
 	if core.dirty || core.stale && now.Sub(c.published) >= publishPeriod {
 		c.publish(core)
 		c.published = now
 	} else if core.stale {
 		c.flushLater()
 	}
+	if _, ok := ctx.Message().(tick); ok {
+		// After the view: the tick that finds a pause must not make the view from
+		// before the pause valid again.
+		c.valid.Store(now.Add(validPeriod).UnixNano())
+	}
 	if ctx.Sender() != nil {
 		if reply == nil {
 			reply = struct{}{}
@@ -269,8 +271,11 @@
 
 // Snapshot implements Control.
 func (c *control) Snapshot() *Snapshot {
+	// Before the view: a goroutine that was paused in between must not find its
+	// old view valid because of a later tick.
+	valid := c.valid.Load()
 	s := c.view.Load()
-	if s.Serving && time.Now().UnixNano() > c.valid.Load() {
+	if s.Serving && time.Now().UnixNano() > valid {
 		// The control tick is late: the process was paused or is starved, and
 		// the view may be older than one that was served before.
 		late := *s
@@ -358,12 +363,13 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, rpcTimeout)
 	defer cancel()
+	asked := time.Now()
 	res, err := c.client(addr).Exchange(ctx, connect.NewRequest(req))
 	if err != nil {
 		c.metrics.Add("control.seedFailures", 1)
 		return
 	}
-	c.send(exchangeDone{to: fromWire(res.Msg.GetFrom()), res: res.Msg})
+	c.send(exchangeDone{to: fromWire(res.Msg.GetFrom()), res: res.Msg, asked: asked})
 }
 
 // tailLoop reads the log while this daemon is a reader, and once whenever the
@@ -401,8 +407,9 @@
 	from := c.view.Load().State.Offset + 1
 	var got recordsArrived
 	for {
-		until := time.Now()
-		if len(got.entries) == 0 && c.reader.Load() && c.view.Load().Serving {
+		got.asked = time.Now()
+		until := got.asked
+		if len(got.entries) == 0 && c.reader.Load() && c.Snapshot().Serving {
 			until = until.Add(pollPeriod)
 		}
 		page, err := c.log.Read(c.ctx, record.Stream, from, until)
@@ -494,11 +501,12 @@
 }
 
 func (c *control) runExchange(ctx context.Context, a sendExchange) {
+	asked := time.Now()
 	res, err := c.client(a.to.Peer).Exchange(ctx, connect.NewRequest(a.req))
 	switch {
 	case err == nil:
 		c.observe(res.Msg.GetClockUnixNano())
-		c.send(exchangeDone{to: a.to, res: res.Msg})
+		c.send(exchangeDone{to: a.to, res: res.Msg, asked: asked})
 	case !a.news && c.ctx.Err() == nil:
 		c.peers.Retire(a.to.Peer)
 		c.send(exchangeFailed{to: a.to})
@@ -506,6 +514,7 @@
 }
 
 func (c *control) runFetch(ctx context.Context, a sendFetch) {
+	asked := time.Now()
 	res, err := c.client(a.to.Peer).Fetch(ctx, connect.NewRequest(&wirev1.FetchRequest{From: a.offset}))
 	if err != nil {
 		c.metrics.Add("control.fetchFailures", 1)
@@ -521,7 +530,7 @@
 	} else if len(res.Msg.GetRecords()) > 0 {
 		c.send(recordsArrived{entries: entriesFromWire(res.Msg.GetRecords()), source: a.to.Name})
 	}
-	c.send(offsetOffered{zone: res.Msg.GetZone(), offset: res.Msg.GetOffset(), serving: res.Msg.GetServing()})
+	c.send(offsetOffered{zone: res.Msg.GetZone(), offset: res.Msg.GetOffset(), serving: res.Msg.GetServing(), asked: asked})
 }
 
 func (c *control) runProbe(ctx context.Context, a sendProbe) {
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -57,6 +57,8 @@
 		source  string
 		// next is the offset after the end of the log, where it was read.
 		next, first int64
+		// asked is when that read began.
+		asked time.Time
 	}
 	logFailed    struct{ err error }
 	stateArrived struct {
@@ -68,12 +70,15 @@
 		offset int64
 		// serving is false if the peer itself has no current state.
 		serving bool
+		// asked is when the peer was asked.
+		asked time.Time
 	}
 	gossipDue    struct{}
 	exchangeIn   struct{ req *wirev1.ExchangeRequest }
 	exchangeDone struct {
-		to  membership.Member
-		res *wirev1.ExchangeResponse
+		to    membership.Member
+		res   *wirev1.ExchangeResponse
+		asked time.Time
 	}
 	exchangeFailed struct{ to membership.Member }
 	probeDone      struct {
@@ -124,7 +129,10 @@
 	metrics *metrics.Set
 	events  *timeline.Timeline
 
-	serving      bool
+	serving bool
+	// pausedUntil is when the last pause was found. Answers to questions asked
+	// before it may be older than the pause and don't end it.
+	pausedUntil  time.Time
 	logReachable bool
 	// logFirst is the oldest offset retained by the log, logNext the next.
 	logFirst, logNext int64
@@ -205,7 +213,7 @@
 	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > pausePeriod {
 		c.metrics.Add("control.pauses", 1)
 		c.event(now, timeline.KindPause, c.state.Offset, "process was paused for %v; catching up before new work", now.Sub(c.lastTick).Round(time.Millisecond))
-		c.serving = false
+		c.serving, c.pausedUntil = false, now
 		clear(c.offers)
 		c.dirty = true
 	}
@@ -266,7 +274,7 @@
 		c.metrics.Add("control.gaps", 1)
 		c.catchUp(ev.source)
 	}
-	if ev.next > 0 && c.state.Offset >= ev.next-1 && !c.serving {
+	if ev.next > 0 && c.state.Offset >= ev.next-1 && !c.serving && !ev.asked.Before(c.pausedUntil) {
 		c.startServing(now, "the log")
 	}
 	c.snapshotIfDue(now)
@@ -407,7 +415,7 @@
 // onOffer counts the zones whose peers have told their offset. Without the log
 // a daemon serves once peers of two zones have, and it holds the highest.
 func (c *core) onOffer(now time.Time, ev offsetOffered) {
-	if c.serving || !ev.serving {
+	if c.serving || !ev.serving || ev.asked.Before(c.pausedUntil) {
 		return
 	}
 	if old, ok := c.offers[ev.zone]; !ok || ev.offset > old {
--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -169,7 +169,19 @@
 	if c.serving || len(find[readLog](actions)) == 0 {
 		t.Errorf("after a pause: got serving %t, %d reads of the log; want false and one", c.serving, len(find[readLog](actions)))
 	}
-	c.handle(recordsArrived{first: 1, next: 3}, now, 0)
+	before := now.Add(-pausePeriod)
+	c.handle(recordsArrived{first: 1, next: 3, asked: before}, now, 0)
+	if c.serving {
+		t.Error("a read of the log from before the pause: got serving, want not")
+	}
+	c.handle(logFailed{errors.New("outage")}, now, 0)
+	for _, zone := range []string{"a", "b"} {
+		c.handle(offsetOffered{zone: zone, offset: 2, serving: true, asked: before}, now, 0)
+	}
+	if c.serving {
+		t.Error("offers from before the pause: got serving, want not")
+	}
+	c.handle(recordsArrived{first: 1, next: 3, asked: now}, now, 0)
 	if !c.serving {
 		t.Error("caught up with the log: got not serving, want serving")
 	}
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -54,7 +54,7 @@
 	c.contactUntil = now.Add(contactPeriod)
 	c.merge(now, rnd, append(membersFromWire(ev.res.GetMembers()), from))
 	c.mergeDecisions(now, rnd, ev.res)
-	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset(), serving: ev.res.GetServing()})
+	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset(), serving: ev.res.GetServing(), asked: ev.asked})
 	if ev.res.GetOffset() > c.state.Offset {
 		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
 	}
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -204,12 +204,13 @@
 func (s *service) catchUp(ctx context.Context) error {
 	for {
 		from := s.view.Load().State.Offset + 1
-		page, err := s.log.Read(ctx, record.Stream, from, time.Now())
+		asked := time.Now()
+		page, err := s.log.Read(ctx, record.Stream, from, asked)
 		if err == nil && page.Next <= from {
 			return nil
 		}
 		if err == nil {
-			if _, err = ask[int64](s.control, recordsArrived{entries: page.Records, next: page.Next, first: page.First}); err == nil {
+			if _, err = ask[int64](s.control, recordsArrived{entries: page.Records, next: page.Next, first: page.First, asked: asked}); err == nil {
 				continue
 			}
 		}
