Test a daemon that is paused while versions and zones change

Cause: no test on real processes paused a daemon. Change: TestDaemonPaused stops the daemon of a booking instance for 5.5 s, publishes a route and takes its availability zone out after 3 s, and sends reservations through it all the time. Now no reservation begun after the stop may run there, and at most as many requests as were in flight; an answer from the old state always fails.

--- a/standin/e2e/herd_test.go
+++ b/standin/e2e/herd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,13 +10,18 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
 	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
+	"github.com/kingcuppitch/kingcuppitch/standin/upstream"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 )
@@ -261,3 +267,232 @@
 		}
 	}
 }
+
+// withRoute appends a look-up of the upstream booking.
+func withRoute(name string) func(string) string {
+	return func(s string) string {
+		return s + fmt.Sprintf("\n[[routes]]\nname = %q\nprefix = \"/%s\"\nupstream = \"booking\"\nidempotent = true\nclass = \"browse\"\nanswerWithin = \"3s\"\n", name, name)
+	}
+}
+
+// offsets polls a daemon until ctx ends and reports an offset that decreases,
+// also while the daemon doesn't serve.
+func offsets(ctx context.Context, t *testing.T, f *fleet.Fleet, n *fleet.Node) {
+	last := int64(0)
+	for ctx.Err() == nil {
+		if s, err := f.Status(ctx, n); err == nil {
+			if s.Offset < last {
+				t.Errorf("%s has offset %d after %d", n.Name, s.Offset, last)
+			}
+			last = s.Offset
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// lookUp sends look-ups through one daemon until ctx ends and returns them.
+func lookUp(ctx context.Context, n *fleet.Node, workers int, path string) (records []fleet.Record) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			caller := fleet.NewCaller()
+			defer caller.Close()
+			for ctx.Err() == nil {
+				r := fleet.Record{Call: fleet.Call{Method: http.MethodGet, Path: path}, Entry: n, Begin: time.Now()}
+				r.Result, r.Err = caller.Do(context.WithoutCancel(ctx), n.Settings.CallerAddress, r.Call)
+				r.Took = time.Since(r.Begin)
+				mu.Lock()
+				records = append(records, r)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return records
+}
+
+// checkCurrent reports look-ups on a route of the newest version that were
+// answered from an older one, which lacks the route, and returns the number of
+// refusals because the daemon has no current configuration.
+func checkCurrent(t *testing.T, records []fleet.Record) (refused int) {
+	t.Helper()
+	for _, r := range records {
+		switch {
+		case r.Err == nil && r.Result.Status == http.StatusNotFound:
+			t.Errorf("answered from an older version: %v", &r)
+		case r.Err == nil && r.Result.Status == http.StatusServiceUnavailable && r.Result.Outcome == request.NotRun:
+			refused++
+		}
+	}
+	return refused
+}
+
+// summary prints the success and the latency of idempotent calls and returns
+// the share that succeeded.
+func summary(t *testing.T, what string, records []fleet.Record, from, until time.Time) float64 {
+	t.Helper()
+	h := hdrhistogram.New(1, 60_000_000, 3)
+	good, all := 0, 0
+	for _, r := range records {
+		if r.Call.Key != "" || r.Begin.Before(from) || !r.Begin.Before(until) {
+			continue
+		}
+		all++
+		if r.Err == nil && r.Result.Status == http.StatusOK {
+			good++
+		}
+		_ = h.RecordValue(r.Took.Microseconds())
+	}
+	share := float64(good) / float64(max(1, all))
+	t.Logf("%s: %d of %d look-ups answered (%.5f), p50 %.1f ms, p99 %.1f ms, max %.1f ms", what, good, all, share,
+		float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000)
+	return share
+}
+
+// repeatKeyed sends the keyed calls that were not answered again with the same
+// keys and checks that none runs twice. Refusals must have been compared with
+// the runs before, because the repetition may run.
+func repeatKeyed(t *testing.T, f *fleet.Fleet, records []fleet.Record, entry *fleet.Node) {
+	t.Helper()
+	caller := fleet.NewCaller()
+	defer caller.Close()
+	repeated := 0
+	for _, r := range records {
+		if r.Call.Key == "" || r.Err == nil && r.Result.Status == http.StatusOK || repeated == 50 {
+			continue
+		}
+		repeated++
+		_, _ = caller.Do(t.Context(), entry.Settings.CallerAddress, r.Call)
+	}
+	runs := runsOf(t, f.Nodes...)
+	for key, run := range runs.Keys {
+		if run.Started > 1 {
+			t.Errorf("the request with key %s ran %d times", key, run.Started)
+		}
+	}
+	t.Logf("%d keyed calls sent again, %d keys ran", repeated, len(runs.Keys))
+}
+
+// runsOf returns the runs of some instances together.
+func runsOf(t *testing.T, nodes ...*fleet.Node) upstream.Runs {
+	t.Helper()
+	runs, err := (&fleet.Fleet{Nodes: nodes}).Runs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return runs
+}
+
+func requests(t *testing.T, nodes ...*fleet.Node) (sum int64) {
+	t.Helper()
+	for _, n := range nodes {
+		s, err := n.Stats(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += s.Requests
+	}
+	return sum
+}
+
+// Guards against a paused daemon that serves from the state before its pause,
+// that gives work to its instance although its availability zone went out
+// meanwhile, or that runs a reservation again which another daemon took over.
+func TestDaemonPaused(t *testing.T) {
+	const (
+		// pause is longer than any route may take, so that no call that was in
+		// work before it may still run after it.
+		pause = 5500 * time.Millisecond
+		// quietAfter is when no call is on its way to the paused daemon's
+		// instance any more: the daemon stopped and its work takes 2 ms.
+		quietAfter = time.Second
+		// publishAfter is after the end of the reads that waited at the log when
+		// the daemon stopped. Their answers, which lack the new version, are the
+		// first that it reads afterwards.
+		publishAfter = 3 * time.Second
+	)
+	f := start(t)
+	victim := f.Nodes[slices.IndexFunc(f.Nodes, func(n *fleet.Node) bool { return n.Service == "booking" && n.Zone == "nl-west-c" })]
+	zone := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return n.Zone != victim.Zone })
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { offsets(ctx, t, f, victim) })
+
+	others := startTraffic(t, f, allCalls)
+	through := fleet.Traffic{
+		Name: t.Name() + "-through", Routes: allCalls[len(lookUps):], Workers: 8, Pause: 5 * time.Millisecond, Seed: 2,
+		Entries: func() []*fleet.Node { return []*fleet.Node{victim} },
+	}.Start(context.WithoutCancel(t.Context()))
+	time.Sleep(time.Second)
+	others.except(victim)
+	time.Sleep(200 * time.Millisecond) // calls of others through the daemon end
+	stopped := time.Now()
+	if err := victim.Daemon.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(quietAfter)
+	before, ranBefore := requests(t, victim), runsOf(t, victim)
+	time.Sleep(time.Until(stopped.Add(publishAfter)))
+	client(t, f, "publish", editConfig(t, withRoute("during")))
+	client(t, f, "zone", "out", victim.Zone)
+	target, err := f.Status(t.Context(), f.Nodes[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var probes []fleet.Record
+	probing, stopProbes := context.WithCancel(t.Context())
+	wg.Go(func() { probes = lookUp(probing, victim, 8, "/during") })
+	time.Sleep(time.Until(stopped.Add(pause)))
+	resumed := time.Now()
+	if err := victim.Daemon.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		s, err := f.Status(t.Context(), victim)
+		if err == nil && s.Serving && s.Offset >= target.Offset {
+			break
+		}
+		if time.Since(resumed) > inForce {
+			t.Fatalf("the daemon has not caught up within %v: %v, %v", inForce, s, err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	caughtUp := time.Since(resumed)
+	awaitNoNewWork(t, zone...)
+	late, ran := requests(t, victim)-before, runsOf(t, victim)
+	stopProbes()
+	cancel()
+	wg.Wait()
+	end := time.Now()
+	refused := checkCurrent(t, probes)
+	t.Logf("caught up %d ms after the pause, %d of %d calls through it refused", caughtUp.Milliseconds(), refused, len(probes))
+
+	records := others.stop()
+	keyed := through()
+	if share := summary(t, "through other daemons during the pause", records, stopped, end); share < 0.99 {
+		t.Errorf("got a share of %.5f of the look-ups answered, want at least 0.99", share)
+	}
+	keyedAll := append(slices.Clone(records), keyed...)
+	// A call between the last check of the host and the write to the instance
+	// when the process stopped is written when it goes on. It is not new work.
+	inFlight := int64(0)
+	for _, r := range keyedAll {
+		switch {
+		case r.Begin.Before(stopped) && r.Begin.Add(r.Took).After(stopped):
+			inFlight++
+		case ran.Keys[r.Call.Key] != ranBefore.Keys[r.Call.Key]:
+			t.Errorf("ran beside the paused daemon after its pause: %v", &r)
+		}
+	}
+	if late > inFlight {
+		t.Errorf("the instance beside the paused daemon got %d requests after its pause, want at most the %d that were in flight", late, inFlight)
+	}
+	t.Logf("%d of %d calls in flight at the stop were written after the pause", late, inFlight)
+	for _, err := range fleet.CheckRuns(keyedAll, runsOf(t, f.Nodes...)) {
+		t.Error(err)
+	}
+	repeatKeyed(t, f, keyedAll, f.Nodes[0])
+}
