Test the restart of all daemons of two or three zones at once

Cause: the end-to-end tests restarted one daemon at a time. Change: TestHerdRestarted kills the daemons of two of three availability zones under load and restarts them at once, with the log up and in an outage; one zone in an outage; then all zones in an outage. Ruled out: a start of two zones from the peers of the third alone. Peers of two availability zones must serve, so the test requires refusals there until the log is back.

--- a/standin/e2e/herd_test.go
+++ b/standin/e2e/herd_test.go
@@ -496,3 +496,199 @@
 	}
 	repeatKeyed(t, f, keyedAll, f.Nodes[0])
 }
+
+// restart starts the daemons of nodes again and returns when the processes
+// accept connections.
+func restart(t *testing.T, f *fleet.Fleet, nodes []*fleet.Node) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for _, n := range nodes {
+		wg.Go(func() {
+			if err := f.StartDaemon(n, time.Now().Add(startWithin)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if t.Failed() {
+		t.FailNow()
+	}
+}
+
+// kill ends the daemons of nodes at once.
+func kill(t *testing.T, nodes []*fleet.Node) {
+	t.Helper()
+	for _, n := range nodes {
+		if err := n.Daemon.Signal(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range nodes {
+		if _, err := n.Daemon.Wait(time.Now().Add(startWithin)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// awaitServing waits until all nodes serve with a version and returns how long
+// it took.
+func awaitServing(t *testing.T, f *fleet.Fleet, nodes []*fleet.Node, version int64, within time.Duration) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for _, n := range nodes {
+		for {
+			s, err := f.Status(t.Context(), n)
+			if err == nil && s.Serving && s.Offset >= version {
+				break
+			}
+			if time.Since(begin) > within {
+				t.Errorf("%s doesn't serve version %d within %v: offset %d, serving %v, %v", n.Name, version, within, s.GetOffset(), s.GetServing(), err)
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(begin)
+}
+
+// holdBack checks for some time that nodes don't serve and that each refuses a
+// call as notRun.
+func holdBack(t *testing.T, f *fleet.Fleet, nodes []*fleet.Node, until time.Time) {
+	t.Helper()
+	caller := fleet.NewCaller()
+	defer caller.Close()
+	for time.Now().Before(until) {
+		for _, n := range nodes {
+			if s, err := f.Status(t.Context(), n); err != nil || s.Serving {
+				t.Errorf("%s: got serving %v with offset %d, %v; want not serving", n.Name, s.GetServing(), s.GetOffset(), err)
+			}
+			res, err := caller.Do(t.Context(), n.Settings.CallerAddress, fleet.Call{Method: http.MethodGet, Path: "/slots"})
+			if err != nil || res.Outcome != request.NotRun || res.Status != http.StatusServiceUnavailable {
+				t.Errorf("look-up through %s: got status %d, outcome %q, %v; want a refusal as notRun", n.Name, res.Status, res.Outcome, err)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Guards against an older version after a restart of many daemons at once, a
+// daemon that serves without a state that is known to be current, daemons that
+// don't come back, and reservations that run twice.
+func TestHerdRestarted(t *testing.T) {
+	const (
+		// fromPeers bounds a start during an outage of the log: exchanges with
+		// seeds and peers, one per second, have to reach two availability zones.
+		fromPeers = 10 * time.Second
+		// refuseFor is how long daemons that must not serve are watched; they
+		// exchange with each peer at least once in it.
+		refuseFor = 3 * time.Second
+	)
+	f := start(t)
+	inZones := func(zones ...string) []*fleet.Node {
+		return slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return !slices.Contains(zones, n.Zone) })
+	}
+	one, two, rest := inZones("nl-west-c"), inZones("nl-west-b", "nl-west-c"), inZones("nl-west-a")
+	outage := func(on bool) {
+		if err := f.SetLogFaults(t.Context(), logservice.Faults{Outage: on}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// newest publishes a route, so that an older version shows as 404.
+	newest := func(name string) int64 {
+		client(t, f, "publish", "--wait", editConfig(t, withRoute(name)))
+		s, err := f.Status(t.Context(), f.Nodes[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Offset
+	}
+	// watched sends look-ups on the newest route through nodes meanwhile.
+	watched := func(name string, nodes []*fleet.Node, during func()) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for _, n := range nodes {
+			wg.Go(func() { checkCurrent(t, lookUp(ctx, n, 2, "/"+name)) })
+		}
+		during()
+		cancel()
+		wg.Wait()
+	}
+	var records []fleet.Record
+	// loaded sends calls through the availability zone that stays.
+	loaded := func(what string, during func()) {
+		tr := fleet.Traffic{
+			Name: strings.ReplaceAll(what, " ", "-"), Routes: allCalls, Workers: 8, Pause: 20 * time.Millisecond, Seed: 1,
+			Entries: func() []*fleet.Node { return rest },
+		}.Start(context.WithoutCancel(t.Context()))
+		time.Sleep(500 * time.Millisecond)
+		begin := time.Now()
+		during()
+		time.Sleep(time.Second)
+		got := tr()
+		// Calls that lost two connections are not tried a third time.
+		if share := summary(t, what, got, begin, time.Now()); share < 0.95 {
+			t.Errorf("%s: got a share of %.5f of the look-ups answered through the zone that stays, want at least 0.95", what, share)
+		}
+		records = append(records, got...)
+	}
+
+	version := newest("first")
+	watched("first", two, func() {
+		loaded("two zones restarted", func() {
+			kill(t, two)
+			begin := time.Now()
+			restart(t, f, two)
+			started := time.Since(begin)
+			took := awaitServing(t, f, two, version, inForce)
+			t.Logf("two of three zones, log up: %d daemons started in %d ms, serve %d ms later", len(two), started.Milliseconds(), took.Milliseconds())
+		})
+	})
+	if err := f.AwaitReady(t.Context(), time.Now().Add(noNewWork)); err != nil {
+		t.Fatal(err)
+	}
+
+	version = newest("second")
+	outage(true)
+	watched("second", two, func() {
+		loaded("one zone restarted in an outage", func() {
+			kill(t, one)
+			restart(t, f, one)
+			took := awaitServing(t, f, one, version, fromPeers)
+			t.Logf("one of three zones, log out: %d daemons serve %d ms after their start", len(one), took.Milliseconds())
+		})
+		// One availability zone alone can't tell that its state is the newest.
+		loaded("two zones restarted in an outage", func() {
+			kill(t, two)
+			restart(t, f, two)
+			holdBack(t, f, two, time.Now().Add(refuseFor))
+			outage(false)
+			took := awaitServing(t, f, two, version, inForce)
+			t.Logf("two of three zones, log out: %d daemons refused, and serve %d ms after the log is back", len(two), took.Milliseconds())
+		})
+	})
+	if err := f.AwaitReady(t.Context(), time.Now().Add(noNewWork)); err != nil {
+		t.Fatal(err)
+	}
+
+	version = newest("third")
+	before := awaitSame(t, f, time.Now().Add(inForce))[0]
+	outage(true)
+	watched("third", f.Nodes, func() {
+		kill(t, f.Nodes)
+		restart(t, f, f.Nodes)
+		holdBack(t, f, f.Nodes, time.Now().Add(refuseFor))
+		outage(false)
+		took := awaitServing(t, f, f.Nodes, version, inForce)
+		t.Logf("all zones, log out: %d daemons refused, and serve %d ms after the log is back", len(f.Nodes), took.Milliseconds())
+	})
+	if after := awaitSame(t, f, time.Now().Add(inForce))[0]; after.Version != before.Version {
+		t.Errorf("got version %d after the restart of all daemons, want %d", after.Version, before.Version)
+	}
+	for _, err := range fleet.CheckRuns(records, runsOf(t, f.Nodes...)) {
+		t.Error(err)
+	}
+	if err := f.AwaitReady(t.Context(), time.Now().Add(noNewWork)); err != nil {
+		t.Fatal(err)
+	}
+	repeatKeyed(t, f, records, f.Nodes[0])
+}
