--- a/standin/e2e/fault_test.go
+++ b/standin/e2e/fault_test.go
@@ -126,18 +126,15 @@
 	}
 }
 
-func requests(t *testing.T, f *fleet.Fleet, version string) (sum int64) {
+func requestsOf(t *testing.T, f *fleet.Fleet, version string) int64 {
 	t.Helper()
+	var nodes []*fleet.Node
 	for _, n := range f.Nodes {
 		if n.Service == "booking" && n.Version == version {
-			s, err := n.Stats(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			sum += s.Requests
+			nodes = append(nodes, n)
 		}
 	}
-	return sum
+	return requests(t, nodes...)
 }
 
 // Guards against a bad version that gets more than a small share of the
@@ -171,12 +168,12 @@
 		t.Errorf("got state %s with share %v, want takenBack with 0", ended.State, ended.Share)
 	}
 	time.Sleep(time.Second) // calls in flight, and verdicts on the way to other daemons
-	bad, good := requests(t, f, "v2"), requests(t, f, "v1")
+	bad, good := requestsOf(t, f, "v2"), requestsOf(t, f, "v1")
 	if bad*10 > good {
 		t.Errorf("got %d requests on the bad version beside %d on the good one, want at most 10 %%", bad, good)
 	}
 	time.Sleep(2 * time.Second)
-	if got := requests(t, f, "v2") - bad; got != 0 {
+	if got := requestsOf(t, f, "v2") - bad; got != 0 {
 		t.Errorf("got %d requests on the bad version after the verdict, want 0", got)
 	}
 	check(t, f, tr.stop(), func(r *fleet.Record) bool { return r.Err == nil && r.Result.Status == http.StatusInternalServerError })
@@ -210,9 +207,9 @@
 		t.Errorf("got state %s (%s), want done", ended.State, ended.Reason)
 	}
 	time.Sleep(time.Second)
-	before := requests(t, f, "v1")
+	before := requestsOf(t, f, "v1")
 	time.Sleep(time.Second)
-	if got := requests(t, f, "v1") - before; got != 0 {
+	if got := requestsOf(t, f, "v1") - before; got != 0 {
 		t.Errorf("got %d requests on the old version after the move, want 0", got)
 	}
 	records := tr.stop()
--- a/standin/e2e/herd_test.go
+++ b/standin/e2e/herd_test.go
@@ -154,7 +154,7 @@
 		// records, which wait in the daemons until the log is back.
 		allSent = 2 * time.Second
 	)
-	f := start(t)
+	f := start(t, mesh{})
 	client(t, f, "publish", "--wait", editConfig(t, withPresets))
 	var lost int64
 	for round := range rounds {
@@ -413,7 +413,7 @@
 		// first that it reads afterwards.
 		publishAfter = 3 * time.Second
 	)
-	f := start(t)
+	f := start(t, mesh{})
 	victim := f.Nodes[slices.IndexFunc(f.Nodes, func(n *fleet.Node) bool { return n.Service == "booking" && n.Zone == "nl-west-c" })]
 	zone := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return n.Zone != victim.Zone })
 	ctx, cancel := context.WithCancel(t.Context())
@@ -583,7 +583,7 @@
 		// exchange with each peer at least once in it.
 		refuseFor = 3 * time.Second
 	)
-	f := start(t)
+	f := start(t, mesh{})
 	inZones := func(zones ...string) []*fleet.Node {
 		return slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return !slices.Contains(zones, n.Zone) })
 	}
