--- /dev/null
+++ b/request/host/host_test.go
@@ -0,0 +1,190 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+)
+
+type fixedView struct{ snap *control.Snapshot }
+
+func (v fixedView) Snapshot() *control.Snapshot { return v.snap }
+
+// openLimiter admits all calls and runs a function before each.
+type openLimiter struct {
+	mu       sync.Mutex
+	before   func()
+	inFlight int
+}
+
+func (l *openLimiter) Acquire(context.Context, string, []string, time.Time) (admission.Ticket, error) {
+	if l.before != nil {
+		l.before()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight++
+	return admission.Ticket{}, nil
+}
+
+func (l *openLimiter) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+}
+
+func (l *openLimiter) Done(time.Time, admission.Ticket, admission.Result) { l.end() }
+func (l *openLimiter) Cancel(time.Time, admission.Ticket)                 { l.end() }
+func (l *openLimiter) Load() (int, int, int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight, 0, 100, false
+}
+
+func newHost(t *testing.T, l Limiter, self membership.Member, upstream http.HandlerFunc) *Host {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(request.HeaderUpstreamRequest, r.Header.Get(request.HeaderUpstreamRequest))
+		upstream(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	h := New(fixedView{&control.Snapshot{State: &fold.State{Zones: map[string]fold.Zone{"out": {Out: true}}}, Self: self, Serving: true}}, l)
+	h.SetUpstream(netip.MustParseAddrPort(srv.Listener.Addr().String()), 120)
+	return h
+}
+
+func newCall() *request.Call {
+	return &request.Call{ID: "id", Method: http.MethodPost, Path: "/reserve", Body: []byte("body"), Deadline: time.Now().Add(5 * time.Second), UpstreamVersion: "v1"}
+}
+
+var ready = membership.Member{Name: "h", Zone: "a", Version: "v1", State: membership.Ready}
+
+// TestRefusesBeforeHandOver guards against a call that is handed over although
+// the instance must not run it, also where that changed in the queue.
+func TestRefusesBeforeHandOver(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(h *Host, self *membership.Member, call *request.Call)
+		reason request.Reason
+	}{
+		{"draining", func(_ *Host, self *membership.Member, _ *request.Call) { self.State = membership.Draining }, request.ReasonLeaving},
+		{"leaving", func(h *Host, _ *membership.Member, _ *request.Call) { _ = h.Drain(cancelled()) }, request.ReasonLeaving},
+		{"starting", func(_ *Host, self *membership.Member, _ *request.Call) { self.State = membership.Starting }, request.ReasonNotReady},
+		{"zoneOut", func(_ *Host, self *membership.Member, _ *request.Call) { self.Zone = "out" }, request.ReasonZoneOut},
+		{"version", func(_ *Host, self *membership.Member, _ *request.Call) { self.Version = "v2" }, request.ReasonWrongVersion},
+		{"deadline", func(_ *Host, _ *membership.Member, call *request.Call) { call.Deadline = time.Now() }, request.ReasonDeadline},
+		{"runBy", func(_ *Host, _ *membership.Member, call *request.Call) { call.RunBy = time.Now() }, request.ReasonDeadline},
+	} {
+		for _, inQueue := range []bool{false, true} {
+			ran := false
+			l := new(openLimiter)
+			h := newHost(t, l, ready, func(http.ResponseWriter, *http.Request) { ran = true })
+			call := newCall()
+			change := func() { c.change(h, &h.view.Snapshot().Self, call) }
+			if inQueue {
+				l.before = change
+			} else {
+				change()
+			}
+			_, err := h.Do(t.Context(), call)
+			var ref *request.Refusal
+			if !errors.As(err, &ref) || ref.Outcome != request.NotRun || ref.Reason != c.reason {
+				t.Errorf("%s, in the queue %v: got %v, want notRun %s", c.name, inQueue, err, c.reason)
+			}
+			if ran || l.inFlight != 0 {
+				t.Errorf("%s, in the queue %v: ran %v, slots in use %d", c.name, inQueue, ran, l.inFlight)
+			}
+		}
+	}
+}
+
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// TestDrain guards against a daemon that stops while a call runs or a long
+// answer is streamed, and against a call that arrives during the wait.
+func TestDrain(t *testing.T) {
+	var l openLimiter
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	h := newHost(t, &l, ready, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			arrived <- struct{}{}
+			<-release
+		}
+		if r.URL.Path == "/long" {
+			_, _ = io.WriteString(w, strings.Repeat("x", 2*request.MaxBody))
+		}
+	})
+	long := newCall()
+	long.Path = "/long"
+	ans, err := h.Do(t.Context(), long)
+	if err != nil || ans.Rest == nil {
+		t.Fatalf("got %+v, %v, want a streamed answer", ans, err)
+	}
+	slow := make(chan error, 1)
+	go func() {
+		call := newCall()
+		call.Path = "/slow"
+		_, err := h.Do(t.Context(), call)
+		slow <- err
+	}()
+	<-arrived
+	drained := make(chan error, 1)
+	go func() { drained <- h.Drain(t.Context()) }()
+	for !h.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	// Calls come and go all the time, also in the moment of the last one.
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 200 {
+				var ref *request.Refusal
+				if _, err := h.Do(t.Context(), newCall()); !errors.As(err, &ref) || ref.Reason != request.ReasonLeaving {
+					t.Errorf("got %v, want leaving", err)
+				}
+			}
+		})
+	}
+	close(release)
+	if err := <-slow; err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	h.calls.mu.Lock()
+	if h.calls.n != 1 {
+		t.Errorf("%d calls in flight, want the streamed answer", h.calls.n)
+	}
+	h.calls.mu.Unlock()
+	select {
+	case <-drained:
+		t.Fatal("drained while an answer was streamed")
+	default:
+	}
+	if n, err := io.Copy(io.Discard, ans.Rest); err != nil || n+int64(len(ans.Body)) != 2*request.MaxBody {
+		t.Errorf("got %d bytes, %v", n, err)
+	}
+	_ = ans.Rest.Close()
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	if l.inFlight != 0 {
+		t.Errorf("%d slots in use", l.inFlight)
+	}
+}
--- /dev/null
+++ b/request/wire_test.go
@@ -0,0 +1,82 @@
+package request
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+)
+
+// FuzzDecodeCall guards against a forwarded call that stops a daemon, or that
+// is accepted with a deadline, a path or headers that it must not have.
+func FuzzDecodeCall(f *testing.F) {
+	f.Fuzz(func(t *testing.T, path, id, timeout, runBy, version, idempotent, connection, body string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST /forward/" + path + " HTTP/1.1\r\nHost: x\r\n\r\n")))
+		if err != nil {
+			return
+		}
+		r.Body = http.NoBody
+		if body != "" {
+			r.Body = readCloser{strings.NewReader(body)}
+		}
+		for name, value := range map[string]string{
+			HeaderRequest: id, HeaderTimeout: timeout, headerRunBy: runBy, HeaderVersion: version, headerIdempotent: idempotent,
+			"Connection": connection, "X-Kept": "kept", headerClass: "c", headerRefused: "true",
+		} {
+			r.Header.Set(name, value)
+		}
+		now := time.Unix(1_800_000_000, 0)
+		c, err := DecodeCall(r, "/forward/", now)
+		if err != nil {
+			return
+		}
+		if c.ID == "" || !strings.HasPrefix(c.Path, "/") || len(c.Body) > MaxBody {
+			t.Errorf("accepted id %q, path %q, %d bytes", c.ID, c.Path, len(c.Body))
+		}
+		if left := c.Deadline.Sub(now); left <= 0 || left > config.MaxAnswerWithin {
+			t.Errorf("timeout %q gives %v", timeout, left)
+		}
+		if left := c.RunBy.Sub(now); !c.RunBy.IsZero() && (left < -config.MaxAnswerWithin || left > config.MaxAnswerWithin) {
+			t.Errorf("runBy %q gives %v", runBy, left)
+		}
+		for name := range c.Header {
+			if strings.HasPrefix(name, headerPrefix) || name == "Connection" {
+				t.Errorf("header %s was kept", name)
+			}
+		}
+		if c.StartBy().After(c.Deadline) {
+			t.Errorf("start by %v, deadline %v", c.StartBy(), c.Deadline)
+		}
+		if _, err := NewHTTPRequest(t.Context(), "http://127.0.0.1:1"+c.Path, c); err != nil {
+			t.Logf("refused later: %v", err)
+		}
+	})
+}
+
+type readCloser struct{ *strings.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// TestCleanHeader guards against headers of one connection or of the mesh that
+// are passed on, and against a change of the header that was passed in.
+func TestCleanHeader(t *testing.T) {
+	in := http.Header{
+		"Accept": {"a", "b"}, "Connection": {"close, X-One", "x-two"}, "X-One": {"1"}, "X-Two": {"2"}, "Keep-Alive": {"1"}, "Te": {"trailers"},
+		"Trailer": {"X"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"h2c"}, "Proxy-Authorization": {"p"}, "Expect": {"100-continue"},
+		"Content-Length": {"1"}, "Content-Encoding": {"gzip"}, "Kingcuppitch-Load": {"1"}, "Kingcuppitch-Anything": {"1"},
+	}
+	before := len(in)
+	got := CleanHeader(in)
+	if len(got) != 2 || len(got["Accept"]) != 2 || got.Get("Content-Encoding") != "gzip" {
+		t.Errorf("got %v", got)
+	}
+	if len(in) != before {
+		t.Errorf("the header that was passed in changed: %v", in)
+	}
+	if CleanHeader(nil) == nil {
+		t.Error("got nil for nil")
+	}
+}
