Do not hand a keyed call over after its claim has run out

Cause: RunBy was compared before the wait for a connection, which lasts up to the deadline of the call when all connections are in use or dialing hangs. Change: the wait ends at RunBy, and the call is refused as notRun. Conclusion: TestRunByWhileWaiting, in which the call ran before.

--- a/request/host/host.go
+++ b/request/host/host.go
@@ -254,6 +254,14 @@
 	if call.Idempotent {
 		tr = tgt.repeatable
 	}
+	if !call.RunBy.IsZero() {
+		// The wait for a connection must not outlast the claim.
+		defer time.AfterFunc(time.Until(call.StartBy()), func() {
+			if !connected.Load() {
+				cancel()
+			}
+		}).Stop()
+	}
 	res, err := tr.RoundTrip(req)
 	if err == nil && res.StatusCode < http.StatusOK {
 		// Nobody asked to switch protocols, and the connection has no end of an
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,3 +189,39 @@
 		t.Errorf("%d slots in use", l.inFlight)
 	}
 }
+
+// TestRunByWhileWaiting guards against a keyed call that is handed over after
+// its claim no longer allows it, because it waited for a connection.
+func TestRunByWhileWaiting(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	var late atomic.Int64
+	h := newHost(t, new(openLimiter), ready, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/late" {
+			late.Add(1)
+			return
+		}
+		arrived <- struct{}{}
+		<-release
+	})
+	h.SetUpstream(h.target.Load().addr, 3) // one connection for calls that must not be repeated
+	first := make(chan error, 1)
+	go func() {
+		_, err := h.Do(t.Context(), newCall())
+		first <- err
+	}()
+	<-arrived
+	call := newCall()
+	call.Path, call.RunBy = "/late", time.Now().Add(100*time.Millisecond)
+	go func() {
+		time.Sleep(time.Until(call.RunBy) + time.Second)
+		close(release)
+	}()
+	_, err := h.Do(t.Context(), call)
+	var ref *request.Refusal
+	if !errors.As(err, &ref) || ref.Outcome != request.NotRun || late.Load() != 0 {
+		t.Errorf("got %v, ran %d times, want notRun", err, late.Load())
+	}
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+}
