Return the slot of a streamed answer at the deadline

Cause: the slot was returned when the answer was closed, and a caller that does not read keeps the write to it, and so the answer, open for as long as it likes. Change: the end of the call's context returns the slot too. Conclusion: TestUnreadAnswer, which failed before.

--- a/request/host/host.go
+++ b/request/host/host.go
@@ -306,11 +306,14 @@
 		return ans, nil
 	}
 	streaming = true
-	ans.Rest = &restBody{ReadCloser: res.Body, done: func() {
+	rest := &restBody{ReadCloser: res.Body, done: func() {
 		finish()
 		cancel()
 		h.calls.end()
 	}}
+	// A caller that does not read must not hold the slot beyond the deadline.
+	context.AfterFunc(ctx, func() { rest.once.Do(rest.done) })
+	ans.Rest = rest
 	return ans, nil
 }
 
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -225,3 +225,30 @@
 		t.Error(err)
 	}
 }
+
+// TestUnreadAnswer guards against a caller that does not read its long answer
+// and holds a slot of the instance beyond the deadline.
+func TestUnreadAnswer(t *testing.T) {
+	var l openLimiter
+	h := newHost(t, &l, ready, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 8*request.MaxBody))
+	})
+	call := newCall()
+	call.Deadline = time.Now().Add(300 * time.Millisecond)
+	ans, err := h.Do(t.Context(), call)
+	if err != nil || ans.Rest == nil {
+		t.Fatalf("got %+v, %v, want a streamed answer", ans, err)
+	}
+	if n, _, _, _ := l.Load(); n != 1 {
+		t.Errorf("%d slots in use while the answer is streamed, want 1", n)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), call.Deadline.Add(time.Second))
+	defer cancel()
+	if err := h.Drain(ctx); err != nil {
+		t.Errorf("a second after the deadline: %v", err)
+	}
+	if n, _, _, _ := l.Load(); n != 0 {
+		t.Errorf("%d slots in use after the deadline", n)
+	}
+	_ = ans.Rest.Close()
+}
