Wait for Serve before the look at busy connections

Cause: a connection that Serve has accepted, or has yet to take from the queue of the closed listener, is not known to be busy until Serve returns. One run of 20 with -race on a busy machine lost a request to it. Change: finish waits for Serve. The test's listeners have IP numbers of their own, because an outgoing connection could take the port that had been found free, after which a daemon did not start (one run of 20); a daemon that ends early now fails the test with its error.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -71,6 +71,8 @@
 	name     string
 	listener net.Listener
 	busy     busyConns
+	// served is closed when Serve has returned.
+	served chan struct{}
 }
 
 // New returns a daemon that is not started.
@@ -118,6 +120,7 @@
 	failed := make(chan error, len(d.servers))
 	for _, s := range d.servers {
 		go func() {
+			defer close(s.served)
 			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- eris.Wrapf(err, "serve %s", s.name)
 			}
@@ -154,7 +157,7 @@
 		{"peers", d.settings.PeerAddress, d.forwardFirst(peers), true, maxForwardedHeader},
 	}
 	for _, l := range list {
-		s := &server{name: l.name, Server: &http.Server{
+		s := &server{name: l.name, served: make(chan struct{}), Server: &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: l.header,
 			ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}}
--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,9 +81,16 @@
 	done     chan error
 }
 
+var addresses atomic.Uint32
+
+// freeAddr returns an address that nothing listens on. Each has an IP number of
+// its own: outgoing connections take ports of 127.0.0.1, also one that has just
+// been found to be free.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + n/250), byte(os.Getpid()), byte(1 + n%250)})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,6 +144,13 @@
 	t.Helper()
 	end := time.Now().Add(15 * time.Second)
 	for ready := false; !ready; time.Sleep(20 * time.Millisecond) {
+		for _, n := range all {
+			select {
+			case err := <-n.done:
+				t.Fatalf("%s ended: %v", n.settings.Name, err)
+			default:
+			}
+		}
 		if time.Now().After(end) {
 			t.Fatalf("%s does not reach all upstreams within 15 s", entry.settings.Name)
 		}
@@ -330,8 +345,11 @@
 			t.Fatal(err)
 		}
 		s := &server{Server: &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, listener: ln}
-		s.ConnState = s.busy.set
-		go func() { _ = s.Serve(ln) }()
+		s.ConnState, s.served = s.busy.set, make(chan struct{})
+		go func() {
+			defer close(s.served)
+			_ = s.Serve(ln)
+		}()
 		c, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/process/daemon/listener.go
+++ b/process/daemon/listener.go
@@ -137,9 +137,15 @@
 
 // finish closes the listener and waits until no connection is busy. From the
 // start of Shutdown, http.Server drops requests that it has read but not begun
-// to serve, so there must be none left by then.
+// to serve, so there must be none left by then. A connection is known to be
+// busy at the latest when Serve returns.
 func (s *server) finish(ctx context.Context) error {
 	err := s.listener.Close()
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+		return errors.Join(err, ctx.Err())
+	}
 	t := time.NewTicker(finishPoll)
 	defer t.Stop()
 	for s.busy.any() {
