Make the tests of the entry independent of ports, time and load

An address that should refuse connections had been taken by another listener; the listeners now have IP numbers of their own. TestIdempotentRetry spent its budget when more than 250 ms passed between calls; each call now has a mesh of its own, and must succeed as before. The warm-up of the plain client in TestSilentUpstreamConnections had the short deadline of the measured calls.

--- a/request/entry/refusal_test.go
+++ b/request/entry/refusal_test.go
@@ -208,10 +208,7 @@
 		} {
 			t.Run(c.name, func(t *testing.T) {
 				t.Parallel()
-				ln, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
+				ln := listenAlone(t)
 				if c.wire == nil {
 					_ = ln.Close()
 				} else {
--- a/request/entry/retry_test.go
+++ b/request/entry/retry_test.go
@@ -20,8 +20,9 @@
 	refusing.close()
 	breaking := newUpstream(t, cut(""))
 	good := newUpstream(t, echo)
-	m := newMesh(t, meshOptions{}, refusing.addr(), breaking.addr(), good.addr())
 	for i := range 20 {
+		// A mesh for each call: its budget covers the retries of one call.
+		m := newMesh(t, meshOptions{}, refusing.addr(), breaking.addr(), good.addr())
 		path := fmt.Sprintf("/slots/%d", i)
 		if got := m.call(t, http.MethodGet, path, ""); got.status != 200 || got.body != path {
 			t.Errorf("%s: got %d %s %s", path, got.status, got.outcome(), got.reason())
@@ -171,7 +172,7 @@
 	var naiveBox middlebox
 	addr := naiveBox.between(t)(newUpstream(t, together()).addr())
 	tr := &http.Transport{MaxIdleConnsPerHost: conns}
-	naive := func(path string) bool {
+	naiveWithin := func(path string, within time.Duration) bool {
 		ctx, cancel := context.WithTimeout(t.Context(), within)
 		defer cancel()
 		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+path, nil)
@@ -183,11 +184,11 @@
 		_ = res.Body.Close()
 		return res.StatusCode == 200
 	}
-	warm(naive)
+	warm(func(path string) bool { return naiveWithin(path, 10*time.Second) })
 	if n := naiveBox.silence(); n < conns {
 		t.Fatalf("%d connections, want %d", n, conns)
 	}
-	naiveFailures := failures(naive)
+	naiveFailures := failures(func(path string) bool { return naiveWithin(path, within) })
 	if naiveFailures < conns {
 		t.Errorf("the plain client failed %d times, want %d, so the test shows nothing", naiveFailures, conns)
 	}
--- a/request/entry/rig_test.go
+++ b/request/entry/rig_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,12 +42,24 @@
 	seen  atomic.Int64   // connections on which a byte arrived
 }
 
-func newUpstream(t *testing.T, answer func(c net.Conn, r *http.Request, body []byte)) *wireUpstream {
+var addresses atomic.Uint32
+
+// listenAlone listens on an IP number that no other listener of the test uses,
+// so that the address refuses connections once the listener is closed.
+func listenAlone(t *testing.T) net.Listener {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(2 + n/250%250), byte(os.Getpid()), byte(1 + n%250)})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
+	return ln
+}
+
+func newUpstream(t *testing.T, answer func(c net.Conn, r *http.Request, body []byte)) *wireUpstream {
+	t.Helper()
+	ln := listenAlone(t)
 	u := &wireUpstream{t: t, ln: ln, answer: answer, conns: make(map[net.Conn]struct{}), runs: make(map[string]int)}
 	go func() {
 		for {
@@ -185,6 +198,8 @@
 		srv := httptest.NewUnstartedServer(h)
 		srv.Config.Protocols = new(http.Protocols)
 		srv.Config.Protocols.SetUnencryptedHTTP2(true)
+		_ = srv.Listener.Close()
+		srv.Listener = listenAlone(t)
 		srv.Start()
 		t.Cleanup(srv.Close)
 		m.hosts = append(m.hosts, srv)
