--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -81,12 +81,16 @@
 	done     chan error
 }
 
+var addresses atomic.Uint32
+
+// freeAddr returns an address that nothing listens on. Each has an IP number of
+// its own: outgoing connections take ports of 127.0.0.1, also one that has just
+// been found to be free.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	// An address of this process: connections that it opens take their ports
-	// from 127.0.0.1 and cannot take the port meanwhile.
-	pid := os.Getpid()
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
+	n := addresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + n/250), byte(os.Getpid()), byte(1 + n%250)})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -144,6 +148,13 @@
 	t.Helper()
 	end := time.Now().Add(readyWithin)
 	for ready := false; !ready; time.Sleep(20 * time.Millisecond) {
+		for _, n := range all {
+			select {
+			case err := <-n.done:
+				t.Fatalf("%s ended: %v", n.settings.Name, err)
+			default:
+			}
+		}
 		if time.Now().After(end) {
 			t.Fatalf("%s does not reach all upstreams within %v", entry.settings.Name, readyWithin)
 		}
@@ -153,11 +164,6 @@
 		}
 		ready = true
 		for _, n := range all {
-			select {
-			case err := <-n.done:
-				t.Fatalf("%s ended: %v", n.settings.Name, err)
-			default:
-			}
 			_, ok := n.runs.Load(path)
 			ready = ready && ok
 		}
@@ -343,8 +349,11 @@
 			t.Fatal(err)
 		}
 		s := &server{Server: &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, listener: ln}
-		s.ConnState = s.busy.set
-		go func() { _ = s.Serve(ln) }()
+		s.ConnState, s.served = s.busy.set, make(chan struct{})
+		go func() {
+			defer close(s.served)
+			_ = s.Serve(ln)
+		}()
 		c, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -265,6 +265,14 @@
 	if call.Idempotent {
 		tr = tgt.repeatable
 	}
+	if !call.RunBy.IsZero() {
+		// The wait for a connection must not outlast the claim.
+		defer time.AfterFunc(time.Until(call.StartBy()), func() {
+			if !connected.Load() {
+				cancel()
+			}
+		}).Stop()
+	}
 	res, err := tr.RoundTrip(req)
 	if err == nil && res.StatusCode < http.StatusOK {
 		// Nobody asked to switch protocols, and the connection has no end of an
@@ -312,11 +320,14 @@
 		return ans, nil
 	}
 	streaming = true
-	ans.Rest = &restBody{ReadCloser: res.Body, done: func() {
+	rest := &restBody{ReadCloser: res.Body, done: func() {
 		finish()
 		cancel()
 		h.calls.end()
 	}}
+	// A caller that does not read must not hold the slot beyond the deadline.
+	context.AfterFunc(ctx, func() { rest.once.Do(rest.done) })
+	ans.Rest = rest
 	return ans, nil
 }
 
