Test an availability zone that leaves and returns cold under load

Cause: TestZoneOutAndBack has little load, no restart and nothing to compare with. Change: TestZoneLeavesAndReturns takes a zone out, counts new work in it, kills its instances, starts them again with a cold start of 3 s and brings the zone back with a ramp of 5 s. In the same run, callers without the mesh go round robin over instances of their own, with one retry, while the instances of the same zone are drained, killed and started at the same times.

--- a/standin/e2e/herd_test.go
+++ b/standin/e2e/herd_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
+	"github.com/kingcuppitch/kingcuppitch/standin/launcher"
 	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
 	"github.com/kingcuppitch/kingcuppitch/standin/upstream"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
@@ -692,3 +694,227 @@
 	}
 	repeatKeyed(t, f, records, f.Nodes[0])
 }
+
+// naive sends calls to instances directly: round robin over a static list for
+// each service, with one retry on the next instance.
+type naive struct {
+	instances map[string][]*fleet.Node
+	next      map[string]*atomic.Int64
+}
+
+// start starts workers with the calls that fleet.Traffic would send, and
+// returns the function that stops them.
+func (nv *naive) start(ctx context.Context, workers int, pause time.Duration) (stop func() []fleet.Record) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var records []fleet.Record
+	ctx, cancel := context.WithCancel(ctx)
+	for w := range workers {
+		wg.Go(func() {
+			caller := fleet.NewCaller()
+			defer caller.Close()
+			for i := w; ctx.Err() == nil; i++ {
+				time.Sleep(pause)
+				route := allCalls[i%len(allCalls)]
+				service := "booking"
+				if route.Prefix == "/archive" {
+					service = "archive"
+				}
+				id := fmt.Sprintf("naive-%d-%d", w, i)
+				r := fleet.Record{Call: fleet.Call{Method: route.Method, Path: route.Prefix + "?id=" + id}, Begin: time.Now()}
+				if route.Keyed {
+					r.Call.Key, r.Call.Body = id, []byte("body of "+id)
+				}
+				list := nv.instances[service]
+				at := nv.next[service].Add(1)
+				for attempt := range 2 {
+					r.Entry = list[(int(at)+attempt)%len(list)]
+					// The routes of the mesh bound look-ups by the same time.
+					callCtx, cancelCall := context.WithDeadline(context.WithoutCancel(ctx), r.Begin.Add(3*time.Second))
+					r.Result, r.Err = caller.Do(callCtx, r.Entry.Address, r.Call)
+					cancelCall()
+					if r.Err == nil && r.Result.Status == http.StatusOK {
+						break
+					}
+				}
+				r.Took = time.Since(r.Begin)
+				mu.Lock()
+				records = append(records, r)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []fleet.Record {
+		cancel()
+		wg.Wait()
+		return records
+	}
+}
+
+// startInstances starts instances without daemons, for callers that go to them
+// directly.
+func startInstances(t *testing.T, specs []fleet.Spec) *fleet.Fleet {
+	t.Helper()
+	readyBy := time.Now().Add(startWithin)
+	f, err := fleet.Start(t.TempDir(), bin, nil, readyBy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Stop(time.Now()) })
+	addrs, err := launcher.FreeAddresses(3 * len(specs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, spec := range specs {
+		n := &fleet.Node{Spec: spec, Address: addrs[3*i], AdminAddress: addrs[3*i+1]}
+		n.Settings.AnnounceAddress = addrs[3*i+2]
+		f.Nodes = append(f.Nodes, n)
+		if err := f.StartInstance(n, readyBy); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return f
+}
+
+// Guards against calls that fail or become slow while an availability zone
+// leaves and returns cold, against work in it while it is out, and against a
+// mesh that does worse than callers which know the instances themselves.
+func TestZoneLeavesAndReturns(t *testing.T) {
+	const (
+		zone    = "nl-west-b"
+		workers = 30
+		pause   = 20 * time.Millisecond
+		ramp    = 5 * time.Second
+		// work and coldFor make the cold start matter: of the 30 calls, two thirds
+		// of the time in work and two thirds of them for booking, each booking
+		// instance has a share of about 4.4, and its coldSlots are 4.
+		work    = 40 * time.Millisecond
+		coldFor = 3 * time.Second
+	)
+	f := start(t)
+	var specs []fleet.Spec
+	for _, n := range f.Nodes {
+		if err := fleet.Kill(n.Instance); err != nil {
+			t.Fatal(err)
+		}
+		n.Work = work
+		if err := f.StartInstance(n, time.Now().Add(startWithin)); err != nil {
+			t.Fatal(err)
+		}
+		specs = append(specs, n.Spec)
+	}
+	direct := startInstances(t, specs)
+	time.Sleep(2 * time.Second) // announcements and the first, short cold start
+	if err := f.AwaitReady(t.Context(), time.Now().Add(startWithin)); err != nil {
+		t.Fatal(err)
+	}
+	inZone := func(f *fleet.Fleet) []*fleet.Node {
+		return slices.DeleteFunc(slices.Clone(f.Nodes), func(n *fleet.Node) bool { return n.Zone != zone })
+	}
+	leaving, drained := inZone(f), inZone(direct)
+	nv := &naive{instances: make(map[string][]*fleet.Node), next: make(map[string]*atomic.Int64)}
+	for _, n := range direct.Nodes {
+		nv.instances[n.Service] = append(nv.instances[n.Service], n)
+		nv.next[n.Service] = new(atomic.Int64)
+	}
+
+	mesh := fleet.Traffic{
+		Name: t.Name(), Routes: allCalls, Workers: workers, Pause: pause, Seed: 1,
+		Entries: func() []*fleet.Node { return f.Nodes },
+	}.Start(context.WithoutCancel(t.Context()))
+	naive := nv.start(context.WithoutCancel(t.Context()), workers, pause)
+	warm := time.Now().Add(3 * time.Second) // until the limits have grown from coldSlots
+	time.Sleep(time.Until(warm.Add(2 * time.Second)))
+
+	out := time.Now()
+	client(t, f, "zone", "out", zone)
+	for _, n := range drained {
+		if err := n.Order(t.Context(), "/drain"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(time.Until(out.Add(noNewWork)))
+	before := requests(t, leaving...)
+	time.Sleep(time.Second)
+	if got := requests(t, leaving...) - before; got != 0 {
+		t.Errorf("got %d requests in the zone from %v after it was taken out, want 0", got, noNewWork)
+	}
+	// The counts of an instance end with its process.
+	meshRuns, naiveRuns := runsOf(t, leaving...), runsOf(t, drained...)
+	both := append(slices.Clone(leaving), drained...)
+	for _, n := range both {
+		if err := fleet.Kill(n.Instance); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+
+	back := time.Now()
+	var wg sync.WaitGroup
+	for i, n := range both {
+		n.ColdFor = coldFor
+		wg.Go(func() {
+			owner := f
+			if i >= len(leaving) {
+				owner = direct
+			}
+			if err := owner.StartInstance(n, time.Now().Add(startWithin)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	client(t, f, "zone", "back", zone, "--ramp", ramp.String())
+	time.Sleep(time.Until(back.Add(ramp + 2*time.Second)))
+	records, naiveRecords := mesh(), naive()
+	end := time.Now()
+
+	for _, s := range []struct {
+		what        string
+		from, until time.Time
+	}{{"while it starts", time.Time{}, warm}, {"before", warm, out}, {"while the zone is out", out, back}, {"after its return", back, end}} {
+		summary(t, "mesh, "+s.what, records, s.from, s.until)
+		summary(t, "naive, "+s.what, naiveRecords, s.from, s.until)
+	}
+	own := summary(t, "mesh, whole run", records, time.Time{}, end)
+	other := summary(t, "naive, whole run", naiveRecords, time.Time{}, end)
+	if own < 0.999 || own < other {
+		t.Errorf("got a share of %.5f of the look-ups answered, want at least 0.999 and the %.5f of the naive callers", own, other)
+	}
+	if got := requests(t, leaving...); got == 0 {
+		t.Error("the zone got no work after its return")
+	}
+	for _, r := range records {
+		if r.Call.Key == "" && (r.Err != nil || r.Result.Status != http.StatusOK) {
+			t.Logf("failed: %v", &r)
+		}
+	}
+
+	runs := runsOf(t, f.Nodes...)
+	addRuns(runs, meshRuns)
+	for _, err := range fleet.CheckRuns(records, runs) {
+		t.Error(err)
+	}
+	directRuns := runsOf(t, direct.Nodes...)
+	addRuns(directRuns, naiveRuns)
+	t.Logf("reservations that ran more than once: mesh %d of %d, naive %d of %d", twice(runs), len(runs.Keys), twice(directRuns), len(directRuns.Keys))
+}
+
+// twice counts the keys that ran more than once.
+func twice(runs upstream.Runs) (n int) {
+	for _, run := range runs.Keys {
+		if run.Started > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+func addRuns(sum, more upstream.Runs) {
+	for _, m := range []struct{ to, from map[string]upstream.Run }{{sum.Keys, more.Keys}, {sum.Bodies, more.Bodies}} {
+		for k, r := range m.from {
+			s := m.to[k]
+			m.to[k] = upstream.Run{Started: s.Started + r.Started, Completed: s.Completed + r.Completed}
+		}
+	}
+}
