Bind an idempotency key to its path

Cause: a key that a caller used on two paths replayed the answer of the first for the second. Ruled out: binding to the route, whose name may change between two tries. Conclusion: TestKeyBelongsToPath fails without.

--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -162,7 +162,9 @@
 	if err := checkKey(r.Header, key, now); err != nil {
 		return nil, err
 	}
-	return e.keyed(ctx, call, rt, key)
+	// A key belongs to a path. It does not belong to the route, which operators
+	// may rename or split between two tries of one request.
+	return e.keyed(ctx, call, rt, r.Method+" "+r.URL.Path+"\n"+key)
 }
 
 func newCall(w http.ResponseWriter, r *http.Request, rt config.Route, snap *control.Snapshot, now time.Time) (*request.Call, error) {
--- a/request/entry/once_test.go
+++ b/request/entry/once_test.go
@@ -267,3 +267,21 @@
 		t.Errorf("without the log: got %d %s %s, want notRun logUnavailable", got.status, got.outcome(), got.reason())
 	}
 }
+
+// TestKeyBelongsToPath guards against the answer of one request that is
+// replayed for another, to which a caller gave the same key.
+func TestKeyBelongsToPath(t *testing.T) {
+	up := newUpstream(t, echo)
+	m := newMesh(t, meshOptions{claims: new(fakeClaims)}, up.addr())
+	for _, path := range []string{"/reserve/a", "/reserve/b"} {
+		if got := m.call(t, http.MethodPost, path, "x", request.HeaderKey, "same"); got.outcome() != request.Ran {
+			t.Errorf("%s: got %d %s, want ran", path, got.status, got.outcome())
+		}
+		m.entry.finishes.Wait()
+	}
+	for _, path := range []string{"/reserve/a", "/reserve/b"} {
+		if n := up.ran(path); n != 1 {
+			t.Errorf("%s ran %d times, want once", path, n)
+		}
+	}
+}
--- a/standin/e2e/herd_test.go
+++ b/standin/e2e/herd_test.go
@@ -791,7 +791,7 @@
 		work    = 40 * time.Millisecond
 		coldFor = 3 * time.Second
 	)
-	f := start(t)
+	f := start(t, mesh{})
 	var specs []fleet.Spec
 	for _, n := range f.Nodes {
 		if err := fleet.Kill(n.Instance); err != nil {
