Split the hand-over of a call into steps

One function of a hundred lines became a type with a step a method. Status makes the view of traffic that is due, since a test saw a member in the status up to 50 ms before calls could reach it.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -195,7 +195,9 @@
 	}
 	now := time.Now()
 	reply, actions := core.handle(ctx.Message(), now, rand.Float64())
-	if core.dirty || core.stale && now.Sub(c.published) >= publishPeriod {
+	// An operator who is told of a member finds it in the traffic too.
+	_, asked := ctx.Message().(statusIn)
+	if core.dirty || core.stale && (asked || now.Sub(c.published) >= publishPeriod) {
 		c.publish(core)
 		c.published = now
 	} else if core.stale {
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -18,7 +18,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -43,9 +42,6 @@
 	// deadlineSlack is the time before the deadline from which a cancelled call
 	// counts as one without an answer.
 	deadlineSlack = 50 * time.Millisecond
-	// silentLimit is the number of silent attempts after which all idle
-	// connections are retired.
-	silentLimit = 1
 )
 
 // View gives the current control state.
@@ -219,141 +215,6 @@
 	return nil
 }
 
-// hand sends the call to the upstream and reads the answer.
-func (h *Host) hand(ctx context.Context, call *request.Call, ticket admission.Ticket) (ans *request.Answer, err error) {
-	start := time.Now()
-	result := admission.Result{Route: call.Route}
-	load := h.load()
-	lost, cancelled := false, false
-	var connected atomic.Bool
-	h.observer.Started(call)
-	streaming := false
-	finish := func() {
-		now := time.Now()
-		result.Took = now.Sub(start)
-		if cancelled {
-			// A caller that went away says nothing about the upstream.
-			h.limiter.Cancel(now, ticket)
-		} else {
-			h.limiter.Done(now, ticket, result)
-		}
-		excluded, untimed := h.warmup.judge(now, load, result)
-		h.observer.Finished(call, request.Sample{
-			Took: result.Took, Failed: result.Failed || result.Expired, Lost: lost, Answered: ans != nil,
-			Excluded: cancelled || excluded, Untimed: untimed,
-		})
-	}
-	defer func() {
-		if !streaming {
-			finish()
-		}
-	}()
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
-	defer func() {
-		if !streaming {
-			cancel()
-		}
-	}()
-	tgt := h.target.Load()
-	req, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}), tgt, call)
-	if err != nil {
-		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
-	}
-	tr := tgt.single
-	if call.Idempotent {
-		tr = tgt.repeatable
-	}
-	if !call.RunBy.IsZero() {
-		// The wait for a connection must not outlast the claim.
-		defer time.AfterFunc(time.Until(call.StartBy()), func() {
-			if !connected.Load() {
-				cancel()
-			}
-		}).Stop()
-	}
-	res, err := tr.RoundTrip(req)
-	if err == nil && res.StatusCode < http.StatusOK {
-		// Nobody asked to switch protocols, and the connection has no end of an
-		// answer to wait for.
-		_ = res.Body.Close()
-		result.Failed = true
-		h.metrics.Add("host.mismatchedAnswers", 1)
-		return nil, handedOver(request.ReasonMismatch, fmt.Sprintf("the upstream answered with status %d", res.StatusCode))
-	}
-	if err != nil {
-		result.Expired = errors.Is(ctx.Err(), context.DeadlineExceeded)
-		cancelled = errors.Is(ctx.Err(), context.Canceled)
-		result.Failed = !result.Expired && !cancelled
-		lost = result.Failed && connected.Load()
-		return nil, h.lostCall(ctx, call, tgt, err, connected.Load())
-	}
-	if got := res.Header.Get(request.HeaderUpstreamRequest); got != call.ID {
-		_ = res.Body.Close()
-		result.Failed = true
-		h.metrics.Add("host.mismatchedAnswers", 1)
-		tr.CloseIdleConnections()
-		return nil, handedOver(request.ReasonMismatch, fmt.Sprintf("the upstream answered request %q", got))
-	}
-	// The id belongs to the attempt; the caller may have sent one of its own.
-	res.Header.Del(request.HeaderUpstreamRequest)
-	ans = &request.Answer{
-		Status: res.StatusCode, Header: res.Header, Outcome: request.Ran,
-		Trailer: request.TrailerOf(res),
-	}
-	ans.Body, err = io.ReadAll(io.LimitReader(res.Body, request.MaxBody))
-	if err != nil {
-		_ = res.Body.Close()
-		result.Failed, lost = true, ctx.Err() == nil
-		h.metrics.Add("host.truncatedAnswers", 1)
-		return nil, handedOver(request.ReasonTruncated, err.Error())
-	}
-	result.Failed = res.StatusCode >= http.StatusInternalServerError
-	result.Shed = res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
-	if result.Shed {
-		ans.Outcome = request.Unknown
-	}
-	ans.Load = h.load()
-	if len(ans.Body) < request.MaxBody {
-		_ = res.Body.Close()
-		return ans, nil
-	}
-	streaming = true
-	rest := &restBody{ReadCloser: res.Body, done: func() {
-		finish()
-		cancel()
-		h.calls.end()
-	}}
-	// A caller that does not read must not hold the slot beyond the deadline.
-	context.AfterFunc(ctx, func() { rest.once.Do(rest.done) })
-	ans.Rest = rest
-	return ans, nil
-}
-
-// lostCall classifies an exchange that gave no answer. Only a failure before
-// a connection was there is certain to have handed nothing over.
-func (h *Host) lostCall(ctx context.Context, call *request.Call, tgt *target, err error, connected bool) error {
-	if !connected {
-		h.metrics.Add("host.connectFailures", 1)
-		return h.refused(&request.Refusal{Outcome: request.NotRun, Reason: request.ReasonConnect, Detail: err.Error(), RetryAt: time.Now()})
-	}
-	// The entry's own deadline often ends a call just before the host's does.
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(ctx.Err(), context.Canceled) && time.Until(call.Deadline) < deadlineSlack {
-		// The connection may have gone silent for good, and those opened
-		// through the same path with it.
-		h.metrics.Add("host.silentCalls", silentLimit)
-		tgt.repeatable.CloseIdleConnections()
-		tgt.single.CloseIdleConnections()
-		return handedOver(request.ReasonDeadline, "no answer from the upstream by the deadline")
-	}
-	if errors.Is(err, context.Canceled) {
-		return handedOver(request.ReasonCancelled, "the caller gave up")
-	}
-	h.metrics.Add("host.lostCalls", 1)
-	return handedOver(request.ReasonConnection, err.Error())
-}
-
 // handedOver is a refusal of a call that the upstream may have run.
 func handedOver(reason request.Reason, detail string) error {
 	return &request.Refusal{Outcome: request.Unknown, Reason: reason, Detail: detail, Status: http.StatusBadGateway}
