Adapt TestZoneLeavesAndReturns to the start of meshes by description

Cause: start takes a description of the mesh since the tests of faults, so the package did not compile with the test. Change: the test passes an empty description; the functions that stop the traffic no longer hide the type mesh.

--- a/standin/e2e/herd_test.go
+++ b/standin/e2e/herd_test.go
@@ -791,7 +791,7 @@
 		work    = 40 * time.Millisecond
 		coldFor = 3 * time.Second
 	)
-	f := start(t)
+	f := start(t, mesh{})
 	var specs []fleet.Spec
 	for _, n := range f.Nodes {
 		if err := fleet.Kill(n.Instance); err != nil {
@@ -818,11 +818,11 @@
 		nv.next[n.Service] = new(atomic.Int64)
 	}
 
-	mesh := fleet.Traffic{
+	stopMesh := fleet.Traffic{
 		Name: t.Name(), Routes: allCalls, Workers: workers, Pause: pause, Seed: 1,
 		Entries: func() []*fleet.Node { return f.Nodes },
 	}.Start(context.WithoutCancel(t.Context()))
-	naive := nv.start(context.WithoutCancel(t.Context()), workers, pause)
+	stopNaive := nv.start(context.WithoutCancel(t.Context()), workers, pause)
 	warm := time.Now().Add(3 * time.Second) // until the limits have grown from coldSlots
 	time.Sleep(time.Until(warm.Add(2 * time.Second)))
 
@@ -866,7 +866,7 @@
 	wg.Wait()
 	client(t, f, "zone", "back", zone, "--ramp", ramp.String())
 	time.Sleep(time.Until(back.Add(ramp + 2*time.Second)))
-	records, naiveRecords := mesh(), naive()
+	records, naiveRecords := stopMesh(), stopNaive()
 	end := time.Now()
 
 	for _, s := range []struct {
