--- a/request/admission/replay_test.go
+++ b/request/admission/replay_test.go
@@ -1,16 +1,14 @@
 package admission
 
 import (
-	"bufio"
-	"bytes"
 	"container/heap"
-	"encoding/json"
 	"flag"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/internal/trace"
 )
 
 var update = flag.Bool("update", false, "write the traces in testdata anew")
@@ -74,38 +72,13 @@
 	return n
 }
 
-func readTrace(t *testing.T, name string, gen func(*rand.Rand) []traceLine) (lines []traceLine) {
+func readTrace(t *testing.T, name string, gen func(*rand.Rand) []traceLine) []traceLine {
 	t.Helper()
 	path := "testdata/" + name
 	if *update {
-		var buf bytes.Buffer
-		enc := json.NewEncoder(&buf)
-		for _, l := range gen(rand.New(rand.NewPCG(seed, 1))) {
-			if err := enc.Encode(l); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := os.WriteFile(path, buf.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	f, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
+		trace.Write(t, path, gen(rand.New(rand.NewPCG(seed, 1))))
 	}
-	defer func() { _ = f.Close() }()
-	sc := bufio.NewScanner(f)
-	for sc.Scan() {
-		var l traceLine
-		if err := json.Unmarshal(sc.Bytes(), &l); err != nil {
-			t.Fatal(err)
-		}
-		lines = append(lines, l)
-	}
-	if err := sc.Err(); err != nil {
-		t.Fatal(err)
-	}
-	return lines
+	return trace.Read[traceLine](t, path)
 }
 
 // upstream models an instance. Up to its capacity the latency does not depend
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -1,9 +1,6 @@
 package quarantine
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/trace"
 	"pgregory.net/rapid"
 )
 
@@ -130,38 +128,13 @@
 	return slices.DeleteFunc(events, func(e event) bool { return e.Crash == "" && !slices.Contains(blamed, e.Completed) })
 }
 
-func readTrace(t *testing.T) (events []event) {
+func readTrace(t *testing.T) []event {
 	t.Helper()
 	const path = "testdata/crashes.jsonl"
 	if *update {
-		var buf bytes.Buffer
-		enc := json.NewEncoder(&buf)
-		for _, e := range generate(rand.New(rand.NewPCG(seed, 1))) {
-			if err := enc.Encode(e); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := os.WriteFile(path, buf.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	f, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = f.Close() }()
-	sc := bufio.NewScanner(f)
-	for sc.Scan() {
-		var e event
-		if err := json.Unmarshal(sc.Bytes(), &e); err != nil {
-			t.Fatal(err)
-		}
-		events = append(events, e)
-	}
-	if err := sc.Err(); err != nil {
-		t.Fatal(err)
+		trace.Write(t, path, generate(rand.New(rand.NewPCG(seed, 1))))
 	}
-	return events
+	return trace.Read[event](t, path)
 }
 
 func (e event) apply(s *Set) {
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -1,9 +1,6 @@
 package retry
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"flag"
 	"math"
 	"math/rand/v2"
@@ -11,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/trace"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"pgregory.net/rapid"
 )
@@ -84,38 +82,13 @@
 	return lines
 }
 
-func readTrace(t *testing.T) (lines []traceLine) {
+func readTrace(t *testing.T) []traceLine {
 	t.Helper()
 	const path = "testdata/calls.jsonl"
 	if *update {
-		var buf bytes.Buffer
-		enc := json.NewEncoder(&buf)
-		for _, l := range generate(rand.New(rand.NewPCG(seed, 1))) {
-			if err := enc.Encode(l); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := os.WriteFile(path, buf.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	f, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
+		trace.Write(t, path, generate(rand.New(rand.NewPCG(seed, 1))))
 	}
-	defer func() { _ = f.Close() }()
-	sc := bufio.NewScanner(f)
-	for sc.Scan() {
-		var l traceLine
-		if err := json.Unmarshal(sc.Bytes(), &l); err != nil {
-			t.Fatal(err)
-		}
-		lines = append(lines, l)
-	}
-	if err := sc.Err(); err != nil {
-		t.Fatal(err)
-	}
-	return lines
+	return trace.Read[traceLine](t, path)
 }
 
 // policy is what a replay compares: Next, or the naive policy.
--- a/request/route/route_test.go
+++ b/request/route/route_test.go
@@ -1,16 +1,14 @@
 package route
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/trace"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
@@ -107,24 +105,6 @@
 	RampMs int64  `json:"rampMs"`
 }
 
-func readTrace(t *testing.T, file string) []traceEvent {
-	t.Helper()
-	f, err := os.Open(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = f.Close() }()
-	var list []traceEvent
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		var ev traceEvent
-		if err := json.Unmarshal(lines.Bytes(), &ev); err != nil {
-			t.Fatal(err)
-		}
-		list = append(list, ev)
-	}
-	return list
-}
-
 // upstream is the model of one instance: it bears its limit, which grows after
 // a cold start, and refuses more.
 type upstream struct {
@@ -247,7 +227,7 @@
 	}
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
-			trace := readTrace(t, file)
+			trace := trace.Read[traceEvent](t, file)
 			rnd := rand.New(rand.NewPCG(1, 5))
 			own := run(trace, rand.New(rand.NewPCG(1, 6)), func(r *replay, entry int, tried []string) (string, bool) {
 				in, ok := r.tables[entry].Pick(Query{
--- a/version/fold/fold_test.go
+++ b/version/fold/fold_test.go
@@ -1,7 +1,6 @@
 package fold
 
 import (
-	"bufio"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/trace"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	"pgregory.net/rapid"
@@ -54,18 +54,9 @@
 }
 
 func replay(t *testing.T, file string) {
-	f, err := os.Open(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = f.Close() }()
 	var st State
-	lines := bufio.NewScanner(f)
-	for offset := int64(1); lines.Scan(); offset++ {
-		var line traceLine
-		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
-			t.Fatalf("line %d: %v", offset, err)
-		}
+	for i, line := range trace.Read[traceLine](t, file) {
+		offset := int64(i + 1)
 		before := st.Clone()
 		out := st.Apply(offset, line.Record)
 		if out.Result != line.Result || out.Winner != line.Winner {
