--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -103,13 +103,21 @@
 		return
 	}
 	for _, m := range changed {
-		c.event(now, timeline.KindMember, 0, "member %s (%s, %s %s) is %s", m.Name, m.Zone, m.Service, m.Version, m.State)
+		c.event(now, timeline.KindMember, 0, "member %s (%s) is %s", m.Name, placeOf(m), m.State)
 	}
 	c.metrics.Add("control.memberChanges", int64(len(changed)))
 	c.stale = true
 	c.spread(rnd, changed)
 }
 
+// placeOf returns the zone of a member and, once it is known, its upstream.
+func placeOf(m membership.Member) string {
+	if m.Service == "" {
+		return m.Zone
+	}
+	return m.Zone + ", " + m.Service + " " + m.Version
+}
+
 // spread forwards changed members to a few random peers, which forward what is
 // new to them in turn.
 func (c *core) spread(rnd float64, changed []membership.Member) {
