--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -248,13 +248,7 @@
 	if _, held := t.entries[m.Name]; held || t.Authoritative(ZoneScope(m.Zone)) || t.Authoritative(ServiceScope(m.Service)) {
 		return true
 	}
-	contacts := 0
-	for _, e := range t.entries {
-		if e.Zone == m.Zone && e.State != Dead {
-			contacts++
-		}
-	}
-	return contacts < contactsPerZone
+	return t.digests[ZoneScope(m.Zone)].Count < contactsPerZone
 }
 
 // Authoritative reports whether the daemon holds all members of the scope.
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -242,6 +243,33 @@
 	}
 }
 
+// BenchmarkFleet measures the table of a daemon that is told of a whole fleet of
+// 12,000 members in 10 zones and 1,800 services, of which it follows 30, and the
+// memory that the table keeps.
+func BenchmarkFleet(b *testing.B) {
+	var all []Member
+	for i := range 12000 {
+		all = append(all, member(fmt.Sprint("m", i), fmt.Sprint("zone", i%10), fmt.Sprint("service", i/10%1800)))
+	}
+	follow := make([]string, 30)
+	for i := range follow {
+		follow[i] = fmt.Sprint("service", i)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var tbl *Table
+	for range b.N {
+		tbl = NewTable(member("self", "zone0", "service0"), follow...)
+		tbl.Merge(epoch, all)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(all)
+	b.ReportMetric(float64(len(tbl.All())), "members")
+	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "kept-bytes")
+}
+
 func largeTable(n int) *Table {
 	follow := make([]string, 30)
 	for i := range follow {
