Keep the linter's cache apart for each checkout

Cause: after a clone was removed, the linter reported an error in a file of that clone: it had cached the finding with its path, and the comment that excludes it could no longer be read. Change: the cache is in a folder named after the checkout's path.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export GOFLAGS="${GOFLAGS:-} -buildvcs=false"
+# The linter caches results with paths. Those of a checkout that is gone would
+# be reported here, without the files that its exclusions look at.
+GOLANGCI_LINT_CACHE="$(go env GOCACHE)/lint-$(pwd | cksum | cut -d' ' -f1)"
+export GOLANGCI_LINT_CACHE
 lint_version=v2.12.2
 lint="$(go env GOPATH)/bin/golangci-lint"
 if ! "$lint" version 2>/dev/null | grep -q "${lint_version#v}"; then
