--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,5 +1,5 @@
-// Package trace reads and writes the recorded traces of tests: JSON lines with
-// names in camel case.
+// Package trace reads and writes the recorded traces of tests, JSON lines with
+// names in camel case, and the expectations in the comments of their TOML files.
 //
 // # Usage
 //
@@ -14,6 +14,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 )
 
@@ -43,6 +44,17 @@
 	return lines
 }
 
+// Comments returns the values of the comments "# key: value" in the text of a
+// test case.
+func Comments(text, key string) (values []string) {
+	for line := range strings.Lines(text) {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(line), "# "+key+": "); ok {
+			values = append(values, v)
+		}
+	}
+	return values
+}
+
 // Write replaces a trace; an error ends the test.
 func Write[T any](tb testing.TB, path string, lines []T) {
 	tb.Helper()
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -9,18 +9,9 @@
 	"testing"
 
 	"github.com/kingcuppitch/kingcuppitch/internal/tomlsource"
+	"github.com/kingcuppitch/kingcuppitch/internal/trace"
 )
 
-// comments returns the values of the comments "# key: value" of a file.
-func comments(text, key string) (values []string) {
-	for line := range strings.Lines(text) {
-		if v, ok := strings.CutPrefix(strings.TrimSpace(line), "# "+key+": "); ok {
-			values = append(values, v)
-		}
-	}
-	return values
-}
-
 // TestLoad runs over testdata; each file says in comments which failure it
 // guards against and which problems are expected.
 func TestLoad(t *testing.T) {
@@ -34,7 +25,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if len(comments(string(data), "guards")) != 1 {
+			if len(trace.Comments(string(data), "guards")) != 1 {
 				t.Error("the file does not say which failure it guards against")
 			}
 			s, err := Load(file)
@@ -42,7 +33,7 @@
 			for _, p := range tomlsource.Problems(err) {
 				got = append(got, p.Error())
 			}
-			want := comments(string(data), "want")
+			want := trace.Comments(string(data), "want")
 			if !slices.Equal(got, want) {
 				t.Errorf("problems:\ngot  %s\nwant %s", strings.Join(got, "\n     "), strings.Join(want, "\n     "))
 			}
--- a/request/request.go
+++ b/request/request.go
@@ -138,6 +138,9 @@
 	UpstreamVersion string
 	// Version is the configuration version of the entry.
 	Version int64
+
+	fingerprint uint64
+	hashed      bool
 }
 
 // StartBy returns the time before which the call must reach its upstream.
@@ -148,14 +151,20 @@
 	return c.Deadline
 }
 
-// Fingerprint returns a hash of what the upstream sees of the call.
+// Fingerprint returns a hash of what the upstream sees of the call. It is made
+// at the first use and kept, since one call asks for it several times and a body
+// may be large; method, path and body must not change afterwards.
 func (c *Call) Fingerprint() uint64 {
+	if c.hashed {
+		return c.fingerprint
+	}
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(c.Method)
 	_, _ = d.WriteString("\n" + c.Path + "\n")
 	_, _ = d.Write(c.Body)
-	return d.Sum64()
+	c.fingerprint, c.hashed = d.Sum64(), true
+	return c.fingerprint
 }
 
 // Load is what a host reports of its instance with each answer.
