--- a/cmd/kingcuppitchd/main.go
+++ b/cmd/kingcuppitchd/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/kingcuppitch/kingcuppitch"
+	"github.com/kingcuppitch/kingcuppitch/platform"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
 	"github.com/spf13/cobra"
 )
@@ -59,7 +60,11 @@
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.LogLevel)})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d := kingcuppitch.New(kingcuppitch.WithSettings(s), kingcuppitch.WithLogger(logger))
+	opts := []kingcuppitch.Option{kingcuppitch.WithSettings(s), kingcuppitch.WithLogger(logger)}
+	if s.Platform {
+		opts = append(opts, kingcuppitch.WithPlatform(platform.New(s, logger)))
+	}
+	d := kingcuppitch.New(opts...)
 	if err := d.Run(ctx); err != nil {
 		logger.Error("stopped with an error", "error", err)
 		return exitFailed
--- a/connection/platform/log.go
+++ b/connection/log/log.go
@@ -1,15 +1,15 @@
-// Package platform adapts the services of the platform: the append-only log
-// over HTTP and the contract with the upstream beside the daemon.
+// Package log reaches the append-only log on which operators publish, by its
+// own protocol over HTTP.
 //
 // # Usage
 //
-//	lg := platform.NewHTTPLog(netip.MustParseAddrPort("127.0.0.1:7400"))
+//	lg := log.NewHTTPLog(netip.MustParseAddrPort("127.0.0.1:7400"))
 //	offset, err := lg.Append(ctx, "config", data)
-//	if errors.Is(err, platform.ErrUnknown) {
+//	if errors.Is(err, log.ErrUnknown) {
 //		// the append may have taken effect; look for the record by its id
 //	}
 //	page, err := lg.Read(ctx, "config", offset, time.Now().Add(time.Second))
-package platform
+package log
 
 import (
 	"bytes"
--- a/connection/platform/log_test.go
+++ b/connection/log/log_test.go
@@ -1,4 +1,4 @@
-package platform
+package log
 
 import (
 	"context"
--- a/kingcuppitch.go
+++ b/kingcuppitch.go
@@ -36,6 +36,7 @@
 type options struct {
 	settings settings.Settings
 	logger   hclog.Logger
+	daemon   []daemon.Option
 }
 
 // WithSettings sets the settings of the daemon.
@@ -44,11 +45,16 @@
 // WithLogger sets the logger; without it the daemon writes no log.
 func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
 
+// WithPlatform puts the daemon on the users' platform.
+func WithPlatform(p daemon.Platform) Option {
+	return func(o *options) { o.daemon = append(o.daemon, daemon.WithPlatform(p)) }
+}
+
 // New returns a Daemon that is not started.
 func New(opts ...Option) Daemon {
 	o := options{logger: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return daemon.New(o.settings, o.logger)
+	return daemon.New(o.settings, o.logger, o.daemon...)
 }
--- a/process/control/bench_test.go
+++ b/process/control/bench_test.go
@@ -39,11 +39,11 @@
 	for _, n := range []int{100, 400, 1200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			a, peer := largeCore(n), largeCore(n)
-			req := a.exchangeRequest()
+			req := a.exchangeRequest(time.Now())
 			res := peer.onExchange(epoch, 0, req)
 			b.ResetTimer()
 			for range b.N {
-				req = a.exchangeRequest()
+				req = a.exchangeRequest(time.Now())
 				res = peer.onExchange(epoch, 0, req)
 				a.onExchangeDone(epoch, 0, exchangeDone{to: peer.table.Self(), res: res})
 				a.actions, peer.actions = nil, nil
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -23,14 +23,15 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/connection/peer"
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
@@ -47,6 +48,9 @@
 	tickPeriod = 250 * time.Millisecond
 	// gossipPeriod is the period of exchanges with a random peer.
 	gossipPeriod = time.Second
+	// recordPeriod is the period of reports of the own host while a timed move
+	// runs: three of them and the way to all daemons take a second.
+	recordPeriod = 250 * time.Millisecond
 	// rpcTimeout bounds a call to a peer.
 	rpcTimeout = 800 * time.Millisecond
 	// seedShare is the share of gossip periods in which a seed is asked too.
@@ -55,9 +59,27 @@
 	peerIdle = 15 * time.Second
 	// pollPeriod is how long a read of the log waits for a record.
 	pollPeriod = 2 * time.Second
+	// longPollPeriod is the same where one daemon of each zone reads and each
+	// call to the platform is paid for. A silent connection is found by
+	// keep-alive probes well before.
+	longPollPeriod = 25 * time.Second
+	// compactedSilence is the silence after which an upstream on the platform
+	// counts as gone. Announcements may be late by seconds there, and a server
+	// that is gone shows at the first request.
+	compactedSilence = 12 * time.Second
 	// logRetryMin and logRetryMax bound the pause after a failed read.
 	logRetryMin = 100 * time.Millisecond
 	logRetryMax = 2 * time.Second
+	// directoryRetryMin and directoryRetryMax bound the pause after a call to
+	// the directory that did not lead to a member, directoryTimeout that call.
+	directoryRetryMin = 300 * time.Millisecond
+	directoryRetryMax = 4 * time.Second
+	directoryTimeout  = 2 * time.Second
+	// directoryIdle is the period in which a daemon checks that it still knows
+	// a member.
+	directoryIdle = time.Second
+	// maxSeeds bounds the daemons of the directory that are asked at once.
+	maxSeeds = 5
 	// maxActions bounds the actions under way at once.
 	maxActions = 64
 	// maxFetches bounds the fetches served at once, so that peers that return
@@ -104,7 +126,7 @@
 func WithSelf(m membership.Member) Option { return func(c *control) { c.self = m } }
 
 // WithLog sets the log.
-func WithLog(l platform.Log) Option { return func(c *control) { c.log = l } }
+func WithLog(l log.Log) Option { return func(c *control) { c.log = l } }
 
 // WithSeeds sets the peer addresses to start from.
 func WithSeeds(addrs ...netip.AddrPort) Option { return func(c *control) { c.seeds = addrs } }
@@ -123,18 +145,34 @@
 // on the thread of the control state and must not block.
 func WithViewObserver(f func(*Snapshot)) Option { return func(c *control) { c.onView = f } }
 
+// WithOutcomes keeps the ends of moves there instead of on the log.
+func WithOutcomes(o Outcomes) Option { return func(c *control) { c.outcomes = o } }
+
+// WithDirectory sets where daemons that know nobody find others.
+func WithDirectory(d Directory) Option { return func(c *control) { c.directory = d } }
+
+// WithCompactedLog says that the log itself keeps the newest state and serves
+// it in place of records that have expired. No snapshots are appended, there
+// are no claims, and one daemon of each zone reads the log in long polls.
+func WithCompactedLog() Option { return func(c *control) { c.compacted = true } }
+
 // WithLogger sets the logger of the actor system.
 func WithLogger(l *slog.Logger) Option { return func(c *control) { c.logger = l } }
 
 type control struct {
 	self     membership.Member
-	log      platform.Log
+	log      log.Log
 	seeds    []netip.AddrPort
 	services []string
 	metrics  *metrics.Set
 	events   *timeline.Timeline
 	logger   *slog.Logger
 	onView   func(*Snapshot)
+	// outcomes, directory and compacted adapt the control side to the platform;
+	// they may be unset.
+	outcomes  Outcomes
+	directory Directory
+	compacted bool
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -180,6 +218,10 @@
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return c.logger }))
 	core := newCore(c.self, c.metrics, c.events)
 	core.services = c.services
+	core.outcomes, core.compacted = c.outcomes != nil, c.compacted
+	if c.compacted {
+		core.readers, core.silence = 1, compactedSilence
+	}
 	c.publish(core)
 	c.recorder = newRecorder(c)
 	c.claims = newRouter(c)
@@ -258,9 +300,15 @@
 func (c *control) Start() {
 	c.loop(c.tickLoop)
 	c.loop(c.gossipLoop)
+	c.loop(c.recordLoop)
 	c.loop(c.tailLoop)
 	c.loop(c.seedLoop)
-	c.loop(c.claimLoop)
+	if !c.compacted {
+		c.loop(c.claimLoop)
+	}
+	if c.directory != nil {
+		c.loop(c.directoryLoop)
+	}
 }
 
 func (c *control) loop(f func()) {
@@ -341,6 +389,16 @@
 	}
 }
 
+// recordLoop passes the counters of the own host on while a timed move runs,
+// whose verdict cannot wait for the next exchange.
+func (c *control) recordLoop() {
+	for c.pause(jitter(recordPeriod)) {
+		if slices.ContainsFunc(c.view.Load().State.Moves, isTimed) {
+			c.recorder.flush(time.Now())
+		}
+	}
+}
+
 func (c *control) gossipLoop() {
 	for c.pause(jitter(gossipPeriod)) {
 		c.recorder.flush(time.Now())
@@ -390,6 +448,52 @@
 	c.send(exchangeDone{to: fromWire(res.Msg.GetFrom()), res: res.Msg, asked: asked})
 }
 
+// directoryLoop enters the daemon in the directory and asks those listed there
+// until a member is known.
+func (c *control) directoryLoop() {
+	entered := false
+	pause := directoryRetryMin
+	for {
+		ctx, cancel := context.WithTimeout(c.ctx, directoryTimeout)
+		if !entered {
+			err := c.directory.Enter(ctx, c.self)
+			entered = err == nil
+			if err != nil {
+				c.logFailure("entry in the directory", err)
+			}
+		}
+		if entered && len(c.view.Load().Members) <= 1 {
+			list, err := c.directory.List(ctx)
+			if err != nil {
+				c.logFailure("read of the directory", err)
+			}
+			var wg sync.WaitGroup
+			for i, m := range shuffled(list) {
+				if i == maxSeeds {
+					break
+				}
+				wg.Go(func() { c.exchangeWithSeed(m.Peer) })
+			}
+			wg.Wait()
+		}
+		cancel()
+		if !c.pause(jitter(pause)) {
+			return
+		}
+		if entered && len(c.view.Load().Members) > 1 {
+			pause = directoryIdle
+			continue
+		}
+		pause = min(2*pause, directoryRetryMax)
+	}
+}
+
+func shuffled(list []membership.Member) []membership.Member {
+	list = slices.Clone(list)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
 // tailLoop reads the log while this daemon is a reader, and once whenever the
 // core asks for it.
 func (c *control) tailLoop() {
@@ -428,10 +532,10 @@
 		got.asked = time.Now()
 		until := got.asked
 		if len(got.entries) == 0 && c.reader.Load() && c.Snapshot().Serving {
-			until = until.Add(pollPeriod)
+			until = until.Add(c.pollPeriod())
 		}
 		page, err := c.log.Read(c.ctx, record.Stream, from, until)
-		if errors.Is(err, platform.ErrExpired) && page.First > from {
+		if errors.Is(err, log.ErrExpired) && page.First > from {
 			from = page.First
 			continue
 		}
@@ -451,6 +555,13 @@
 	return err
 }
 
+func (c *control) pollPeriod() time.Duration {
+	if c.compacted {
+		return longPollPeriod
+	}
+	return pollPeriod
+}
+
 // pause waits for d and reports whether the daemon goes on.
 func (c *control) pause(d time.Duration) bool {
 	select {
@@ -502,6 +613,10 @@
 			c.runProbe(ctx, a)
 		case appendRecord:
 			c.runAppend(ctx, a)
+		case reportMove:
+			c.runReport(ctx, a)
+		case readReports:
+			c.runReadReports(ctx)
 		}
 	}()
 }
@@ -585,10 +700,10 @@
 // observe takes the clock of a peer, so that what it causes here sorts after it.
 func (c *control) observe(unixNano int64) { c.events.Observe(time.Now(), time.Unix(0, unixNano)) }
 
-func entriesFromWire(list []*wirev1.Record) []platform.Entry {
-	out := make([]platform.Entry, 0, len(list))
+func entriesFromWire(list []*wirev1.Record) []log.Entry {
+	out := make([]log.Entry, 0, len(list))
 	for _, r := range list {
-		out = append(out, platform.Entry{Offset: r.GetOffset(), Data: r.GetData()})
+		out = append(out, log.Entry{Offset: r.GetOffset(), Data: r.GetData()})
 	}
 	return out
 }
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
@@ -57,7 +57,7 @@
 	// flush has no effect of its own; a view that is due follows each event.
 	flush          struct{}
 	recordsArrived struct {
-		entries []platform.Entry
+		entries []log.Entry
 		source  string
 		// next is the offset after the end of the log, where it was read.
 		next, first int64
@@ -125,7 +125,7 @@
 // core is the control state; handle is its only entry point.
 type core struct {
 	state    *fold.State
-	raw      []platform.Entry
+	raw      []log.Entry
 	rawBytes int
 	table    *membership.Table
 	decision decisions
@@ -134,9 +134,22 @@
 	events  *timeline.Timeline
 
 	serving bool
+	// outcomes says that the ends of moves are kept beside the log; reportsDue
+	// that they are to be read before the daemon serves.
+	outcomes, reportsDue bool
+	// compacted says that the log itself keeps the newest state, so that no
+	// snapshots are appended.
+	compacted bool
+	// readers is the number of daemons of a zone that tail the log.
+	readers int
+	// silence is the time without an announcement after which the upstream
+	// beside the daemon counts as gone.
+	silence time.Duration
 	// pausedUntil is when the last pause was found. Answers to questions asked
 	// before it may be older than the pause and don't end it.
-	pausedUntil  time.Time
+	pausedUntil time.Time
+	// caughtUp says that the last read reached the end of the log.
+	caughtUp     bool
 	logReachable bool
 	// logFirst is the oldest offset retained by the log, logNext the next.
 	logFirst, logNext int64
@@ -162,6 +175,7 @@
 	return &core{
 		state: &fold.State{}, table: membership.NewTable(self), metrics: set, events: events,
 		offers: make(map[string]int64), decision: newDecisions(), dirty: true,
+		readers: readersPerZone, silence: announceTimeout,
 	}
 }
 
@@ -182,7 +196,7 @@
 	case offsetOffered:
 		c.onOffer(now, ev)
 	case gossipDue:
-		c.onGossip(rnd)
+		c.onGossip(now, rnd)
 	case exchangeIn:
 		reply = c.onExchange(now, rnd, ev.req)
 	case exchangeDone:
@@ -197,6 +211,10 @@
 		c.table.Update(func(m *membership.Member) { m.State = membership.Leaving })
 		c.spread(rnd, []membership.Member{c.table.Self()})
 		c.dirty = true
+	case reportsRead:
+		c.onReports(now, ev)
+	case moveReported:
+		c.onReport(now, ev.report)
 	case fetchIn:
 		reply = c.onFetch(ev.req)
 	case statusIn:
@@ -217,7 +235,7 @@
 	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > pausePeriod {
 		c.metrics.Add("control.pauses", 1)
 		c.event(now, timeline.KindPause, c.state.Offset, "process was paused for %v; catching up before new work", now.Sub(c.lastTick).Round(time.Millisecond))
-		c.serving, c.pausedUntil = false, now
+		c.serving, c.caughtUp, c.pausedUntil = false, false, now
 		clear(c.offers)
 		c.dirty = true
 	}
@@ -258,7 +276,7 @@
 	}
 	c.adoptSnapshot(ev.entries, now)
 	st := c.state.Clone()
-	var fresh []platform.Entry
+	var fresh []log.Entry
 	for _, e := range ev.entries {
 		if e.Offset != st.Offset+1 {
 			continue
@@ -273,23 +291,40 @@
 		fresh = append(fresh, e)
 	}
 	if len(fresh) > 0 {
-		c.setState(st)
+		c.setState(now, st)
 		c.push(rnd, fresh, ev.source)
 	}
 	if n := len(ev.entries); n > 0 && ev.entries[n-1].Offset > c.state.Offset {
 		c.metrics.Add("control.gaps", 1)
 		c.catchUp(ev.source)
 	}
-	if ev.next > 0 && c.state.Offset >= ev.next-1 && !c.serving && !ev.asked.Before(c.pausedUntil) {
-		c.startServing(now, "the log")
+	if ev.next > 0 && !ev.asked.Before(c.pausedUntil) {
+		c.caughtUp = c.state.Offset >= ev.next-1
+		c.serveIfCurrent(now)
 	}
 	c.snapshotIfDue(now)
 	return c.state.Offset
 }
 
+// serveIfCurrent starts to serve once the daemon has caught up with the log. A
+// log without any configuration leaves nothing to serve.
+func (c *core) serveIfCurrent(now time.Time) {
+	if !c.caughtUp || c.serving {
+		return
+	}
+	if c.reportsDue {
+		c.act(readReports{})
+		return
+	}
+	if c.compacted && len(c.state.Config.Routes) == 0 {
+		return
+	}
+	c.startServing(now, "the log")
+}
+
 // stub returns a snapshot record without its state, for peers. Forwarded whole,
 // the state of 1,800 services would take more than all other control traffic.
-func stub(e platform.Entry) platform.Entry {
+func stub(e log.Entry) log.Entry {
 	rec, err := record.Decode(e.Data)
 	if err != nil {
 		return e
@@ -311,8 +346,8 @@
 
 // adoptSnapshot takes the newest snapshot among the entries when the records
 // before them have expired.
-func (c *core) adoptSnapshot(entries []platform.Entry, now time.Time) {
-	if len(entries) == 0 || entries[0].Offset <= c.state.Offset+1 {
+func (c *core) adoptSnapshot(entries []log.Entry, now time.Time) {
+	if len(entries) == 0 || entries[0].Offset <= c.state.Offset+1 && !c.compacted {
 		return
 	}
 	for i := len(entries) - 1; i >= 0; i-- {
@@ -325,6 +360,7 @@
 			c.metrics.Add("control.badSnapshots", 1)
 			continue
 		}
+		c.reportsDue = c.outcomes && len(st.Moves) > 0 && !c.serving
 		c.adopt(now, st, "a snapshot on the log")
 		return
 	}
@@ -337,14 +373,15 @@
 	}
 	c.raw, c.rawBytes = nil, 0
 	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s", st.Version, source)
-	c.setState(st)
+	c.setState(now, st)
 }
 
 // setState puts a state in force. The offset never decreases.
-func (c *core) setState(st *fold.State) {
+func (c *core) setState(now time.Time, st *fold.State) {
 	if st.Offset < c.state.Offset {
 		return
 	}
+	c.decision.time(st, now)
 	c.state = st
 	c.dirty = true
 	follow := c.services
@@ -383,7 +420,7 @@
 	return timeline.KindVersion
 }
 
-func (c *core) keep(e platform.Entry) {
+func (c *core) keep(e log.Entry) {
 	c.raw = append(c.raw, e)
 	c.rawBytes += len(e.Data)
 	for len(c.raw) > 1 && (len(c.raw) > keptRecords || c.rawBytes > keptBytes) {
@@ -394,7 +431,7 @@
 
 // push forwards new records to random peers of the zone and to one peer in
 // each other zone, so that a zone that cannot reach the log receives them.
-func (c *core) push(rnd float64, entries []platform.Entry, source string) {
+func (c *core) push(rnd float64, entries []log.Entry, source string) {
 	self := c.table.Self()
 	to := c.table.Random(rnd, recordFanout, func(m membership.Member) bool { return m.Zone == self.Zone && m.Name != source })
 	if source == "" {
@@ -484,12 +521,15 @@
 
 // isReader reports whether this daemon tails the log for its zone.
 func (c *core) isReader() bool {
-	return c.table.ZoneRank("reader") < readersPerZone
+	return c.table.ZoneRank("reader") < c.readers
 }
 
 // snapshotIfDue appends a snapshot well before the records that it replaces
 // expire from the log.
 func (c *core) snapshotIfDue(now time.Time) {
+	if c.compacted {
+		return
+	}
 	since := c.state.Offset - c.lastSnapshot
 	if c.lastSnapshot == 0 {
 		since = c.state.Offset - c.logFirst + 1
--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
@@ -35,10 +35,10 @@
 }
 
 // testRecords returns n records: a configuration, and then changes of slots.
-func testRecords(t *testing.T, n int) []platform.Entry {
+func testRecords(t *testing.T, n int) []log.Entry {
 	t.Helper()
 	up := config.Upstream{Name: "booking", Versions: []string{"v1", "v2"}, Active: "v1", Slots: 20, ColdSlots: 2, Connections: 120}
-	var list []platform.Entry
+	var list []log.Entry
 	for i := range n {
 		change := config.Change{Upserts: config.Config{Upstreams: []config.Upstream{up}}}
 		if i == 0 {
@@ -53,13 +53,13 @@
 	return list
 }
 
-func entryOf(t *testing.T, offset int64, rec record.Record) platform.Entry {
+func entryOf(t *testing.T, offset int64, rec record.Record) log.Entry {
 	t.Helper()
 	data, err := rec.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Entry{Offset: offset, Data: data, At: epoch}
+	return log.Entry{Offset: offset, Data: data, At: epoch}
 }
 
 func find[T any](actions []any) (found []T) {
@@ -138,17 +138,17 @@
 		t.Fatal(err)
 	}
 	snapshot := entryOf(t, 7, record.Record{ID: "s", Kind: record.KindSnapshot, At: epoch, Snapshot: &record.Snapshot{UpTo: 6, State: data}})
-	retained := []platform.Entry{records[4], records[5], snapshot, records[7], records[8]}
+	retained := []log.Entry{records[4], records[5], snapshot, records[7], records[8]}
 	c := testCore("d1", "a")
 	c.handle(recordsArrived{entries: retained, first: 5, next: 10}, epoch, 0)
-	for _, e := range append([]platform.Entry{snapshot}, records[7:]...) {
+	for _, e := range append([]log.Entry{snapshot}, records[7:]...) {
 		whole.Apply(e.Offset, e.Data)
 	}
 	if got, want := c.state.Hash(), whole.Hash(); got != want || !c.serving {
 		t.Errorf("state from the snapshot: got %x at offset %d, serving %t; want %x at 9, serving", got, c.state.Offset, c.serving, want)
 	}
 	fresh := testCore("d2", "a")
-	fresh.handle(recordsArrived{entries: []platform.Entry{records[4]}, first: 5, next: 6}, epoch, 0)
+	fresh.handle(recordsArrived{entries: []log.Entry{records[4]}, first: 5, next: 6}, epoch, 0)
 	if fresh.serving || fresh.state.Offset != 0 {
 		t.Errorf("no snapshot among the retained records: got serving %t at %d, want not serving at 0", fresh.serving, fresh.state.Offset)
 	}
@@ -245,7 +245,7 @@
 	if len(appends) != 1 || appends[0].rec.Kind != record.KindVerdict {
 		t.Fatalf("appends after the outage: got %+v, want the verdict", appends)
 	}
-	c.handle(recordsArrived{entries: []platform.Entry{entryOf(t, 3, appends[0].rec)}}, now, 0)
+	c.handle(recordsArrived{entries: []log.Entry{entryOf(t, 3, appends[0].rec)}}, now, 0)
 	if got := c.state.Moves[0].State; got != fold.MoveTakenBack {
 		t.Errorf("move after the verdict was folded: got %s, want %s", got, fold.MoveTakenBack)
 	}
@@ -460,7 +460,7 @@
 		t.Fatal(err)
 	}
 	snapshot := entryOf(t, 4, record.Record{ID: "s", Kind: record.KindSnapshot, At: epoch, Snapshot: &record.Snapshot{UpTo: 3, State: data}})
-	_, actions := a.handle(recordsArrived{entries: []platform.Entry{snapshot}}, epoch, 0)
+	_, actions := a.handle(recordsArrived{entries: []log.Entry{snapshot}}, epoch, 0)
 	pushes := find[sendPush](actions)
 	if len(pushes) != 1 || len(pushes[0].req.GetRecords()) != 1 {
 		t.Fatalf("pushes: got %+v, want one of one record", pushes)
--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -18,6 +18,9 @@
 	// decidePeriod is the period of decisions on moves. One takes 2.5 ms with
 	// 200 instances and 10 routes.
 	decidePeriod = time.Second
+	// timedDecidePeriod is the same while a move runs whose record gives a
+	// length of time.
+	timedDecidePeriod = 200 * time.Millisecond
 	// appendRepeat is the pause before a verdict or the end of a move is
 	// appended again while it is not folded.
 	appendRepeat = 2 * time.Second
@@ -40,8 +43,11 @@
 	crashes  *quarantine.Set
 	// appendAfter holds when the end of a move may be appended again.
 	appendAfter map[int64]time.Time
+	// progress holds the moves whose records give a length of time, and
+	// reportAfter when their state is told to operators.
+	progress    map[int64]*progress
+	reportAfter map[int64]reportDue
 	shares      map[int64]float64
-	window      int64
 	decideAfter time.Time
 }
 
@@ -57,6 +63,7 @@
 	return decisions{
 		verdicts: make(map[int64]move.Verdict), crashes: new(quarantine.Set),
 		appendAfter: make(map[int64]time.Time), shares: make(map[int64]float64),
+		progress: make(map[int64]*progress), reportAfter: make(map[int64]reportDue),
 	}
 }
 
@@ -77,8 +84,11 @@
 		return
 	}
 	d.decideAfter = now.Add(decidePeriod)
+	if slices.ContainsFunc(c.state.Moves, isTimed) {
+		d.decideAfter = now.Add(timedDecidePeriod)
+	}
 	d.crashes.Expire(now)
-	d.window = move.Window(now)
+	c.reportMoves(now)
 	d.evidence.Retain(func(id int64) bool { return c.running(id) })
 	for _, m := range c.state.Moves {
 		if m.State != fold.MoveRunning {
@@ -105,9 +115,13 @@
 }
 
 func (c *core) running(id int64) bool {
-	return slices.ContainsFunc(c.state.Moves, func(m fold.Move) bool { return m.ID == id && m.State == fold.MoveRunning })
+	_, ok := c.state.RunningMove(id)
+	return ok
 }
 
+// isTimed reports whether a move runs whose record gives a length of time.
+func isTimed(m fold.Move) bool { return m.State == fold.MoveRunning && m.Within > 0 }
+
 // addVerdict takes a verdict into the grow-only set. It takes effect at once
 // and is told to peers without the log.
 func (c *core) addVerdict(now time.Time, rnd float64, v move.Verdict) {
@@ -125,7 +139,7 @@
 // The id is the same on all daemons, so the fold takes it once.
 func (c *core) appendEnd(now time.Time, m fold.Move) {
 	d := &c.decision
-	if now.Before(d.appendAfter[m.ID]) || !c.logReachable || c.table.ZoneRank("end") >= appendersPerZone {
+	if c.outcomes || now.Before(d.appendAfter[m.ID]) || !c.logReachable || c.table.ZoneRank("end") >= appendersPerZone {
 		return
 	}
 	rec := record.Record{At: now, Author: c.table.Self().Name}
@@ -187,6 +201,7 @@
 		c.event(now, timeline.KindQuarantine, 0, "told of a crash of the upstream beside %s", crash.Instance)
 		c.spreadRequest(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{cr}})
 	}
+	c.mergeProgress(now, sets.GetMoves())
 	for _, done := range sets.GetCompletions() {
 		d.crashes.Completed(done.GetFingerprint(), time.Unix(0, done.GetAtUnixNano()))
 	}
@@ -198,6 +213,7 @@
 	GetCounters() []*wirev1.MoveCounters
 	GetCrashes() []*wirev1.Crash
 	GetCompletions() []*wirev1.Completion
+	GetMoves() []*wirev1.MoveProgress
 }
 
 // spreadRequest sends a request to a few random peers.
@@ -209,14 +225,14 @@
 }
 
 // fillExchange adds the sets to a periodic exchange.
-func (d *decisions) fillExchange(req *wirev1.ExchangeRequest) {
-	req.Verdicts, req.Counters = d.wireVerdicts(), d.wireCounters()
+func (d *decisions) fillExchange(st *fold.State, now time.Time, req *wirev1.ExchangeRequest) {
+	req.Verdicts, req.Counters, req.Moves = d.wireVerdicts(), d.wireCounters(st, now), d.progressToWire(now)
 	req.Crashes, req.Completions = d.wireCrashes()
 }
 
 // fillResponse adds the sets to the answer to a periodic exchange.
-func (d *decisions) fillResponse(res *wirev1.ExchangeResponse) {
-	res.Verdicts, res.Counters = d.wireVerdicts(), d.wireCounters()
+func (d *decisions) fillResponse(st *fold.State, now time.Time, res *wirev1.ExchangeResponse) {
+	res.Verdicts, res.Counters, res.Moves = d.wireVerdicts(), d.wireCounters(st, now), d.progressToWire(now)
 	res.Crashes, res.Completions = d.wireCrashes()
 }
 
@@ -228,10 +244,15 @@
 	return out
 }
 
-func (d *decisions) wireCounters() []*wirev1.MoveCounters {
+func (d *decisions) wireCounters(st *fold.State, now time.Time) []*wirev1.MoveCounters {
 	var out []*wirev1.MoveCounters
-	for k, n := range d.evidence.Since(d.window - exchangedWindows + 1) {
-		out = append(out, countersToWire(k, n))
+	for _, m := range st.Moves {
+		if m.State != fold.MoveRunning {
+			continue
+		}
+		for k, n := range d.evidence.Newest(m, exchangedWindows, now) {
+			out = append(out, countersToWire(k, n))
+		}
 	}
 	return out
 }
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -14,18 +14,23 @@
 const indirectProbes = 2
 
 // onGossip starts the periodic exchange with the next partner.
-func (c *core) onGossip(rnd float64) {
+func (c *core) onGossip(now time.Time, rnd float64) {
 	c.metrics.Add("control.exchanges", 1)
 	if m, ok := c.table.Next(rnd); ok {
-		c.act(sendExchange{to: m, req: c.exchangeRequest()})
+		c.act(sendExchange{to: m, req: c.exchangeRequest(now)})
+	}
+	// A member that lost everybody, in a partition or by a restart while the
+	// log is away, is found again by those that remember it.
+	if m, ok := c.table.Lost(rnd); ok {
+		c.act(sendExchange{to: m, req: c.exchangeRequest(now), news: true})
 	}
 }
 
-func (c *core) exchangeRequest() *wirev1.ExchangeRequest {
+func (c *core) exchangeRequest(now time.Time) *wirev1.ExchangeRequest {
 	req := &wirev1.ExchangeRequest{
 		From: toWire(c.table.Self()), Offset: c.state.Offset, Digests: digestsToWire(c.table.Digests()),
 	}
-	c.decision.fillExchange(req)
+	c.decision.fillExchange(c.state, now, req)
 	return req
 }
 
@@ -42,7 +47,7 @@
 	if len(req.GetDigests()) > 0 {
 		res.Digests = digestsToWire(c.table.Digests())
 		res.Members = membersToWire(c.table.Delta(digestsFromWire(req.GetDigests())))
-		c.decision.fillResponse(res)
+		c.decision.fillResponse(c.state, now, res)
 	}
 	return res
 }
@@ -134,7 +139,7 @@
 
 // onAnnounced takes an announcement of the upstream beside the daemon.
 func (c *core) onAnnounced(now time.Time, rnd float64, ev announced) {
-	c.upstreamUntil = now.Add(announceTimeout)
+	c.upstreamUntil = now.Add(c.silence)
 	if ev == c.upstream {
 		return
 	}
--- /dev/null
+++ b/process/control/moves.go
@@ -0,0 +1,244 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+)
+
+const (
+	// endStagger is the wait of each further zone before it reports a move, in
+	// case the zones before it cannot.
+	endStagger = time.Second
+	// reportRepeat is the pause before a report is tried again.
+	reportRepeat = 700 * time.Millisecond
+)
+
+// Report is the state of a move as it is told to operators.
+type Report struct {
+	// Move is the offset of the record that ordered the move.
+	Move     int64
+	Upstream string
+	// To is the version that the move goes to.
+	To     string
+	State  fold.MoveState
+	Reason string
+}
+
+// Outcomes keeps the reports of moves. The first end of a move that is kept
+// stands; daemons that decide otherwise take it over.
+type Outcomes interface {
+	// Report keeps a report and returns the one that stands.
+	Report(ctx context.Context, r Report) (Report, error)
+	// Reports returns the newest report of each upstream.
+	Reports(ctx context.Context) ([]Report, error)
+}
+
+// Directory lists the daemons of the mesh, for those that know nobody.
+type Directory interface {
+	// Enter adds the daemon or replaces its entry.
+	Enter(ctx context.Context, m membership.Member) error
+	// Remove takes the daemon out.
+	Remove(ctx context.Context, name string) error
+	// List returns the daemons that entered; some may be gone.
+	List(ctx context.Context) ([]membership.Member, error)
+}
+
+// progress is what is known of a move whose record gives a length of time.
+type progress struct {
+	start time.Time
+	// end is empty while the move runs.
+	end    fold.MoveState
+	reason string
+	// reported is the state that Outcomes holds.
+	reported fold.MoveState
+}
+
+// Events and actions of moves.
+type (
+	// reportsRead holds the reports that were found on Outcomes.
+	reportsRead struct{ reports []Report }
+	// moveReported is the report that stands.
+	moveReported struct{ report Report }
+	readReports  struct{}
+	reportMove   struct{ report Report }
+)
+
+// time fills in the times of moves by the steady clock of this daemon and ends
+// those whose end is known. st must not be shared yet.
+func (d *decisions) time(st *fold.State, now time.Time) {
+	for _, m := range st.Moves {
+		if m.Within <= 0 {
+			continue
+		}
+		p := d.progress[m.ID]
+		if p == nil {
+			p = &progress{start: now}
+			d.progress[m.ID] = p
+		}
+		if m.State == fold.MoveRunning && p.end != "" {
+			_ = st.EndMove(m.ID, p.end, p.reason)
+		}
+	}
+	for i := range st.Moves {
+		m := &st.Moves[i]
+		if p := d.progress[m.ID]; p != nil {
+			m.StartAt, m.DoneBy = p.start, p.start.Add(time.Duration(m.Within))
+		}
+	}
+}
+
+// onReports takes the reports found on Outcomes. Moves without an end there go
+// on; the daemon may serve from now on.
+func (c *core) onReports(now time.Time, ev reportsRead) {
+	c.reportsDue = false
+	for _, r := range ev.reports {
+		c.onReport(now, r)
+	}
+	c.serveIfCurrent(now)
+}
+
+// onReport takes the state of a move from Outcomes.
+func (c *core) onReport(now time.Time, r Report) {
+	p := c.decision.progress[r.Move]
+	if p == nil {
+		p = &progress{start: now}
+		c.decision.progress[r.Move] = p
+	}
+	p.reported = r.State
+	if r.State != fold.MoveRunning {
+		c.endMove(now, r.Move, r.State, r.Reason)
+	}
+}
+
+// endMove takes the end of a move. The first one known stands.
+func (c *core) endMove(now time.Time, id int64, end fold.MoveState, reason string) {
+	p := c.decision.progress[id]
+	if p == nil {
+		p = &progress{start: now}
+		c.decision.progress[id] = p
+	}
+	if p.end != "" {
+		return
+	}
+	p.end, p.reason = end, reason
+	c.event(now, timeline.KindMove, id, "move %d is %s: %s", id, end, reason)
+	c.retime(now)
+}
+
+// retime puts the state in force again with the moves as they are known now.
+func (c *core) retime(now time.Time) {
+	st := c.state.Clone()
+	c.decision.time(st, now)
+	c.state = st
+	c.dirty = true
+}
+
+// reportMoves has the states of moves told to operators. Each zone has one
+// daemon for it, and the zones take turns.
+func (c *core) reportMoves(now time.Time) {
+	if !c.outcomes || !c.logReachable || !c.serving || c.table.ZoneRank("end") != 0 {
+		return
+	}
+	stagger := time.Duration(c.table.ZoneOrder("end")) * endStagger
+	for _, m := range c.state.Moves {
+		p := c.decision.progress[m.ID]
+		if p == nil || m.Reason != "" && p.end == "" {
+			continue
+		}
+		want, reason := fold.MoveRunning, ""
+		if v, bad := c.decision.verdicts[m.ID]; bad {
+			want, reason = fold.MoveTakenBack, v.Reason+": "+v.Evidence
+		} else if c.decision.evidence.Done(m, now) {
+			want, reason = fold.MoveDone, "the new version was used to the end without a fault"
+		}
+		if p.end != "" {
+			want, reason = p.end, p.reason
+		}
+		if p.reported == want || p.reported != "" && p.reported != fold.MoveRunning {
+			continue
+		}
+		due, ok := c.decision.reportAfter[m.ID]
+		if !ok || due.state != want {
+			due = reportDue{state: want, at: now.Add(stagger)}
+			c.decision.reportAfter[m.ID] = due
+		}
+		if now.Before(due.at) {
+			continue
+		}
+		c.decision.reportAfter[m.ID] = reportDue{state: want, at: now.Add(reportRepeat + stagger)}
+		c.act(reportMove{Report{Move: m.ID, Upstream: m.Upstream, To: m.To, State: want, Reason: reason}})
+	}
+}
+
+// reportDue is when the state of a move is to be reported.
+type reportDue struct {
+	state fold.MoveState
+	at    time.Time
+}
+
+// progressToWire tells peers what this daemon knows of moves.
+func (d *decisions) progressToWire(now time.Time) []*wirev1.MoveProgress {
+	var out []*wirev1.MoveProgress
+	for id, p := range d.progress {
+		out = append(out, &wirev1.MoveProgress{
+			Move: id, ElapsedMs: now.Sub(p.start).Milliseconds(), End: string(p.end), Reason: p.reason,
+		})
+	}
+	return out
+}
+
+// mergeProgress takes what a peer knows of moves: the earliest start and the
+// first end.
+func (c *core) mergeProgress(now time.Time, list []*wirev1.MoveProgress) {
+	moved := false
+	for _, w := range list {
+		p := c.decision.progress[w.GetMove()]
+		if p == nil {
+			p = &progress{start: now}
+			c.decision.progress[w.GetMove()] = p
+		}
+		// Messages take some milliseconds; a smaller difference says nothing.
+		if start := now.Add(-time.Duration(w.GetElapsedMs()) * time.Millisecond); start.Before(p.start.Add(-rpcTimeout)) {
+			p.start, moved = start, true
+		}
+		if end := fold.MoveState(w.GetEnd()); end == fold.MoveDone || end == fold.MoveTakenBack {
+			c.endMove(now, w.GetMove(), end, w.GetReason())
+		}
+	}
+	if moved {
+		c.retime(now)
+	}
+}
+
+func (c *control) runReport(ctx context.Context, a reportMove) {
+	got, err := c.outcomes.Report(ctx, a.report)
+	if err != nil {
+		c.metrics.Add("control.reportFailures", 1)
+		c.logFailure("report of a move", err)
+		return
+	}
+	c.send(moveReported{got})
+}
+
+func (c *control) runReadReports(ctx context.Context) {
+	list, err := c.outcomes.Reports(ctx)
+	if err != nil {
+		c.metrics.Add("control.reportFailures", 1)
+		c.logFailure("read of the reports of moves", err)
+		return
+	}
+	c.send(reportsRead{list})
+}
+
+// logFailure logs a failed call to the platform, unless the daemon is stopping.
+func (c *control) logFailure(what string, err error) {
+	if c.ctx.Err() == nil && !errors.Is(err, context.Canceled) {
+		c.logger.Warn("call to the platform failed", "call", what, "error", err)
+	}
+}
--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -103,7 +103,7 @@
 	}
 	k := move.Key{
 		Move: m.ID, Instance: snap.Self.Name, Incarnation: snap.Self.Incarnation,
-		Route: route, Version: snap.Self.Version, Window: move.Window(now),
+		Route: route, Version: snap.Self.Version, Window: move.WindowOf(m, now),
 	}
 	n := r.counters[k]
 	if s.Untimed && !s.Failed && !s.Excluded {
@@ -176,9 +176,10 @@
 		out[k] = r.counters[k]
 	}
 	clear(r.changed)
-	oldest := move.Window(now) - 1
+	st := r.control.view.Load().State
 	for k := range r.counters {
-		if k.Window < oldest {
+		m, running := st.RunningMove(k.Move)
+		if !running || k.Window < move.WindowOf(m, now)-1 {
 			delete(r.counters, k)
 		}
 	}
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
@@ -185,9 +185,9 @@
 		offset, err := s.log.Append(ctx, record.Stream, data)
 		switch {
 		case err == nil:
-			s.send(recordsArrived{entries: []platform.Entry{{Offset: offset, Data: data}}})
+			s.send(recordsArrived{entries: []log.Entry{{Offset: offset, Data: data}}})
 			return s.awaitOutcome(ctx, id)
-		case !errors.Is(err, platform.ErrUnknown) && !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, log.ErrUnknown) && !errors.Is(err, log.ErrUnavailable):
 			return fold.Outcome{}, err
 		}
 		s.metrics.Add("control.appendRetries", 1)
@@ -214,7 +214,7 @@
 				continue
 			}
 		}
-		if errors.Is(err, platform.ErrExpired) {
+		if errors.Is(err, log.ErrExpired) {
 			s.run(readLog{})
 		}
 		select {
--- a/process/control/snapshot.go
+++ b/process/control/snapshot.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
@@ -43,6 +45,9 @@
 // ZoneOut reports whether operators took the daemon's own zone out.
 func (s *Snapshot) ZoneOut() bool { return s.State.Zones[s.Self.Zone].Out }
 
+// BodyLimit returns the largest body of a request, in bytes.
+func (s *Snapshot) BodyLimit() int64 { return cmp.Or(s.State.Config.Limits.BodyBytes, request.MaxBody) }
+
 // Shed returns the shed order of the preset in force.
 func (s *Snapshot) Shed(now time.Time) []string {
 	p, _ := s.State.InForce(now)
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -13,20 +13,24 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
 	"github.com/kingcuppitch/kingcuppitch/request/entry"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/rotisserie/eris"
 )
 
@@ -37,6 +41,11 @@
 	leaveNotice = 2 * time.Second
 	// shutdownWithin bounds a graceful shutdown.
 	shutdownWithin = 30 * time.Second
+	// graceNotice and graceWithin are the same two as percent of the time until
+	// the daemon is killed. Callers are led away after two looks at its
+	// readiness, a second apart.
+	graceNotice = 55
+	graceWithin = 95
 	// readHeaderWithin bounds the time to read a request header.
 	readHeaderWithin = 10 * time.Second
 	// idleWithin bounds idle connections of callers.
@@ -49,6 +58,52 @@
 	maxForwardedHeader = 8 * maxHeader
 )
 
+// Platform is what a daemon needs of the users' platform in place of its own
+// interfaces to the log and the upstream.
+type Platform interface {
+	Log() log.Log
+	Outcomes() control.Outcomes
+	Directory() control.Directory
+	// Headers names the headers of callers and upstreams.
+	Headers() request.Headers
+	// Announcements serves the calls of the upstream beside the daemon.
+	Announcements(a Announcer) http.Handler
+	// Readiness tells whether the daemon takes new callers.
+	Readiness(ready func() bool) http.Handler
+}
+
+// Option configures a Daemon.
+type Option func(*Daemon)
+
+// WithPlatform puts the daemon on the users' platform.
+func WithPlatform(p Platform) Option { return func(d *Daemon) { d.platform = p } }
+
+// limiter bounds the requests to the upstream beside the daemon.
+type limiter interface {
+	host.Limiter
+	// setBounds takes what the configuration and the upstream say.
+	setBounds(u config.Upstream, a *Announcement)
+	restarted(now time.Time)
+}
+
+// configured bounds by the limits of the configuration.
+type configured struct{ admission.Limiter }
+
+func (c *configured) setBounds(u config.Upstream, _ *Announcement) {
+	c.SetLimits(admission.Limits{Slots: u.Slots, ColdSlots: u.ColdSlots})
+}
+
+func (c *configured) restarted(now time.Time) { c.Restarted(now) }
+
+// announcedBounds bounds by what the upstream announces of itself.
+type announcedBounds struct{ admission.Gate }
+
+func (b *announcedBounds) setBounds(u config.Upstream, a *Announcement) {
+	b.SetBounds(admission.Bounds{Slots: a.Slots, ColdUntil: a.ColdUntil, ColdPerSecond: u.ColdPerSecond})
+}
+
+func (b *announcedBounds) restarted(time.Time) { b.Restarted() }
+
 // Daemon is one kingcuppitchd process.
 type Daemon struct {
 	settings settings.Settings
@@ -56,15 +111,18 @@
 	metrics  *metrics.Set
 	events   *timeline.Timeline
 	control  control.Control
-	limiter  *admission.Limiter
+	platform Platform
+	limiter  limiter
 	host     *host.Host
 	entry    *entry.Entry
 	leaving  atomic.Bool
 	// incarnation is the last announced incarnation of the upstream.
 	incarnation atomic.Uint64
 	// announced is the last announcement of the upstream.
-	announced atomic.Pointer[announcement]
-	servers   []*server
+	announced atomic.Pointer[Announcement]
+	// announcing orders the calls of the upstream.
+	announcing sync.Mutex
+	servers    []*server
 }
 
 // server is an HTTP server with its listener.
@@ -78,10 +136,13 @@
 }
 
 // New returns a daemon that is not started.
-func New(s settings.Settings, logger hclog.Logger) *Daemon {
+func New(s settings.Settings, logger hclog.Logger, opts ...Option) *Daemon {
 	d := &Daemon{
 		settings: s, logger: logger, metrics: new(metrics.Set),
-		events: &timeline.Timeline{Name: s.Name, Zone: s.Zone}, limiter: new(admission.Limiter),
+		events: &timeline.Timeline{Name: s.Name, Zone: s.Zone}, limiter: new(configured),
+	}
+	for _, opt := range opts {
+		opt(d)
 	}
 	d.events.Notify = d.logEvent
 	d.metrics.Process()
@@ -89,23 +150,38 @@
 	if len(internal) == 0 {
 		internal = []netip.Prefix{netip.PrefixFrom(s.CallerAddress.Addr(), s.CallerAddress.Addr().BitLen())}
 	}
-	d.control = control.New(
+	controlOpts := []control.Option{
 		control.WithSelf(membership.Member{
 			Name: s.Name, Region: s.Region, Zone: s.Zone, Peer: s.PeerAddress, Caller: s.CallerAddress,
 			State: membership.Starting, Incarnation: uint64(time.Now().UnixNano()), //nolint:gosec // after 1970
 		}),
-		control.WithLog(platform.NewHTTPLog(s.LogAddress)),
 		control.WithSeeds(s.Seeds...),
 		control.WithServices(s.Services...),
 		control.WithMetrics(d.metrics),
 		control.WithTimeline(d.events),
 		control.WithViewObserver(d.applyLimits),
 		control.WithLogger(newSlog(logger.Named("actor"))),
-	)
-	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()))
-	d.entry = entry.New(d.control, d.host,
-		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithClaims(d.control.Claims()),
-		entry.WithInternalCallers(internal...))
+	}
+	headers := request.DefaultHeaders
+	if p := d.platform; p != nil {
+		headers = p.Headers()
+		d.limiter = new(announcedBounds)
+		controlOpts = append(controlOpts, control.WithLog(p.Log()), control.WithOutcomes(p.Outcomes()),
+			control.WithDirectory(p.Directory()), control.WithCompactedLog())
+	} else {
+		controlOpts = append(controlOpts, control.WithLog(log.NewHTTPLog(s.LogAddress)))
+	}
+	d.control = control.New(controlOpts...)
+	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
+		host.WithHeaders(headers), host.WithUnreachable(d.upstreamGone))
+	entryOpts := []entry.Option{
+		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
+		entry.WithHeaders(headers), entry.WithService(s.Service),
+	}
+	if d.platform == nil {
+		entryOpts = append(entryOpts, entry.WithClaims(d.control.Claims()))
+	}
+	d.entry = entry.New(d.control, d.host, entryOpts...)
 	return d
 }
 
@@ -143,8 +219,10 @@
 	path, ctl := d.control.Handler()
 	peers := http.NewServeMux()
 	peers.Handle(path, ctl)
-	announce := http.NewServeMux()
-	announce.HandleFunc("POST /announce", d.announce)
+	var announce http.Handler = http.HandlerFunc(d.serveAnnouncement)
+	if d.platform != nil {
+		announce = d.platform.Announcements(d)
+	}
 	vars := http.NewServeMux()
 	vars.Handle("GET /debug/vars", d.metrics)
 	list := []struct {
@@ -159,6 +237,15 @@
 		{"metrics", d.settings.MetricsAddress, vars, false, maxHeader},
 		{"peers", d.settings.PeerAddress, d.forwardFirst(peers), true, maxForwardedHeader},
 	}
+	if d.platform != nil {
+		list = slices.Insert(list, 0, struct {
+			name    string
+			addr    netip.AddrPort
+			handler http.Handler
+			http2   bool
+			header  int
+		}{"readiness", d.settings.ReadyAddress, d.platform.Readiness(d.Ready), false, maxHeader})
+	}
 	for _, l := range list {
 		s := &server{name: l.name, served: make(chan struct{}), Server: &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: l.header,
@@ -181,6 +268,9 @@
 	return nil
 }
 
+// Ready reports whether the daemon takes new callers.
+func (d *Daemon) Ready() bool { return !d.leaving.Load() && d.control.Snapshot().Serving }
+
 // forwardFirst serves forwarded calls without http.ServeMux, which answers a
 // path such as /a//b with a redirect of its own.
 func (d *Daemon) forwardFirst(next http.Handler) http.Handler {
@@ -219,14 +309,29 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// removeFromDirectory takes the daemon out of the list of those that know
+// nobody else. Failing that, its entry stays and costs others a vain call.
+func (d *Daemon) removeFromDirectory(ctx context.Context) {
+	if err := d.platform.Directory().Remove(ctx, d.settings.Name); err != nil {
+		d.logger.Warn("the directory still lists this daemon", "error", err)
+	}
+}
+
 // shutdown leaves the mesh, answers the calls in flight and stops.
 func (d *Daemon) shutdown() error {
 	d.events.Add(time.Now(), timeline.KindStop, 0, "daemon is leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownWithin)
+	notice, within := leaveNotice, shutdownWithin
+	if grace := time.Duration(d.settings.GraceSeconds * float64(time.Second)); grace > 0 {
+		notice, within = grace*graceNotice/100, grace*graceWithin/100
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	d.leaving.Store(true)
 	d.control.Leave()
-	time.Sleep(leaveNotice)
+	if d.platform != nil {
+		go d.removeFromDirectory(ctx)
+	}
+	time.Sleep(notice)
 	// Callers first: their calls may still need other daemons and the claims.
 	var errs []error
 	for _, s := range d.servers {
--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -121,7 +121,7 @@
 	go func() { n.done <- New(n.settings, hclog.NewNullLogger()).Run(ctx) }()
 	announcing, stopAnnouncing := context.WithCancel(context.Background())
 	go func() {
-		body, _ := json.Marshal(announcement{
+		body, _ := json.Marshal(Announcement{
 			Service: "booking", Version: "v1", State: "ready", Incarnation: 1,
 			Address: netip.MustParseAddrPort(n.upstream.Listener.Addr().String()),
 		})
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -377,6 +377,22 @@
 	return Member{}, false
 }
 
+// Lost returns a random dead member that may be back without knowing anybody;
+// rnd in [0,1) chooses.
+func (t *Table) Lost(rnd float64) (Member, bool) {
+	salt := math.Float64bits(rnd)
+	var best *entry
+	for _, e := range t.entries {
+		if e.State == Dead && (best == nil || mix(e.key, salt) < mix(best.key, salt)) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Member{}, false
+	}
+	return best.Member, true
+}
+
 // Random returns up to n live members for which accept holds, in the order
 // that rnd in [0,1) gives.
 func (t *Table) Random(rnd float64, n int, accept func(Member) bool) []Member {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -20,6 +20,18 @@
 //	seeds = ["127.0.0.1:7412"]
 //	internalCallers = ["127.0.0.0/8"]
 //	logLevel = "info"
+//
+// On the users' platform there are also:
+//
+//	platform = true
+//	readyAddress = "10.1.0.38:8141"
+//	service = "booking"
+//	graceSeconds = 6.0
+//	[zones]
+//	nl-west-a = "nl-west"
+//	[bounds]
+//	retryRatio = 0.2
+//	canaryShare = 0.1
 package settings
 
 import (
@@ -56,10 +68,49 @@
 	// Services are the upstreams that callers of this daemon call; empty means
 	// all. A daemon of a large mesh follows only the members of these.
 	Services []string `toml:"services"`
+	// Platform says that the daemon runs on the users' platform, whose store is
+	// at LogAddress.
+	Platform bool `toml:"platform"`
+	// ReadyAddress tells the platform whether the daemon takes new callers.
+	ReadyAddress netip.AddrPort `toml:"readyAddress"`
+	// Service is the service of the upstream beside the daemon.
+	Service string `toml:"service"`
+	// GraceSeconds is the time between SIGTERM and SIGKILL; zero means that
+	// nobody kills the daemon.
+	GraceSeconds float64 `toml:"graceSeconds"`
+	// Zones gives the region of each availability zone.
+	Zones map[string]string `toml:"zones"`
+	// Bounds hold for all daemons together.
+	Bounds Bounds `toml:"bounds"`
 	// LogLevel is trace, debug, info, warn or error.
 	LogLevel string `toml:"logLevel"`
 }
 
+// Bounds are promised to the owners of the upstreams for all daemons together.
+type Bounds struct {
+	// RetryRatio is the largest share of repeated requests among those that an
+	// upstream receives, beside RetrySlack of them.
+	RetryRatio float64 `toml:"retryRatio"`
+	RetrySlack float64 `toml:"retrySlack"`
+	// CanaryShare is the largest share of all requests that may reach a version
+	// that is rolled back, between the order of its move and the end.
+	CanaryShare float64 `toml:"canaryShare"`
+}
+
+func (b Bounds) check(report func(key, format string, args ...any)) {
+	for _, v := range []struct {
+		key   string
+		value float64
+	}{{"bounds.retryRatio", b.RetryRatio}, {"bounds.canaryShare", b.CanaryShare}} {
+		if v.value < 0 || v.value > 1 {
+			report(v.key, "%v is not between 0 and 1", v.value)
+		}
+	}
+	if b.RetrySlack < 0 {
+		report("bounds.retrySlack", "%v is negative", b.RetrySlack)
+	}
+}
+
 // Load reads the settings from a file.
 func Load(path string) (s Settings, err error) {
 	defer func() { err = eris.Wrapf(err, "settings %s", path) }()
@@ -128,12 +179,26 @@
 				report(a.key, "%v is not the number of one interface", addr.Addr())
 			}
 		case "announceAddress":
-			// An announcement from elsewhere could replace the upstream.
-			if !addr.Addr().IsLoopback() {
+			// An announcement from elsewhere could replace the upstream. On the
+			// platform, only the server beside the daemon reaches the address.
+			if !s.Platform && !addr.Addr().IsLoopback() {
 				report(a.key, "%v is not a loopback address", addr.Addr())
 			}
 		}
 	}
+	if s.Platform && (!s.ReadyAddress.IsValid() || s.ReadyAddress.Port() == 0) {
+		report("readyAddress", "an IP number and a port are required on the platform")
+	}
+	if s.Platform && s.Service == "" {
+		report("service", "is required on the platform")
+	}
+	if _, ok := s.Zones[s.Zone]; s.Platform && !ok {
+		report("zones", "the own availability zone %q is missing", s.Zone)
+	}
+	if s.GraceSeconds < 0 {
+		report("graceSeconds", "%v is negative", s.GraceSeconds)
+	}
+	s.Bounds.check(report)
 	for i, a := range s.Seeds {
 		if !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() {
 			report(fmt.Sprintf("seeds[%d]", i), "an IP number and a port are required")
--- a/request/claim/fake_test.go
+++ b/request/claim/fake_test.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"golang.org/x/time/rate"
 )
 
@@ -15,14 +15,14 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	first   int64 // zero means 1
-	records []platform.Entry
+	records []log.Entry
 	// retainRecords and retainAge bound what is kept; zero keeps all.
 	retainRecords int
 	retainAge     time.Duration
 	outages       []span
-	all           []platform.Entry // with the expired ones
-	limit         *rate.Limiter    // beyond it appends are refused; nil is unlimited
-	rate          *throttle        // shared by the streams of one log; nil is unlimited
+	all           []log.Entry   // with the expired ones
+	limit         *rate.Limiter // beyond it appends are refused; nil is unlimited
+	rate          *throttle     // shared by the streams of one log; nil is unlimited
 }
 
 // throttle makes appends wait for their turn at a number of appends a second.
@@ -79,7 +79,7 @@
 	defer l.mu.Unlock()
 	l.expire()
 	offset := l.first + int64(len(l.records))
-	e := platform.Entry{Offset: offset, At: time.Now(), Data: data}
+	e := log.Entry{Offset: offset, At: time.Now(), Data: data}
 	l.records, l.all = append(l.records, e), append(l.all, e)
 	l.expire()
 	return offset
@@ -125,45 +125,45 @@
 	}
 	time.Sleep(l.delay)
 	if l.limit != nil && !l.limit.Allow() {
-		return 0, platform.ErrUnavailable
+		return 0, log.ErrUnavailable
 	}
 	if s, out := l.outage(); out {
 		if s.hangs {
 			<-ctx.Done()
-			return 0, errors.Join(platform.ErrUnknown, ctx.Err())
+			return 0, errors.Join(log.ErrUnknown, ctx.Err())
 		}
-		return 0, platform.ErrUnavailable
+		return 0, log.ErrUnavailable
 	}
 	switch f {
 	case refused:
-		return 0, platform.ErrUnavailable
+		return 0, log.ErrUnavailable
 	case dropped:
-		return 0, platform.ErrUnknown
+		return 0, log.ErrUnknown
 	case late:
 		time.AfterFunc(l.lag, func() { l.append(data) })
-		return 0, platform.ErrUnknown
+		return 0, log.ErrUnknown
 	}
 	l.rate.wait()
 	offset := l.append(data)
 	time.Sleep(l.delay)
 	if f == lost {
-		return 0, platform.ErrUnknown
+		return 0, log.ErrUnknown
 	}
 	return offset, nil
 }
 
-func (l *link) Read(ctx context.Context, _ string, from int64, _ time.Time) (platform.Page, error) {
+func (l *link) Read(ctx context.Context, _ string, from int64, _ time.Time) (log.Page, error) {
 	defer l.stand()
 	time.Sleep(l.delay)
 	if s, out := l.outage(); out {
 		if s.hangs {
 			<-ctx.Done()
 		}
-		return platform.Page{}, platform.ErrUnavailable
+		return log.Page{}, log.ErrUnavailable
 	}
 	l.mu.Lock()
 	l.expire()
-	page := platform.Page{First: l.first, Next: l.first + int64(len(l.records))}
+	page := log.Page{First: l.first, Next: l.first + int64(len(l.records))}
 	if from >= l.first && from < page.Next {
 		page.Records = l.records[from-l.first:]
 		page.Records = page.Records[:min(len(page.Records), 16)]
@@ -171,7 +171,7 @@
 	l.mu.Unlock()
 	time.Sleep(l.delay)
 	if from < page.First {
-		return page, platform.ErrExpired
+		return page, log.ErrExpired
 	}
 	return page, nil
 }
--- a/request/claim/schedule_test.go
+++ b/request/claim/schedule_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"pgregory.net/rapid"
 )
 
@@ -132,9 +132,9 @@
 	Close(ctx context.Context) error
 }
 
-type maker func(log platform.Log, s *schedule) owner
+type maker func(log log.Log, s *schedule) owner
 
-func makeWriter(log platform.Log, s *schedule) owner {
+func makeWriter(log log.Log, s *schedule) owner {
 	noJitter := func(o *options) { o.jitter = 0 } // so that a seed gives the same history
 	opts := []Option{WithLifetime(s.lifetime), WithRunWithin(2 * time.Second), noJitter}
 	if s.retainRecords > 0 {
@@ -418,10 +418,10 @@
 // the naive versions must show some, and the Writer none.
 func TestNaiveVersionsRunTwice(t *testing.T) {
 	naive := map[string]maker{
-		"mapPerWriter": func(platform.Log, *schedule) owner {
+		"mapPerWriter": func(log.Log, *schedule) owner {
 			return &naiveMap{keys: make(map[string]*Stored)}
 		},
-		"leaseByTime": func(log platform.Log, s *schedule) owner {
+		"leaseByTime": func(log log.Log, s *schedule) owner {
 			lease := *s
 			lease.lifetime = 4 * time.Second
 			return naiveLease{makeWriter(log, &lease).(*Writer)}
--- a/request/claim/writer.go
+++ b/request/claim/writer.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 )
@@ -98,7 +98,7 @@
 
 // Writer appends the claims of one shard and grants them.
 type Writer struct {
-	log    platform.Log
+	log    log.Log
 	stream string
 	opts   options
 	ctx    context.Context
@@ -158,7 +158,7 @@
 // NewWriter returns a writer of one shard and starts it. It folds the retained
 // stream before it grants anything. It carries keys forward until it is closed,
 // so the owner of a shard keeps its writer open.
-func NewWriter(log platform.Log, shard int, opts ...Option) *Writer {
+func NewWriter(log log.Log, shard int, opts ...Option) *Writer {
 	o := options{
 		lifetime: DefaultLifetime, runWithin: 10 * time.Second,
 		gather: 20 * time.Millisecond, items: 512,
@@ -636,7 +636,7 @@
 		w.mu.Unlock()
 		switch {
 		case err == nil:
-		case !doubt && errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown):
+		case !doubt && errors.Is(err, log.ErrUnavailable) && !errors.Is(err, log.ErrUnknown):
 			return err
 		case doubt:
 			refuse()
@@ -678,7 +678,7 @@
 		ctx, cancel := context.WithTimeout(w.ctx, w.opts.timeout)
 		page, err := w.log.Read(ctx, w.stream, next, at)
 		cancel()
-		if errors.Is(err, platform.ErrExpired) && page.First > next {
+		if errors.Is(err, log.ErrExpired) && page.First > next {
 			// The records that follow are gone. Start again from the oldest.
 			w.reset(page.First)
 			continue
@@ -708,7 +708,7 @@
 }
 
 // apply folds one record.
-func (w *Writer) apply(e platform.Entry) {
+func (w *Writer) apply(e log.Entry) {
 	out := w.fold.Apply(e.Offset, e.At, e.Data)
 	if n := len(w.ages); n == 0 || e.At.Sub(w.ages[n-1].at) >= w.opts.retainAge/carryParts {
 		w.ages = append(w.ages, age{offset: e.Offset, at: e.At})
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -21,10 +21,12 @@
 	"io"
 	"math"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,6 +85,12 @@
 // WithInternalCallers sets the networks that may use internal routes.
 func WithInternalCallers(p ...netip.Prefix) Option { return func(e *Entry) { e.internal = p } }
 
+// WithHeaders sets the headers of callers.
+func WithHeaders(n request.Headers) Option { return func(e *Entry) { e.headers = n } }
+
+// WithService sets the service beside which the requests of this entry begin.
+func WithService(name string) Option { return func(e *Entry) { e.service = name } }
+
 // Entry is the HTTP handler for callers.
 type Entry struct {
 	view     View
@@ -91,6 +99,8 @@
 	claims   Claims
 	internal []netip.Prefix
 	metrics  *metrics.Set
+	headers  request.Headers
+	service  string
 
 	loads    loads
 	peers    peer.Pool
@@ -100,7 +110,7 @@
 
 // New returns an entry.
 func New(view View, local Local, opts ...Option) *Entry {
-	e := &Entry{view: view, local: local, metrics: new(metrics.Set)}
+	e := &Entry{view: view, local: local, metrics: new(metrics.Set), headers: request.DefaultHeaders}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -139,14 +149,14 @@
 	if !snap.Serving {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNotReady, Detail: "this daemon has no current configuration", RetryAt: now.Add(refusalPause)}
 	}
-	rt, ok := snap.Table.Match(r.Method, r.URL.Path)
+	rt, ok := snap.Table.Match(hostName(r.Host), r.Method, r.URL.Path)
 	if !ok {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoRoute, Status: http.StatusNotFound, Detail: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
 	}
 	if rt.Internal && !e.isInternal(r.RemoteAddr) {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonInternalRoute, Status: http.StatusForbidden, Detail: fmt.Sprintf("route %s is internal", rt.Name)}
 	}
-	call, err := newCall(w, r, rt, snap, now)
+	call, err := e.newCall(w, r, rt, snap, now)
 	if err != nil {
 		return nil, err
 	}
@@ -156,7 +166,7 @@
 	ctx, cancel := context.WithDeadline(whole, call.Deadline)
 	context.AfterFunc(whole, cancel)
 	if rt.Idempotent || len(r.Header.Values(request.HeaderKey)) == 0 {
-		return e.attempts(ctx, call, rt)
+		return e.attempts(ctx, call, rt.Split(mathrand.Float64()))
 	}
 	key := r.Header.Get(request.HeaderKey)
 	if err := checkKey(r.Header, key, now); err != nil {
@@ -164,15 +174,23 @@
 	}
 	// A key belongs to a path. It does not belong to the route, which operators
 	// may rename or split between two tries of one request.
-	return e.keyed(ctx, call, rt, r.Method+" "+r.URL.Path+"\n"+key)
+	return e.keyed(ctx, call, rt.Split(mathrand.Float64()), r.Method+" "+r.URL.Path+"\n"+key)
+}
+
+// hostName returns a host without its port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
 }
 
-func newCall(w http.ResponseWriter, r *http.Request, rt config.Route, snap *control.Snapshot, now time.Time) (*request.Call, error) {
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, rt config.Route, snap *control.Snapshot, now time.Time) (*request.Call, error) {
 	deadline := now.Add(time.Duration(rt.AnswerWithin))
-	if text := r.Header.Get(request.HeaderTimeout); text != "" {
+	if text := r.Header.Get(e.headers.Timeout); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms <= 0 {
-			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s: %q is not a positive number of milliseconds", request.HeaderTimeout, text)}
+			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s: %q is not a positive number of milliseconds", e.headers.Timeout, text)}
 		}
 		if d := now.Add(time.Duration(min(ms, config.MaxAnswerWithin.Milliseconds())) * time.Millisecond); d.Before(deadline) {
 			deadline = d
@@ -181,14 +199,15 @@
 	if r.Method == http.MethodConnect {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusMethodNotAllowed, Detail: "CONNECT is not passed on"}
 	}
-	if r.ContentLength > request.MaxBody {
-		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonTooLarge, Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("the body of %d bytes exceeds %d bytes", r.ContentLength, request.MaxBody)}
+	limit := snap.BodyLimit()
+	if r.ContentLength > limit {
+		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonTooLarge, Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("the body of %d bytes exceeds %d bytes", r.ContentLength, limit)}
 	}
 	// A caller that stops in the middle of its body would hold the call, and a
 	// graceful shutdown, for ever.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(deadline)
-	body, err := request.ReadBody(r.Body)
+	body, err := request.ReadBody(r.Body, limit)
 	if err != nil {
 		if !time.Now().Before(deadline) {
 			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonDeadline, Status: http.StatusRequestTimeout, Detail: "the body did not arrive by the deadline"}
@@ -196,10 +215,21 @@
 		return nil, err
 	}
 	_ = rc.SetReadDeadline(time.Time{})
-	return &request.Call{
+	call := &request.Call{
 		Route: rt.Name, Method: r.Method, Path: r.URL.RequestURI(), Header: request.CleanHeader(r.Header), Body: body,
-		Deadline: deadline, Idempotent: rt.Idempotent, Class: rt.Class, Version: snap.State.Version,
-	}, nil
+		Deadline: deadline, Idempotent: rt.Idempotent, Class: rt.Class, Version: snap.State.Version, Attempts: rt.Attempts,
+	}
+	if rt.Objective > 0 {
+		call.Objective = now.Add(time.Duration(rt.Objective))
+	}
+	if n := e.headers; n.CallerNamesID {
+		call.Host = r.Host
+		if call.Header.Get(n.ID) == "" {
+			call.Header.Set(n.ID, rand.Text())
+		}
+		call.Header.Set(n.CallerService, e.service)
+	}
+	return call, nil
 }
 
 func (e *Entry) isInternal(remote string) bool {
@@ -232,7 +262,7 @@
 }
 
 // keyed runs a request with an idempotency key at most once.
-func (e *Entry) keyed(ctx context.Context, call *request.Call, rt config.Route, key string) (*request.Answer, error) {
+func (e *Entry) keyed(ctx context.Context, call *request.Call, upstream, key string) (*request.Answer, error) {
 	if e.claims == nil {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonLogOut, Detail: "keyed requests are not served", RetryAt: time.Now().Add(refusalPause)}
 	}
@@ -250,7 +280,7 @@
 	}
 	// The host refuses a call that reaches it after RunBy.
 	call.RunBy = grant.RunBy
-	ans, err := e.attempts(ctx, call, rt)
+	ans, err := e.attempts(ctx, call, upstream)
 	var ref *request.Refusal
 	switch {
 	case err == nil && ans.Outcome == request.Ran:
@@ -297,8 +327,8 @@
 }
 
 // attempts tries instances until one answers or the policy ends it.
-func (e *Entry) attempts(ctx context.Context, call *request.Call, rt config.Route) (*request.Answer, error) {
-	budget := e.budget(rt.Upstream)
+func (e *Entry) attempts(ctx context.Context, call *request.Call, upstream string) (*request.Answer, error) {
+	budget := e.budget(upstream)
 	preset, _ := e.view.Snapshot().State.InForce(time.Now())
 	budget.Request(time.Now(), preset.RetryPercent)
 	var (
@@ -313,7 +343,7 @@
 		if len(made) > 0 {
 			e.metrics.Add("entry.retries", 1)
 		}
-		ans, inst, err := e.attempt(ctx, call, rt, made)
+		ans, inst, err := e.attempt(ctx, call, upstream, made)
 		if err == nil {
 			return ans, nil
 		}
@@ -344,7 +374,7 @@
 }
 
 // attempt sends the call to one instance.
-func (e *Entry) attempt(ctx context.Context, call *request.Call, rt config.Route, made []retry.Attempt) (*request.Answer, string, error) {
+func (e *Entry) attempt(ctx context.Context, call *request.Call, upstream string, made []retry.Attempt) (*request.Answer, string, error) {
 	now := time.Now()
 	snap := e.view.Snapshot()
 	tried := make([]string, 0, len(made))
@@ -354,13 +384,13 @@
 	c := *call
 	c.ID = rand.Text()
 	c.Version = snap.State.Version
-	c.UpstreamVersion = snap.Table.Version(rt.Upstream, snap.Share, mathrand.Float64())
+	c.UpstreamVersion = snap.Table.Version(upstream, snap.Share, mathrand.Float64())
 	inst, ok := snap.Table.Pick(route.Query{
-		Upstream: rt.Upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now,
+		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now, Open: call.Attempts > 0 && len(made) > 0,
 		Rnd: [3]float64{mathrand.Float64(), mathrand.Float64(), mathrand.Float64()},
 	}, &e.loads)
 	if !ok {
-		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", rt.Upstream, c.UpstreamVersion), RetryAt: now.Add(refusalPause)}
+		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(refusalPause)}
 	}
 	c.Deadline = retry.AttemptDeadline(call, len(made), now)
 	attemptCtx, cancel := context.WithDeadline(ctx, c.Deadline)
@@ -431,17 +461,26 @@
 	// Refusals for a fault of the request itself name no time to repeat it.
 	if !ref.RetryAt.IsZero() || status >= http.StatusInternalServerError {
 		at := ref.RetryAt
-		if earliest := time.Now().Add(refusalPause); at.Before(earliest) {
+		if earliest := time.Now().Add(refusalPause); at.Before(earliest) && !e.headers.FractionalRetryTime {
 			at = earliest
 		}
 		body.RetryAt = &at
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(time.Until(at).Seconds()))))
+		h.Set("Retry-After", e.retryAfter(at))
 	}
 	w.WriteHeader(status)
 	data, _ := json.Marshal(body)
 	_, _ = w.Write(append(data, '\n'))
 }
 
+// retryAfter returns the time until a retry is sensible, in seconds.
+func (e *Entry) retryAfter(at time.Time) string {
+	left := max(0, time.Until(at).Seconds())
+	if e.headers.FractionalRetryTime {
+		return strconv.FormatFloat(left, 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(left)))
+}
+
 // closer ends the context of an attempt with its streamed answer.
 type closer struct {
 	io.ReadCloser
--- a/request/entry/rig_test.go
+++ b/request/entry/rig_test.go
@@ -194,7 +194,7 @@
 		if o.beside != nil {
 			addr = o.beside(addr)
 		}
-		h.SetUpstream(addr, 120)
+		h.SetUpstream(addr, 120, "")
 		srv := httptest.NewUnstartedServer(h)
 		srv.Config.Protocols = new(http.Protocols)
 		srv.Config.Protocols.SetUnencryptedHTTP2(true)
--- a/request/host/handover.go
+++ b/request/host/handover.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/connection/instance"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
 )
@@ -75,58 +77,44 @@
 }
 
 func (o *handover) run(ctx context.Context, cancel context.CancelFunc) (*request.Answer, error) {
-	req, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { o.connected.Store(true) },
-	}), o.target, o.call)
+	req, id, err := o.host.upstreamRequest(ctx, o.target, o.call)
 	if err != nil {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
 	}
 	if !o.call.RunBy.IsZero() {
 		// The wait for a connection must not outlast the claim.
-		defer time.AfterFunc(time.Until(o.call.StartBy()), func() {
+		late, stop := context.WithDeadline(ctx, o.call.StartBy())
+		defer stop()
+		context.AfterFunc(late, func() {
 			if !o.connected.Load() {
 				cancel()
 			}
-		}).Stop()
+		})
 	}
-	res, err := o.transport().RoundTrip(req)
-	if err != nil {
-		return nil, o.noAnswer(ctx, err)
+	reuse := reusePeriod
+	if o.call.Idempotent {
+		reuse = idlePeriod
 	}
-	if err := o.check(res); err != nil {
-		_ = res.Body.Close()
+	x := instance.Exchange{IDHeader: o.host.headers.ID, ID: id, UsedSince: time.Now().Add(-reuse)}
+	res, err := o.target.pool.Do(ctx, req, x)
+	o.connected.Store(res.Sent)
+	if errors.Is(err, instance.ErrMismatch) {
 		o.result.Failed = true
 		o.host.metrics.Add("host.mismatchedAnswers", 1)
-		return nil, err
-	}
-	return o.read(ctx, res)
-}
-
-func (o *handover) transport() *http.Transport {
-	if o.call.Idempotent {
-		return o.target.repeatable
-	}
-	return o.target.single
-}
-
-// check refuses an answer that is not one to the call.
-func (o *handover) check(res *http.Response) error {
-	if res.StatusCode < http.StatusOK {
-		// Nobody asked to switch protocols, and the connection has no end of an
-		// answer to wait for.
-		return handedOver(request.ReasonMismatch, fmt.Sprintf("the upstream answered with status %d", res.StatusCode))
+		return nil, handedOver(request.ReasonMismatch, err.Error())
 	}
-	if got := res.Header.Get(request.HeaderUpstreamRequest); got != o.call.ID {
-		o.transport().CloseIdleConnections()
-		return handedOver(request.ReasonMismatch, fmt.Sprintf("the upstream answered request %q", got))
+	if err != nil {
+		return nil, o.noAnswer(ctx, err)
 	}
-	return nil
+	return o.read(ctx, res.Response)
 }
 
 // read reads the answer, or its start where it is long.
 func (o *handover) read(ctx context.Context, res *http.Response) (*request.Answer, error) {
-	// The id belongs to the attempt; the caller may have sent one of its own.
-	res.Header.Del(request.HeaderUpstreamRequest)
+	if !o.host.headers.CallerNamesID {
+		// The id belongs to the attempt; the caller may have sent one of its own.
+		res.Header.Del(o.host.headers.ID)
+	}
 	ans := &request.Answer{Status: res.StatusCode, Header: res.Header, Outcome: request.Ran, Trailer: request.TrailerOf(res)}
 	var err error
 	if ans.Body, err = io.ReadAll(io.LimitReader(res.Body, request.MaxBody)); err != nil {
@@ -138,6 +126,10 @@
 	o.answered = true
 	o.result.Failed = res.StatusCode >= http.StatusInternalServerError
 	o.result.Shed = res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
+	if ref := o.notRun(ans); ref != nil {
+		_ = res.Body.Close()
+		return nil, ref
+	}
 	if o.result.Shed {
 		ans.Outcome = request.Unknown
 	}
@@ -150,6 +142,28 @@
 	return ans, nil
 }
 
+// notRun returns a refusal where the upstream says that it did not run the
+// request, or that it is not the one that was meant.
+func (o *handover) notRun(ans *request.Answer) *request.Refusal {
+	n := o.host.headers
+	switch {
+	case n.Instance != "" && ans.Status == http.StatusMisdirectedRequest:
+		o.host.metrics.Add("host.wrongInstance", 1)
+		o.host.unreachable()
+		return &request.Refusal{
+			Outcome: request.NotRun, Reason: request.ReasonWrongInstance, Detail: "another instance has the address of " + o.target.id,
+			RetryAt: time.Now(),
+		}
+	case n.NotRun != "" && ans.Header.Get(n.NotRun) != "":
+		o.host.metrics.Add("host.shedByUpstream", 1)
+		return &request.Refusal{
+			Outcome: request.NotRun, Reason: request.ReasonShed, RetryAt: time.Now().Add(shedPause),
+			Detail: fmt.Sprintf("the upstream answered %d without running the request", ans.Status),
+		}
+	}
+	return nil
+}
+
 // noAnswer classifies an exchange that gave no answer. Only a failure before a
 // connection was there is certain to have handed nothing over.
 func (o *handover) noAnswer(ctx context.Context, err error) error {
@@ -163,13 +177,15 @@
 	switch {
 	case !o.connected.Load():
 		h.metrics.Add("host.connectFailures", 1)
+		if errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err) && ctx.Err() == nil {
+			h.unreachable()
+		}
 		return h.refused(&request.Refusal{Outcome: request.NotRun, Reason: request.ReasonConnect, Detail: err.Error(), RetryAt: time.Now()})
 	case o.result.Expired:
 		// The connection may have gone silent for good, and those opened through
 		// the same path with it.
 		h.metrics.Add("host.silentCalls", 1)
-		o.target.repeatable.CloseIdleConnections()
-		o.target.single.CloseIdleConnections()
+		o.target.pool.CloseIdle()
 		return handedOver(request.ReasonDeadline, "no answer from the upstream by the deadline")
 	case o.cancelled:
 		return handedOver(request.ReasonCancelled, "the caller gave up")
@@ -177,3 +193,8 @@
 	h.metrics.Add("host.lostCalls", 1)
 	return handedOver(request.ReasonConnection, err.Error())
 }
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -24,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/connection/instance"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/request"
@@ -38,7 +39,10 @@
 	// may have dropped it, and a lost request could not be sent again.
 	reusePeriod = time.Second
 	// idlePeriod is the idle time after which other connections are closed.
-	idlePeriod = 30 * time.Second
+	idlePeriod = 9 * time.Second
+	// shedPause is when a caller may come back after the upstream itself did not
+	// run a request: the time of a few answers.
+	shedPause = 100 * time.Millisecond
 	// deadlineSlack is the time before the deadline from which a cancelled call
 	// counts as one without an answer.
 	deadlineSlack = 50 * time.Millisecond
@@ -74,6 +78,13 @@
 // WithObserver sets the observer.
 func WithObserver(o Observer) Option { return func(h *Host) { h.observer = o } }
 
+// WithHeaders sets the headers of the upstream.
+func WithHeaders(n request.Headers) Option { return func(h *Host) { h.headers = n } }
+
+// WithUnreachable sets a function that is told when the upstream refuses a
+// connection or another instance has its address.
+func WithUnreachable(f func()) Option { return func(h *Host) { h.unreachable = f } }
+
 // Host hands calls to the upstream instance beside the daemon.
 type Host struct {
 	view     View
@@ -81,51 +92,48 @@
 	metrics  *metrics.Set
 	observer Observer
 
+	headers  request.Headers
 	draining atomic.Bool
 	calls    calls
 	target   atomic.Pointer[target]
 	warmup   warmup
+	// unreachable is told when the upstream is gone.
+	unreachable func()
 }
 
 // target is the upstream instance and its connections.
 type target struct {
 	addr        netip.AddrPort
 	connections int
-	// repeatable carries idempotent calls, single those that are not.
-	repeatable, single *http.Transport
+	// id names the incarnation of the upstream; empty if it has no name.
+	id   string
+	pool *instance.Pool
 }
 
 // New returns a host without an upstream.
 func New(view View, limiter Limiter, opts ...Option) *Host {
-	h := &Host{view: view, limiter: limiter, metrics: new(metrics.Set), observer: noObserver{}}
+	h := &Host{
+		view: view, limiter: limiter, metrics: new(metrics.Set), observer: noObserver{}, headers: request.DefaultHeaders,
+		unreachable: func() {},
+	}
 	for _, opt := range opts {
 		opt(h)
 	}
 	return h
 }
 
-// SetUpstream sets the address of the upstream and the number of connections
-// that it accepts.
-func (h *Host) SetUpstream(addr netip.AddrPort, connections int) {
-	if t := h.target.Load(); t != nil && t.addr == addr && t.connections == connections {
+// SetUpstream sets the address of the upstream, the number of connections that
+// it accepts and the id of its incarnation, which may be empty.
+func (h *Host) SetUpstream(addr netip.AddrPort, connections int, id string) {
+	if t := h.target.Load(); t != nil && t.addr == addr && t.connections == connections && t.id == id {
 		return
 	}
-	// The two pools share the connections; one slot is left for a probe.
-	half := max(1, (connections-1)/2)
-	next := &target{
-		addr: addr, connections: connections,
-		repeatable: transport(half, idlePeriod), single: transport(half, reusePeriod),
-	}
+	// One connection is left for a probe.
+	next := &target{addr: addr, connections: connections, id: id, pool: instance.New(addr,
+		instance.WithConnections(connections-1),
+		instance.WithOpened(func() { h.metrics.Add("host.connections", 1) }))}
 	if old := h.target.Swap(next); old != nil {
-		old.repeatable.CloseIdleConnections()
-		old.single.CloseIdleConnections()
-	}
-}
-
-func transport(connections int, idle time.Duration) *http.Transport {
-	return &http.Transport{
-		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-		IdleConnTimeout: idle, DisableCompression: true,
+		old.pool.Close()
 	}
 }
 
@@ -157,7 +165,7 @@
 	if err = h.check(snap, call); err != nil {
 		return nil, h.refused(err)
 	}
-	ticket, err := h.limiter.Acquire(ctx, call.Class, snap.Shed(time.Now()), call.Deadline)
+	ticket, err := h.limiter.Acquire(ctx, call.Class, snap.Shed(time.Now()), startBy(call, time.Now()))
 	if err != nil {
 		return nil, h.refused(overload(err))
 	}
@@ -169,6 +177,25 @@
 	return h.hand(ctx, call, ticket)
 }
 
+// waitShare is the part of the time until the objective that a request may wait
+// for a slot; an answer takes the rest.
+const waitShare = 0.5
+
+// startBy returns the time until which a call may wait for a slot. A start so
+// late that the answer misses the objective takes the slot from a call that
+// would meet it.
+func startBy(call *request.Call, now time.Time) time.Time {
+	until := call.StartBy()
+	if call.Objective.IsZero() {
+		return until
+	}
+	useful := now.Add(time.Duration(waitShare * float64(call.Objective.Sub(now))))
+	if useful.Before(until) && useful.After(now) {
+		return useful
+	}
+	return until
+}
+
 func overload(err error) error {
 	var ref *request.Refusal
 	if errors.As(err, &ref) {
@@ -229,14 +256,22 @@
 	return l
 }
 
-func newUpstreamRequest(ctx context.Context, tgt *target, call *request.Call) (*http.Request, error) {
-	req, err := request.NewHTTPRequest(ctx, "http://"+tgt.addr.String()+call.Path, call)
-	if err != nil {
-		return nil, err
+// upstreamRequest returns the request to the upstream and the id that it echoes.
+func (h *Host) upstreamRequest(ctx context.Context, tgt *target, call *request.Call) (req *http.Request, id string, err error) {
+	if req, err = request.NewHTTPRequest(ctx, "http://"+tgt.addr.String()+call.Path, call); err != nil {
+		return nil, "", err
+	}
+	n := h.headers
+	if id = call.ID; n.CallerNamesID {
+		id = call.Header.Get(n.ID)
+	} else {
+		req.Header.Set(n.ID, id)
+	}
+	req.Header.Set(n.Timeout, strconv.FormatInt(max(1, time.Until(call.Deadline).Milliseconds()), 10))
+	if n.Instance != "" {
+		req.Header.Set(n.Instance, tgt.id)
 	}
-	req.Header.Set(request.HeaderUpstreamRequest, call.ID)
-	req.Header.Set(request.HeaderTimeout, strconv.FormatInt(max(1, time.Until(call.Deadline).Milliseconds()), 10))
-	return req, nil
+	return req, id, nil
 }
 
 // calls counts the calls in flight. A sync.WaitGroup does not allow a call to
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -63,7 +63,7 @@
 	}))
 	t.Cleanup(srv.Close)
 	h := New(fixedView{&control.Snapshot{State: &fold.State{Zones: map[string]fold.Zone{"out": {Out: true}}}, Self: self, Serving: true}}, l)
-	h.SetUpstream(netip.MustParseAddrPort(srv.Listener.Addr().String()), 120)
+	h.SetUpstream(netip.MustParseAddrPort(srv.Listener.Addr().String()), 120, "")
 	return h
 }
 
@@ -203,7 +203,7 @@
 		arrived <- struct{}{}
 		<-release
 	})
-	h.SetUpstream(h.target.Load().addr, 3) // one connection for calls that must not be repeated
+	h.SetUpstream(h.target.Load().addr, 2, "") // one connection beside that for a probe
 	first := make(chan error, 1)
 	go func() {
 		_, err := h.Do(t.Context(), newCall())
--- a/request/request.go
+++ b/request/request.go
@@ -24,8 +24,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxBody bounds the body of a request, and the part of an answer that is
-// buffered before the caller sees any of it, in bytes.
+// MaxBody bounds the body of a request where operators set no limit, and the
+// part of an answer that is buffered before the caller sees any of it, in bytes.
 const MaxBody = 1 << 20
 
 // Headers between caller, entry, host and upstream.
@@ -99,6 +99,10 @@
 	// ReasonCancelled means that the caller gave up; it says nothing about the
 	// instance.
 	ReasonCancelled Reason = "cancelled"
+	// ReasonShed means that the upstream itself did not run the request.
+	ReasonShed Reason = "upstreamShed"
+	// ReasonWrongInstance means that another instance has the address.
+	ReasonWrongInstance Reason = "wrongInstance"
 	// ReasonBodyNotKept marks a replayed answer whose body was not stored.
 	ReasonBodyNotKept Reason = "bodyNotKept"
 )
@@ -122,10 +126,12 @@
 // Call is one request on its way to an upstream.
 type Call struct {
 	// ID is unique to one attempt.
-	ID       string
-	Route    string
-	Method   string
-	Path     string // with the query
+	ID     string
+	Route  string
+	Method string
+	Path   string // with the query
+	// Host is the host that the caller named; empty means that of the upstream.
+	Host     string
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time
@@ -134,6 +140,12 @@
 	RunBy      time.Time
 	Idempotent bool
 	Class      string
+	// Objective is the time until which an answer is worth most; zero means the
+	// deadline.
+	Objective time.Time
+	// Attempts bounds the instances that the call may reach; zero means the
+	// default.
+	Attempts int
 	// UpstreamVersion is the upstream version that the entry chose.
 	UpstreamVersion string
 	// Version is the configuration version of the entry.
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -70,7 +70,7 @@
 // first. rnd is a random number in [0, 1). The caller chooses an instance that
 // is not among the attempts.
 func Next(call *request.Call, attempts []Attempt, b *Budget, now time.Time, rnd float64) Decision {
-	if !now.Before(call.Deadline) || len(attempts) >= MaxAttempts {
+	if !now.Before(call.Deadline) || len(attempts) >= most(call) || reached(attempts) >= bound(call) {
 		return Decision{}
 	}
 	if len(attempts) == 0 {
@@ -92,6 +92,10 @@
 	}
 	d := Decision{Retry: true, NotBefore: now}
 	last := attempts[len(attempts)-1]
+	if call.Attempts > 0 && !last.Reached() {
+		// No upstream had any work with it.
+		return d
+	}
 	if last.Reason == request.ReasonOverload {
 		pause := overloadPause << (len(attempts) - 1)
 		d.NotBefore = now.Add(time.Duration(rnd * float64(pause)))
@@ -108,6 +112,42 @@
 	return d
 }
 
+// freeTries is the number of refusals by hosts beside the attempts that a route
+// itself allows.
+const freeTries = 2
+
+// bound returns the number of upstream instances that the call may reach.
+func bound(call *request.Call) int {
+	if call.Attempts > 0 {
+		return call.Attempts
+	}
+	return MaxAttempts
+}
+
+// most returns the number of attempts of the call, the refusals by hosts
+// included.
+func most(call *request.Call) int {
+	if call.Attempts > 0 {
+		return call.Attempts + freeTries
+	}
+	return MaxAttempts
+}
+
+func reached(attempts []Attempt) (n int) {
+	for _, a := range attempts {
+		if a.Reached() {
+			n++
+		}
+	}
+	return n
+}
+
+// Reached reports whether an upstream instance may have received the request,
+// also if it refused to run it.
+func (a Attempt) Reached() bool {
+	return a.Outcome != request.NotRun || a.Reason == request.ReasonShed || a.Reason == request.ReasonWrongInstance
+}
+
 // mayRepeat reports whether the call may be sent to another instance after the
 // attempt.
 func mayRepeat(call *request.Call, a Attempt) bool {
@@ -145,12 +185,17 @@
 	return false
 }
 
+// objectiveShare is the number of objectives that the first attempt of an
+// idempotent request may take: the slowest of a hundred answers of a healthy
+// instance are within it, and another instance can still answer in time.
+const objectiveShare = 2
+
 // AttemptDeadline splits the remaining time so that a silent instance leaves
 // time for another attempt of an idempotent request. attempt is the number of
 // attempts made before this one.
 func AttemptDeadline(call *request.Call, attempt int, now time.Time) time.Time {
 	left := call.Deadline.Sub(now)
-	if !call.Idempotent || attempt >= MaxAttempts-1 || left <= 0 {
+	if !call.Idempotent || attempt >= bound(call)-1 || left <= 0 {
 		return call.Deadline
 	}
 	reserve := min(left/reserveShare, maxReserve)
@@ -158,5 +203,8 @@
 		// What is left after a silent instance is short already.
 		reserve = left / 2
 	}
+	if until := call.Objective.Sub(now); !call.Objective.IsZero() && until > 0 {
+		reserve = max(reserve, left-max(objectiveShare*until, left/2))
+	}
 	return call.Deadline.Add(-reserve)
 }
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	tbl := route.NewTable(state, members, "nl-west-a", "nl-west")
-//	rt, ok := tbl.Match(http.MethodGet, "/slots/today")
+//	rt, ok := tbl.Match("", http.MethodGet, "/slots/today")
 //	version := tbl.Version(rt.Upstream, share, rnd)
 //	inst, ok := tbl.Pick(route.Query{Upstream: rt.Upstream, Version: version, Now: now, Rnd: rnds}, loads)
 package route
@@ -48,8 +48,13 @@
 type Table struct {
 	zone, region string
 	state        *fold.State
-	routes       []config.Route
-	instances    map[key][]placed
+	// routes holds the routes by host; those of any host have an empty one.
+	routes    map[string][]config.Route
+	instances map[key][]placed
+	// common holds the version that most instances of an upstream run, for
+	// upstreams whose configuration names none. A version that a move goes to
+	// or that was taken back is left out.
+	common map[string]string
 }
 
 // key names the instances of one version of an upstream.
@@ -66,7 +71,9 @@
 	Upstream, Version string
 	// Exclude names instances that were tried already.
 	Exclude []string
-	Now     time.Time
+	// Open asks for an instance that is neither saturated nor failing.
+	Open bool
+	Now  time.Time
 	// Rnd are random numbers in [0,1): for the ramp of a returning zone, and
 	// two for the candidates.
 	Rnd [3]float64
@@ -75,11 +82,17 @@
 // NewTable builds the table of a daemon in the given zone and region.
 func NewTable(st *fold.State, members []membership.Member, zone, region string) *Table {
 	t := &Table{zone: zone, region: region, state: st, instances: make(map[key][]placed)}
-	t.routes = slices.Clone(st.Config.Routes)
-	// The longest prefix comes first; a route with methods precedes one without.
-	slices.SortStableFunc(t.routes, func(a, b config.Route) int {
-		return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(len(b.Methods), len(a.Methods)))
-	})
+	t.routes = make(map[string][]config.Route)
+	for _, r := range st.Config.Routes {
+		t.routes[r.Host] = append(t.routes[r.Host], r)
+	}
+	for _, list := range t.routes {
+		// The longest prefix comes first; a route with methods precedes one without.
+		slices.SortStableFunc(list, func(a, b config.Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(len(b.Methods), len(a.Methods)))
+		})
+	}
+	t.common = commonVersions(st, members)
 	for _, m := range members {
 		if m.State != membership.Ready && m.State != membership.Suspect || m.Service == "" {
 			continue
@@ -106,11 +119,14 @@
 	return otherRegion
 }
 
-// Match returns the route of a request.
-func (t *Table) Match(method, path string) (config.Route, bool) {
-	for _, r := range t.routes {
-		if strings.HasPrefix(path, r.Prefix) && (len(r.Methods) == 0 || slices.Contains(r.Methods, method)) {
-			return r, true
+// Match returns the route of a request. Routes of the host precede those of any
+// host.
+func (t *Table) Match(host, method, path string) (config.Route, bool) {
+	for _, list := range [][]config.Route{t.routes[host], t.routes[""]} {
+		for _, r := range list {
+			if strings.HasPrefix(path, r.Prefix) && (len(r.Methods) == 0 || slices.Contains(r.Methods, method)) {
+				return r, true
+			}
 		}
 	}
 	return config.Route{}, false
@@ -125,12 +141,33 @@
 	}
 	m, ok := t.state.Move(upstream)
 	if !ok {
-		return u.Active
+		return cmp.Or(u.Active, t.common[upstream])
 	}
 	if s := share(m); rnd < s && t.hasVersion(upstream, m.To) {
 		return m.To
 	}
-	return m.From
+	return cmp.Or(m.From, t.common[upstream])
+}
+
+// commonVersions returns the version that most instances run, by upstream.
+func commonVersions(st *fold.State, members []membership.Member) map[string]string {
+	count := make(map[key]int)
+	common := make(map[string]string)
+	for _, m := range members {
+		if m.Service == "" || m.Version == st.Withdrawn(m.Service) {
+			continue
+		}
+		if mv, ok := st.Move(m.Service); ok && mv.To == m.Version {
+			continue
+		}
+		k := key{m.Service, m.Version}
+		count[k]++
+		best := common[m.Service]
+		if n, most := count[k], count[key{m.Service, best}]; best == "" || n > most || n == most && m.Version < best {
+			common[m.Service] = m.Version
+		}
+	}
+	return common
 }
 
 func (t *Table) hasVersion(upstream, version string) bool {
@@ -190,6 +227,9 @@
 			return pickOfTwo(list, q).Instance, true
 		}
 	}
+	if q.Open {
+		return Instance{}, false
+	}
 	best := all[int(q.Rnd[1]*float64(len(all)))]
 	for _, c := range all {
 		if c.ratio < best.ratio {
--- a/request/route/route_test.go
+++ b/request/route/route_test.go
@@ -68,7 +68,7 @@
 		{"POST", "/stock", "stockWrite"},
 		{"GET", "/price", "all"},
 	} {
-		if got, ok := tbl.Match(c.method, c.path); !ok || got.Name != c.want {
+		if got, ok := tbl.Match("", c.method, c.path); !ok || got.Name != c.want {
 			t.Errorf("%s %s: got %q, want %q", c.method, c.path, got.Name, c.want)
 		}
 	}
--- a/request/wire.go
+++ b/request/wire.go
@@ -21,6 +21,8 @@
 	headerIdempotent = "Kingcuppitch-Idempotent"
 	headerRetryAt    = "Kingcuppitch-Retry-At"
 	headerRefused    = "Kingcuppitch-Refused"
+	headerHost       = "Kingcuppitch-Host"
+	headerObjective  = "Kingcuppitch-Objective-Ms"
 )
 
 const (
@@ -36,9 +38,6 @@
 // headerOtherKey is another name of the idempotency key, which net/http knows.
 const headerOtherKey = "X-Idempotency-Key"
 
-// headerPrefix marks headers of the mesh, which callers cannot set.
-const headerPrefix = "Kingcuppitch-"
-
 // hopHeaders concern one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -60,7 +59,7 @@
 		out.Del(name)
 	}
 	for name := range out {
-		if strings.HasPrefix(name, headerPrefix) {
+		if meshHeaders[name] {
 			delete(out, name)
 		}
 	}
@@ -72,22 +71,29 @@
 	h.Set(HeaderRequest, c.ID)
 	h.Set(HeaderRoute, c.Route)
 	h.Set(headerClass, c.Class)
+	if c.Host != "" {
+		h.Set(headerHost, c.Host)
+	}
 	h.Set(headerIdempotent, strconv.FormatBool(c.Idempotent))
 	h.Set(HeaderUpstreamVersion, c.UpstreamVersion)
 	h.Set(HeaderVersion, strconv.FormatInt(c.Version, 10))
 	left := time.Until(c.Deadline)
 	left -= min(left/answerShare, answerMargin)
 	h.Set(HeaderTimeout, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if !c.Objective.IsZero() {
+		h.Set(headerObjective, strconv.FormatInt(time.Until(c.Objective).Milliseconds(), 10))
+	}
 	if !c.RunBy.IsZero() {
 		h.Set(headerRunBy, strconv.FormatInt(time.Until(c.RunBy).Milliseconds(), 10))
 	}
 }
 
-// DecodeCall reads a forwarded call, whose path starts with the given prefix.
-func DecodeCall(r *http.Request, prefix string, now time.Time) (c *Call, err error) {
+// DecodeCall reads a forwarded call, whose path starts with the given prefix and
+// whose body has at most limit bytes.
+func DecodeCall(r *http.Request, prefix string, now time.Time, limit int64) (c *Call, err error) {
 	c = &Call{
 		ID: r.Header.Get(HeaderRequest), Route: r.Header.Get(HeaderRoute), Class: r.Header.Get(headerClass),
-		UpstreamVersion: r.Header.Get(HeaderUpstreamVersion), Method: r.Method,
+		UpstreamVersion: r.Header.Get(HeaderUpstreamVersion), Method: r.Method, Host: r.Header.Get(headerHost),
 		Path: "/" + strings.TrimPrefix(r.URL.RequestURI(), prefix), Header: CleanHeader(r.Header),
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
@@ -101,13 +107,19 @@
 		}
 		c.RunBy = addMillis(now, ms)
 	}
+	if text := r.Header.Get(headerObjective); text != "" {
+		if ms, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return nil, fmt.Errorf("header %s: %w", headerObjective, err)
+		}
+		c.Objective = addMillis(now, ms)
+	}
 	if c.Idempotent, err = strconv.ParseBool(r.Header.Get(headerIdempotent)); err != nil {
 		return nil, fmt.Errorf("header %s: %w", headerIdempotent, err)
 	}
 	if c.Version, err = strconv.ParseInt(r.Header.Get(HeaderVersion), 10, 64); err != nil {
 		return nil, fmt.Errorf("header %s: %w", HeaderVersion, err)
 	}
-	c.Body, err = ReadBody(r.Body)
+	c.Body, err = ReadBody(r.Body, limit)
 	return c, err
 }
 
@@ -118,16 +130,16 @@
 	return t.Add(time.Duration(max(-limit, min(ms, limit))) * time.Millisecond)
 }
 
-// ReadBody reads a request body of at most MaxBody bytes.
-func ReadBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+// ReadBody reads a request body of at most limit bytes.
+func ReadBody(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, &Refusal{Outcome: NotRun, Reason: ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
 	}
-	if len(body) > MaxBody {
+	if int64(len(body)) > limit {
 		return nil, &Refusal{
 			Outcome: NotRun, Reason: ReasonTooLarge, Status: http.StatusRequestEntityTooLarge,
-			Detail: fmt.Sprintf("the body exceeds %d bytes", MaxBody),
+			Detail: fmt.Sprintf("the body exceeds %d bytes", limit),
 		}
 	}
 	return body, nil
@@ -157,6 +169,9 @@
 		}
 		req.Header[name] = values
 	}
+	if c.Host != "" {
+		req.Host = c.Host
+	}
 	if req.Header.Get("User-Agent") == "" {
 		// net/http would add its own.
 		req.Header.Set("User-Agent", "")
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -29,7 +29,7 @@
 			r.Header.Set(name, value)
 		}
 		now := time.Unix(1_800_000_000, 0)
-		c, err := DecodeCall(r, "/forward/", now)
+		c, err := DecodeCall(r, "/forward/", now, MaxBody)
 		if err != nil {
 			return
 		}
@@ -43,7 +43,7 @@
 			t.Errorf("runBy %q gives %v", runBy, left)
 		}
 		for name := range c.Header {
-			if strings.HasPrefix(name, headerPrefix) || name == "Connection" {
+			if meshHeaders[name] || name == "Connection" {
 				t.Errorf("header %s was kept", name)
 			}
 		}
@@ -66,11 +66,14 @@
 	in := http.Header{
 		"Accept": {"a", "b"}, "Connection": {"close, X-One", "x-two"}, "X-One": {"1"}, "X-Two": {"2"}, "Keep-Alive": {"1"}, "Te": {"trailers"},
 		"Trailer": {"X"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"h2c"}, "Proxy-Authorization": {"p"}, "Expect": {"100-continue"},
-		"Content-Length": {"1"}, "Content-Encoding": {"gzip"}, "Kingcuppitch-Load": {"1"}, "Kingcuppitch-Anything": {"1"},
+		"Content-Length": {"1"}, "Content-Encoding": {"gzip"}, "Kingcuppitch-Server-Seal": {"1"},
+	}
+	for name := range meshHeaders {
+		in[name] = []string{"1"}
 	}
 	before := len(in)
 	got := CleanHeader(in)
-	if len(got) != 2 || len(got["Accept"]) != 2 || got.Get("Content-Encoding") != "gzip" {
+	if len(got) != 3 || got.Get("Kingcuppitch-Server-Seal") != "1" || len(got["Accept"]) != 2 || got.Get("Content-Encoding") != "gzip" {
 		t.Errorf("got %v", got)
 	}
 	if len(in) != before {
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -10,15 +10,15 @@
 	"testing"
 	"time"
 
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
 )
 
-func start(t *testing.T, opts ...logservice.Option) (platform.Log, string) {
+func start(t *testing.T, opts ...logservice.Option) (log.Log, string) {
 	t.Helper()
 	srv := httptest.NewServer(logservice.NewService(opts...))
 	t.Cleanup(srv.Close)
-	return platform.NewHTTPLog(netip.MustParseAddrPort(srv.Listener.Addr().String())), srv.URL
+	return log.NewHTTPLog(netip.MustParseAddrPort(srv.Listener.Addr().String())), srv.URL
 }
 
 func setFaults(t *testing.T, url, body string) {
@@ -89,7 +89,7 @@
 			time.Sleep(5 * time.Millisecond)
 			want := map[string]int64{"count": 4, "age": 6}[name]
 			page, err := lg.Read(t.Context(), "a", 1, time.Now())
-			if !errors.Is(err, platform.ErrExpired) || page.First != want || page.Next != 6 {
+			if !errors.Is(err, log.ErrExpired) || page.First != want || page.Next != 6 {
 				t.Errorf("got %+v, %v; want ErrExpired with first %d and next 6", page, err, want)
 			}
 		})
@@ -104,10 +104,10 @@
 		want         error
 		wantNext     int64
 	}{
-		{"outage", `{"outage":true}`, platform.ErrUnavailable, 1},
-		{"hanging outage", `{"outage":true,"hang":true}`, platform.ErrUnknown, 1},
-		{"lost answer", `{"loseAnswers":true}`, platform.ErrUnknown, 2},
-		{"lost fraction", `{"loseAnswers":1.0}`, platform.ErrUnknown, 2},
+		{"outage", `{"outage":true}`, log.ErrUnavailable, 1},
+		{"hanging outage", `{"outage":true,"hang":true}`, log.ErrUnknown, 1},
+		{"lost answer", `{"loseAnswers":true}`, log.ErrUnknown, 2},
+		{"lost fraction", `{"loseAnswers":1.0}`, log.ErrUnknown, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			lg, url := start(t)
@@ -136,7 +136,7 @@
 			_ = res.Body.Close()
 		}
 	}()
-	if _, err := lg.Read(t.Context(), "a", 1, time.Now().Add(5*time.Second)); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := lg.Read(t.Context(), "a", 1, time.Now().Add(5*time.Second)); !errors.Is(err, log.ErrUnavailable) {
 		t.Errorf("got %v, want ErrUnavailable", err)
 	}
 }
@@ -150,7 +150,7 @@
 		switch {
 		case err == nil:
 			taken++
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, log.ErrUnavailable):
 			t.Fatal(err)
 		}
 	}
--- a/standin/measure/control.go
+++ b/standin/measure/control.go
@@ -15,7 +15,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/kingcuppitch/kingcuppitch/connection/peer"
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
@@ -73,7 +73,7 @@
 // the instances.
 type mesh struct {
 	launcher launcher.Launcher
-	log      platform.Log
+	log      log.Log
 	settings []settings.Settings
 	daemons  []launcher.Process
 	pool     peer.Pool
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	m.log = platform.NewHTTPLog(addrs[0])
+	m.log = log.NewHTTPLog(addrs[0])
 	_, err = m.launcher.Start(launcher.Command{
 		Name: "log", Path: bin.Standin, Args: []string{"log", "--address", addrs[0].String()}, Serves: addrs[:1], ReadyBy: readyBy,
 	})
--- a/standin/measure/latency_test.go
+++ b/standin/measure/latency_test.go
@@ -15,7 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/hashicorp/go-hclog"
 	"github.com/kingcuppitch/kingcuppitch"
-	"github.com/kingcuppitch/kingcuppitch/connection/platform"
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
 	"github.com/kingcuppitch/kingcuppitch/standin/logservice"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
@@ -103,7 +103,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if _, err := platform.NewHTTPLog(p.logAddr).Append(b.Context(), record.Stream, data); err != nil {
+	if _, err := log.NewHTTPLog(p.logAddr).Append(b.Context(), record.Stream, data); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/version/config/change.go
+++ b/version/config/change.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"reflect"
 	"slices"
 )
@@ -12,6 +13,9 @@
 	c.Upserts.Upstreams, c.Deletes.Upstreams = diffList(from.Upstreams, to.Upstreams, upstreamName)
 	c.Upserts.Routes, c.Deletes.Routes = diffList(from.Routes, to.Routes, routeName)
 	c.Upserts.Presets, c.Deletes.Presets = diffList(from.Presets, to.Presets, presetName)
+	if to.Limits != from.Limits {
+		c.Upserts.Limits = to.Limits
+	}
 	return c
 }
 
@@ -22,6 +26,7 @@
 		Upstreams: applyList(cfg.Upstreams, c.Upserts.Upstreams, c.Deletes.Upstreams, upstreamName),
 		Routes:    applyList(cfg.Routes, c.Upserts.Routes, c.Deletes.Routes, routeName),
 		Presets:   applyList(cfg.Presets, c.Upserts.Presets, c.Deletes.Presets, presetName),
+		Limits:    cmp.Or(c.Upserts.Limits, cfg.Limits),
 	}
 }
 
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -30,6 +30,8 @@
 	MaxSlots = 10_000
 	// MaxConnections bounds the connections to an instance.
 	MaxConnections = 100_000
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts = 16
 	// MaxAnswerWithin bounds the time limit of a route.
 	MaxAnswerWithin = 10 * time.Minute
 )
@@ -40,6 +42,20 @@
 	Upstreams []Upstream `toml:"upstreams" json:"upstreams,omitempty"`
 	Routes    []Route    `toml:"routes" json:"routes,omitempty"`
 	Presets   []Preset   `toml:"presets" json:"presets,omitempty"`
+	// Limits bound what callers may send.
+	Limits Limits `toml:"limits" json:"limits,omitzero"`
+}
+
+// Limits bound what a caller may send and how long its connections last. A zero
+// field stands for the default of the daemon.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound one request.
+	HeaderBytes int   `toml:"headerBytes" json:"headerBytes,omitempty"`
+	BodyBytes   int64 `toml:"bodyBytes" json:"bodyBytes,omitempty"`
+	// HeaderWithin bounds the time in which a request header arrives.
+	HeaderWithin Duration `toml:"headerWithin" json:"headerWithin,omitempty"`
+	// IdleWithin is how long a connection without a request is kept.
+	IdleWithin Duration `toml:"idleWithin" json:"idleWithin,omitempty"`
 }
 
 // Zone is an availability zone.
@@ -52,9 +68,13 @@
 // instances.
 type Upstream struct {
 	Name string `toml:"name" json:"name"`
+	// Announced says that the instances themselves announce their versions and
+	// slots. Versions, Active, Slots and ColdSlots are then left out.
+	Announced bool `toml:"announced" json:"announced,omitempty"`
 	// Versions lists the names of the versions that may run.
 	Versions []string `toml:"versions" json:"versions"`
-	// Active is the version that receives traffic outside of a move.
+	// Active is the version that receives traffic outside of a move. Where
+	// instances announce versions, it is empty until a move was done.
 	Active string `toml:"active" json:"active"`
 	// Slots is the number of concurrent requests that a warm instance bears.
 	Slots int `toml:"slots" json:"slots"`
@@ -62,16 +82,25 @@
 	ColdSlots int `toml:"coldSlots" json:"coldSlots"`
 	// Connections is the number of connections that an instance accepts.
 	Connections int `toml:"connections" json:"connections"`
+	// ColdPerSecond is the number of requests that an instance in cold start
+	// bears in any second; zero means that ColdSlots is the only bound.
+	ColdPerSecond float64 `toml:"coldPerSecond" json:"coldPerSecond,omitempty"`
+	// HealthPath answers whether an instance is healthy; empty means none.
+	HealthPath string `toml:"healthPath" json:"healthPath,omitempty"`
 }
 
 // Route sends the requests that match it to an upstream.
 type Route struct {
 	Name string `toml:"name" json:"name"`
+	// Host is the host that a request must name; empty means any.
+	Host string `toml:"host" json:"host,omitempty"`
 	// Prefix is the path prefix that a request must have.
 	Prefix string `toml:"prefix" json:"prefix"`
 	// Methods lists the HTTP methods of the route; empty means all.
-	Methods  []string `toml:"methods" json:"methods,omitempty"`
-	Upstream string   `toml:"upstream" json:"upstream"`
+	Methods []string `toml:"methods" json:"methods,omitempty"`
+	// Upstream receives the requests, unless Backends splits them.
+	Upstream string    `toml:"upstream" json:"upstream"`
+	Backends []Backend `toml:"backends" json:"backends,omitempty"`
 	// Idempotent says that a request may be repeated without harm.
 	Idempotent bool `toml:"idempotent" json:"idempotent"`
 	// Class is the priority class that presets name.
@@ -80,6 +109,41 @@
 	AnswerWithin Duration `toml:"answerWithin" json:"answerWithin"`
 	// Internal routes are reachable only from callers within the mesh.
 	Internal bool `toml:"internal" json:"internal,omitempty"`
+	// Objective is the time within which an answer is worth most; zero means
+	// AnswerWithin.
+	Objective Duration `toml:"objective" json:"objective,omitempty"`
+	// Attempts bounds the instances that one request may reach; zero means the
+	// default.
+	Attempts int `toml:"attempts" json:"attempts,omitempty"`
+}
+
+// Backend is one part of a route that is split between upstreams.
+type Backend struct {
+	Upstream string  `toml:"upstream" json:"upstream"`
+	Weight   float64 `toml:"weight" json:"weight"`
+}
+
+// Split returns the upstream for a request of the route; rnd is in [0,1).
+func (r Route) Split(rnd float64) string {
+	if len(r.Backends) == 0 {
+		return r.Upstream
+	}
+	var sum float64
+	for _, b := range r.Backends {
+		sum += b.Weight
+	}
+	at := rnd * sum
+	last := r.Backends[0].Upstream
+	for _, b := range r.Backends {
+		if b.Weight <= 0 {
+			continue
+		}
+		if last = b.Upstream; at < b.Weight {
+			break
+		}
+		at -= b.Weight
+	}
+	return last
 }
 
 // Preset is a set of policies for a kind of day.
@@ -132,6 +196,7 @@
 	KindUpstream Kind = "upstream"
 	KindRoute    Kind = "route"
 	KindPreset   Kind = "preset"
+	KindLimits   Kind = "limits"
 )
 
 // Key names one resource.
@@ -155,6 +220,9 @@
 	add(KindUpstream, append(names(c.Upserts.Upstreams, upstreamName), c.Deletes.Upstreams...))
 	add(KindRoute, append(names(c.Upserts.Routes, routeName), c.Deletes.Routes...))
 	add(KindPreset, append(names(c.Upserts.Presets, presetName), c.Deletes.Presets...))
+	if c.Upserts.Limits != (Limits{}) {
+		add(KindLimits, []string{"callers"})
+	}
 	slices.SortFunc(keys, func(a, b Key) int {
 		if a.String() < b.String() {
 			return -1
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -198,7 +198,7 @@
 	if msg := checkName(u.Name); msg != "" {
 		report("", "%s", msg)
 	}
-	if len(u.Versions) == 0 {
+	if len(u.Versions) == 0 && !u.Announced {
 		report("versions", "at least one is required")
 	}
 	for _, v := range u.Versions {
@@ -209,13 +209,19 @@
 	if v, ok := repeated(u.Versions); ok {
 		report("versions", "%q is listed twice", v)
 	}
-	if !slices.Contains(u.Versions, u.Active) {
+	if !u.Announced && !slices.Contains(u.Versions, u.Active) {
 		report("active", "version %q is not listed in versions", u.Active)
 	}
-	if u.Slots < 1 || u.Slots > MaxSlots {
+	if u.Slots < 1 && !u.Announced || u.Slots > MaxSlots {
 		report("slots", "%d is not between 1 and %d", u.Slots, MaxSlots)
 	}
-	if u.ColdSlots < 1 || u.ColdSlots > u.Slots {
+	if u.ColdPerSecond < 0 {
+		report("coldPerSecond", "%v is negative", u.ColdPerSecond)
+	}
+	if u.HealthPath != "" && !strings.HasPrefix(u.HealthPath, "/") {
+		report("healthPath", "%q does not start with /", u.HealthPath)
+	}
+	if u.ColdSlots < 1 && !u.Announced || u.ColdSlots > u.Slots {
 		report("coldSlots", "%d is not between 1 and slots (%d)", u.ColdSlots, u.Slots)
 	}
 	if u.Connections < u.Slots || u.Connections > MaxConnections {
@@ -242,9 +248,16 @@
 	if m, ok := repeated(r.Methods); ok {
 		report("methods", "%q is listed twice", m)
 	}
-	if !upstreams[r.Upstream] {
+	if len(r.Backends) == 0 && !upstreams[r.Upstream] {
 		report("upstream", "%q is not defined", r.Upstream)
 	}
+	r.checkBackends(upstreams, report)
+	if r.Attempts < 0 || r.Attempts > MaxAttempts {
+		report("attempts", "%d is not between 0 and %d", r.Attempts, MaxAttempts)
+	}
+	if r.Objective < 0 {
+		report("objective", "%v is negative", time.Duration(r.Objective))
+	}
 	if msg := checkName(r.Class); msg != "" {
 		report("class", "%s", msg)
 	}
@@ -253,6 +266,22 @@
 	}
 }
 
+func (r Route) checkBackends(upstreams map[string]bool, report report) {
+	var sum float64
+	for _, b := range r.Backends {
+		if !upstreams[b.Upstream] {
+			report("backends", "upstream %q is not defined", b.Upstream)
+		}
+		if b.Weight < 0 {
+			report("backends", "weight %v of upstream %q is negative", b.Weight, b.Upstream)
+		}
+		sum += b.Weight
+	}
+	if len(r.Backends) > 0 && !(sum > 0) {
+		report("backends", "the weights add up to nothing")
+	}
+}
+
 func isMethod(m string) bool {
 	for _, r := range m {
 		if r < 'A' || r > 'Z' {
@@ -264,11 +293,11 @@
 
 func (r Route) matchKeys() []string {
 	if len(r.Methods) == 0 {
-		return []string{"* " + r.Prefix}
+		return []string{"* " + r.Host + r.Prefix}
 	}
 	keys := make([]string, 0, len(r.Methods))
 	for _, m := range r.Methods {
-		keys = append(keys, m+" "+r.Prefix)
+		keys = append(keys, m+" "+r.Host+r.Prefix)
 	}
 	slices.Sort(keys)
 	return slices.Compact(keys)
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -19,6 +19,7 @@
 package fold
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -211,6 +212,10 @@
 	switch rec.Kind {
 	case record.KindPublish:
 		return s.applyPublish(offset, rec)
+	case record.KindReplace:
+		return s.applyReplace(*rec.Replace)
+	case record.KindNone:
+		return nil
 	case record.KindPreset:
 		return s.applyPreset(offset, rec)
 	case record.KindZone:
@@ -257,6 +262,33 @@
 	return nil
 }
 
+// applyReplace puts a whole configuration in force. Where instances announce
+// the versions of an upstream, the version that a move made active stays. Its first
+// preset is in force, unless the one so far is defined too.
+func (s *State) applyReplace(next config.Config) error {
+	if err := next.Validate(); err != nil {
+		return err
+	}
+	next.Upstreams = slices.Clone(next.Upstreams)
+	for i := range next.Upstreams {
+		u := &next.Upstreams[i]
+		if old, ok := s.Config.Upstream(u.Name); ok && u.Announced {
+			u.Active = old.Active
+		}
+	}
+	s.Config = next
+	for _, a := range s.Schedule {
+		if _, ok := next.Preset(a.Name); !ok {
+			s.Schedule = nil
+			break
+		}
+	}
+	if len(s.Schedule) == 0 && len(next.Presets) > 0 {
+		s.Schedule = []Activation{{Name: next.Presets[0].Name}}
+	}
+	return nil
+}
+
 // checkInUse refuses a configuration without a preset or a version that the
 // preset schedule or a running move names.
 func (s *State) checkInUse(next *config.Config) error {
@@ -339,22 +371,30 @@
 		return fmt.Errorf("upstream %q is not defined", m.Upstream)
 	}
 	for _, other := range s.Moves {
-		if other.Upstream == m.Upstream && other.State == MoveRunning {
+		if other.Upstream == m.Upstream && other.State == MoveRunning && !m.Replaces {
 			return &refusal{fmt.Sprintf("upstream %q already has the running move %d", m.Upstream, other.ID), other.ID}
 		}
 	}
+	if u.Announced {
+		m.From = u.Active
+	}
 	if u.Active != m.From {
 		return fmt.Errorf("upstream %q runs version %q, not %q", m.Upstream, u.Active, m.From)
 	}
-	if !slices.Contains(u.Versions, m.To) {
+	if !u.Announced && !slices.Contains(u.Versions, m.To) {
 		return fmt.Errorf("upstream %q has no version %q", m.Upstream, m.To)
 	}
 	if m.From == m.To {
 		return errors.New("the move has the same version as source and target")
 	}
-	if !m.DoneBy.After(m.StartAt) {
+	if m.Within <= 0 && !m.DoneBy.After(m.StartAt) {
 		return errors.New("doneBy is not after startAt")
 	}
+	for i, other := range s.Moves {
+		if other.Upstream == m.Upstream && other.State == MoveRunning {
+			s.Moves[i].State, s.Moves[i].Reason = MoveTakenBack, fmt.Sprintf("replaced by move %d", offset)
+		}
+	}
 	s.Moves = append(s.Moves, Move{ID: offset, Move: m, State: MoveRunning})
 	s.pruneMoves()
 	return nil
@@ -397,6 +437,11 @@
 	return nil
 }
 
+// EndMove ends a running move by a decision that is kept beside the stream.
+func (s *State) EndMove(id int64, to MoveState, reason string) error {
+	return s.endMove(record.Record{}, &record.MoveEnd{Move: id, Reason: reason}, to)
+}
+
 func (s *State) checkBase(key string, base int64) error {
 	if t := s.Touched[key]; t.Version > base {
 		return &refusal{
@@ -428,6 +473,31 @@
 	return s.Config.Preset(name)
 }
 
+// Withdrawn returns the version that the newest move of an upstream went to, if
+// that move was taken back.
+func (s *State) Withdrawn(upstream string) string {
+	for _, m := range slices.Backward(s.Moves) {
+		if m.Upstream != upstream {
+			continue
+		}
+		if m.State == MoveTakenBack {
+			return m.To
+		}
+		break
+	}
+	return ""
+}
+
+// RunningMove returns the running move with the given id.
+func (s *State) RunningMove(id int64) (Move, bool) {
+	for _, m := range s.Moves {
+		if m.ID == id && m.State == MoveRunning {
+			return m, true
+		}
+	}
+	return Move{}, false
+}
+
 // Move returns the running move of an upstream.
 func (s *State) Move(upstream string) (Move, bool) {
 	for _, m := range s.Moves {
@@ -465,3 +535,32 @@
 
 // HashOf returns the hash of the state with the given encoding.
 func HashOf(encoded []byte) uint64 { return xxhash.Sum64(encoded) }
+
+// Kept is a record that a log has kept, with its offset.
+type Kept struct {
+	Offset int64
+	Record record.Record
+}
+
+// FromNewest returns the state after a stream that ends at the given offset and
+// of which only the newest record of each resource is left, in any order. The
+// configuration comes first, since the other records name parts of it.
+func FromNewest(records []Kept, end int64) *State {
+	records = slices.Clone(records)
+	slices.SortFunc(records, func(a, b Kept) int {
+		if x, y := a.Record.Kind == record.KindReplace, b.Record.Kind == record.KindReplace; x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Offset, b.Offset)
+	})
+	s := &State{Offset: end}
+	for _, k := range records {
+		if s.apply(k.Offset, k.Record) == nil {
+			s.Version = max(s.Version, k.Offset)
+		}
+	}
+	return s
+}
--- a/version/move/compare.go
+++ b/version/move/compare.go
@@ -113,7 +113,7 @@
 	if _, ok := e.fault(v, m, now, suspectAlpha, false); ok {
 		return true
 	}
-	newest := Window(now)
+	newest := WindowOf(m, now)
 	alpha := judgeAlpha / float64(len(v.routes)*tests+1)
 	for route, windows := range v.routes {
 		var p pair
@@ -147,8 +147,8 @@
 		}
 		if settled {
 			w := v.worst(f)
-			end := time.Unix((w+1)*WindowSeconds, 0)
-			if now.Before(end.Add(settleTime)) && !e.confirmed(m, now, f, omission{window: w}) {
+			end := windowEnd(m, w)
+			if now.Before(end.Add(settle(m))) && !e.confirmed(m, now, f, omission{window: w}) {
 				continue
 			}
 		}
@@ -183,7 +183,7 @@
 			continue
 		}
 		for i := range cells {
-			if c := &cells[i]; c.version == m.To && c.counters.Requests > 0 && c.window <= Window(now)+1 {
+			if c := &cells[i]; c.version == m.To && c.counters.Requests > 0 && c.window <= WindowOf(m, now)+1 {
 				if byInstance[s.instance] == nil {
 					byInstance[s.instance] = new(Counters)
 				}
@@ -243,7 +243,7 @@
 // and over the newest ones.
 func (v view) findings(m fold.Move, now time.Time, at level) iter.Seq[finding] {
 	return func(yield func(finding) bool) {
-		for _, first := range []int64{math.MinInt64, Window(now) - recentWindows + 1} {
+		for _, first := range []int64{math.MinInt64, WindowOf(m, now) - recentWindows + 1} {
 			var all [][]*pair
 			for _, route := range slices.Sorted(maps.Keys(v.routes)) {
 				b := blocks(v.routes[route], first)
--- a/version/move/evidence.go
+++ b/version/move/evidence.go
@@ -28,6 +28,23 @@
 	return at.Unix() / WindowSeconds
 }
 
+// WindowOf returns the window of a move that holds the given time. Windows of a
+// timed move are counted from its start, beginning with 1.
+func WindowOf(m fold.Move, at time.Time) int64 {
+	if m.Within <= 0 {
+		return Window(at)
+	}
+	return 1 + int64(at.Sub(m.StartAt)/timedWindow(m))
+}
+
+// windowEnd returns the end of a window.
+func windowEnd(m fold.Move, window int64) time.Time {
+	if m.Within <= 0 {
+		return time.Unix((window+1)*WindowSeconds, 0)
+	}
+	return m.StartAt.Add(time.Duration(window) * timedWindow(m))
+}
+
 // Key names the counters of one instance for one move, route and upstream version
 // in one window.
 type Key struct {
@@ -36,7 +53,8 @@
 	Incarnation uint64
 	Route       string
 	Version     string
-	// Window is the Unix time in seconds divided by WindowSeconds.
+	// Window is the Unix time in seconds divided by WindowSeconds, or that of
+	// WindowOf.
 	Window int64
 }
 
@@ -223,12 +241,22 @@
 
 // All returns all keys and counters in no particular order.
 func (e *Evidence) All() iter.Seq2[Key, Counters] {
-	return e.Since(-1 << 63)
+	return e.since(math.MinInt64)
+}
+
+// Newest returns the keys and counters of the newest n windows of a move. Peers
+// that exchange often need no more.
+func (e *Evidence) Newest(m fold.Move, n int64, now time.Time) iter.Seq2[Key, Counters] {
+	return func(yield func(Key, Counters) bool) {
+		for k, c := range e.since(WindowOf(m, now) - n + 1) {
+			if k.Move == m.ID && !yield(k, c) {
+				return
+			}
+		}
+	}
 }
 
-// Since returns the keys and counters from the given window on. Peers that
-// exchange often need only the newest windows.
-func (e *Evidence) Since(window int64) iter.Seq2[Key, Counters] {
+func (e *Evidence) since(window int64) iter.Seq2[Key, Counters] {
 	return func(yield func(Key, Counters) bool) {
 		for s, cells := range e.cells {
 			for i := len(cells) - 1; i >= 0 && cells[i].window >= window; i-- {
@@ -278,9 +306,9 @@
 // future come from an instance with a wrong clock and are ignored.
 func (e *Evidence) view(m fold.Move, now time.Time, without omission) view {
 	v := view{routes: make(map[string]map[int64]*pair), total: make(map[int64]*pair)}
-	complete, last := e.complete(m, now), Window(now)+1
+	complete, last := e.complete(m, now), WindowOf(m, now)+1
 	visit := func(route string, window int64, version string, c *Counters, plus bool) {
-		if window < complete[route] || window > last || window == without.window || version != m.From && version != m.To {
+		if window < complete[route] || window > last || window == without.window || version != m.From && version != m.To && m.From != "" {
 			return
 		}
 		if v.routes[route] == nil {
@@ -330,8 +358,8 @@
 		if s.move != m.ID {
 			continue
 		}
-		w := Window(m.StartAt)
-		if len(cells) == KeptWindows && cells[KeptWindows-1].window <= Window(now)+1 {
+		w := WindowOf(m, m.StartAt)
+		if len(cells) == KeptWindows && cells[KeptWindows-1].window <= WindowOf(m, now)+1 {
 			w = max(w, cells[0].window)
 		}
 		first[s.route] = max(first[s.route], w)
--- a/version/move/move.go
+++ b/version/move/move.go
@@ -138,6 +138,9 @@
 		return 0
 	}
 	limit := float64(min(max(canaryPercent, 0), 100)) / 100
+	if m.Within > 0 {
+		return e.timedShare(m, limit, now)
+	}
 	elapsed := progress(m, now)
 	v := e.view(m, now, omission{})
 	n := v.proven(elapsed)
@@ -145,7 +148,7 @@
 	if n == 0 {
 		share = min(share, limit)
 	}
-	sparse, overloaded := v.sparse(m, now, schedule[n].share), v.overloaded(now)
+	sparse, overloaded := v.sparse(m, now, schedule[n].share), v.overloaded(m, now)
 	if sparse || overloaded {
 		// An instance needs requests to leave cold start, so a version without
 		// evidence is not left at the first stage.
@@ -166,6 +169,9 @@
 // Done reports whether the move is complete and moveDone is to be appended: the
 // last stage has been held to the end of the soak without a fault.
 func (e *Evidence) Done(m fold.Move, now time.Time) bool {
+	if m.Within > 0 {
+		return e.timedDone(m, now)
+	}
 	if m.State != fold.MoveRunning || progress(m, now) < soakEnd {
 		return false
 	}
@@ -220,7 +226,7 @@
 	if v.expected(m, now)*share >= 2*MinSamples {
 		return false
 	}
-	p := v.since(Window(now) - stageWindows(m))
+	p := v.since(WindowOf(m, now) - stageWindows(m))
 	want := float64(p.to.Requests+p.from.Requests) * schedule[0].share
 	return want < 4 || float64(p.to.Requests) >= want/4
 }
@@ -235,15 +241,15 @@
 // expected returns the number of requests in the time of a stage.
 func (v *view) expected(m fold.Move, now time.Time) float64 {
 	n := stageWindows(m)
-	p := v.since(Window(now) - n)
-	passed := min(max(Window(now)-Window(m.StartAt), 1), n)
+	p := v.since(WindowOf(m, now) - n)
+	passed := min(max(WindowOf(m, now)-WindowOf(m, m.StartAt), 1), n)
 	return max(float64(p.to.Requests+p.from.Requests)*float64(n)/float64(passed), 1)
 }
 
 // overloaded reports whether most recent samples of the new version, but not of
 // the old one, were excluded. There is then no evidence for a high share.
-func (v *view) overloaded(now time.Time) bool {
-	p := v.since(Window(now) - recentWindows)
+func (v *view) overloaded(m fold.Move, now time.Time) bool {
+	p := v.since(WindowOf(m, now) - recentWindows)
 	return p.to.Excluded > p.to.Requests && p.from.Excluded <= p.from.Requests
 }
 
--- a/version/record/record.go
+++ b/version/record/record.go
@@ -44,6 +44,11 @@
 	KindVerdict  Kind = "verdict"
 	KindMoveDone Kind = "moveDone"
 	KindSnapshot Kind = "snapshot"
+	// KindReplace replaces the whole configuration.
+	KindReplace Kind = "replace"
+	// KindNone changes nothing; it holds the place of a record that another
+	// writer left on the log and that says nothing to this mesh.
+	KindNone Kind = "none"
 )
 
 // ErrNewer is returned for a record of a newer format or an unknown kind.
@@ -67,6 +72,7 @@
 	Verdict  *MoveEnd       `json:"verdict,omitempty"`
 	MoveDone *MoveEnd       `json:"moveDone,omitempty"`
 	Snapshot *Snapshot      `json:"snapshot,omitempty"`
+	Replace  *config.Config `json:"replace,omitempty"`
 }
 
 // Preset puts a preset in force.
@@ -90,6 +96,12 @@
 	To       string    `json:"to"`
 	StartAt  time.Time `json:"startAt"`
 	DoneBy   time.Time `json:"doneBy"`
+	// Within is the length of the move where its author names no times. Each
+	// daemon then counts from when it first heard of the record, on its steady
+	// clock.
+	Within config.Duration `json:"within,omitempty"`
+	// Replaces ends a running move of the same upstream.
+	Replaces bool `json:"replaces,omitempty"`
 }
 
 // MoveEnd ends a move, which is named by the offset of its record.
@@ -164,7 +176,8 @@
 
 func (k Kind) known() bool {
 	switch k {
-	case KindPublish, KindPreset, KindZone, KindMove, KindMoveStop, KindVerdict, KindMoveDone, KindSnapshot:
+	case KindPublish, KindPreset, KindZone, KindMove, KindMoveStop, KindVerdict, KindMoveDone, KindSnapshot,
+		KindReplace, KindNone:
 		return true
 	}
 	return false
@@ -184,6 +197,7 @@
 		{KindPublish, r.Publish != nil}, {KindPreset, r.Preset != nil}, {KindZone, r.Zone != nil},
 		{KindMove, r.Move != nil}, {KindMoveStop, r.MoveStop != nil}, {KindVerdict, r.Verdict != nil},
 		{KindMoveDone, r.MoveDone != nil}, {KindSnapshot, r.Snapshot != nil},
+		{KindReplace, r.Replace != nil},
 	}
 	for _, b := range bodies {
 		switch {
