Serve callers' connections ahead, reload settings, hand the log reader over

Change: SIGHUP and changes of the file reload the settings; members say whether they can read the log, and the next of the zone reads it; the host checks the upstream; connection/caller replaces net/http's server for callers, handles requests of one connection side by side and notices departures at any time. TestFinish and TestCloseWhenLeaving move to that package as TestShutdown and TestLeave; busy connections need no tracking any more.

--- a/cmd/kingcuppitchd/main.go
+++ b/cmd/kingcuppitchd/main.go
@@ -44,7 +44,7 @@
 			if err != nil {
 				return err
 			}
-			code = serve(s)
+			code = serve(path, s)
 			return nil
 		},
 	}
@@ -56,7 +56,7 @@
 	return code
 }
 
-func serve(s settings.Settings) int {
+func serve(path string, s settings.Settings) int {
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.LogLevel)})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -65,6 +65,9 @@
 		opts = append(opts, kingcuppitch.WithPlatform(platform.New(s, logger)))
 	}
 	d := kingcuppitch.New(opts...)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go settings.Watch(ctx, path, hup, logger, d)
 	if err := d.Run(ctx); err != nil {
 		logger.Error("stopped with an error", "error", err)
 		return exitFailed
--- /dev/null
+++ b/connection/caller/caller_test.go
@@ -0,0 +1,313 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// rig is a server on loopback and one connection to it.
+type rig struct {
+	t      *testing.T
+	server *Server
+	addr   string
+}
+
+func newRig(t *testing.T, h http.HandlerFunc) *rig {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Handler: h, Limits: func() Limits {
+		return Limits{HeaderBytes: 8 << 10, HeaderWithin: 300 * time.Millisecond, IdleWithin: 10 * time.Second}
+	}}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("got %v, want %v", err, http.ErrServerClosed)
+		}
+	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := s.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Errorf("shutdown: %v", err)
+		}
+		<-served
+	})
+	return &rig{t: t, server: s, addr: l.Addr().String()}
+}
+
+// dial opens a connection and sends text on it.
+func (r *rig) dial(text string) (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		r.t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+func readAnswer(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(body)
+}
+
+// TestRequestsAhead guards against requests that wait for the answers before them
+// and against answers that are out of order.
+func TestRequestsAhead(t *testing.T) {
+	const n = 5
+	var running atomic.Int32
+	all := make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if running.Add(1) == n {
+			close(all)
+		}
+		<-all
+		i, _ := strconv.Atoi(req.URL.Path[1:])
+		time.Sleep(time.Duration(n-i) * 5 * time.Millisecond)
+		_, _ = io.WriteString(w, req.URL.Path)
+	})
+	text := ""
+	for i := range n {
+		text += get("/" + strconv.Itoa(i))
+	}
+	_, br := r.dial(text)
+	for i := range n {
+		if _, got := readAnswer(t, br); got != "/"+strconv.Itoa(i) {
+			t.Errorf("answer %d: got %q", i, got)
+		}
+	}
+}
+
+// TestAwaitTurn guards against a request that may run only once and runs ahead of
+// an answer that ends the connection.
+func TestAwaitTurn(t *testing.T) {
+	var ran atomic.Bool
+	release := make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPost {
+			if AwaitTurn(req.Context()) == nil {
+				ran.Store(true)
+			}
+			return
+		}
+		<-release
+		w.Header().Set("Connection", "close")
+	})
+	_, br := r.dial(get("/") + "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if res, _ := readAnswer(t, br); !res.Close {
+		t.Error("the first answer does not end the connection")
+	}
+	if _, err := http.ReadResponse(br, nil); err == nil {
+		t.Error("the second request was answered behind the end of the connection")
+	}
+	_ = r.server.Shutdown(t.Context())
+	if ran.Load() {
+		t.Error("the second request ran although the caller sends it again")
+	}
+}
+
+// TestCallerLeaves guards against a departure that goes unseen while the first
+// request runs and the next one is in the buffer already.
+func TestCallerLeaves(t *testing.T) {
+	for _, ahead := range []int{0, 1, 3} {
+		started, ended := make(chan struct{}, 10), make(chan struct{}, 10)
+		r := newRig(t, func(_ http.ResponseWriter, req *http.Request) {
+			started <- struct{}{}
+			<-req.Context().Done()
+			ended <- struct{}{}
+		})
+		c, _ := r.dial(strings.Repeat(get("/"), ahead+1))
+		for range ahead + 1 {
+			<-started
+		}
+		_ = c.Close()
+		for i := range ahead + 1 {
+			select {
+			case <-ended:
+			case <-time.After(5 * time.Second):
+				t.Fatalf("%d requests ahead: request %d runs on after the caller has left", ahead, i)
+			}
+		}
+	}
+}
+
+// TestLeave guards against an answer that invites a further request while the
+// server leaves, and against one that cuts off requests sent behind it.
+func TestLeave(t *testing.T) {
+	began, leaving := make(chan struct{}, 2), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		<-leaving
+	})
+	_, br := r.dial(get("/1") + get("/2"))
+	<-began
+	<-began
+	r.server.Leave()
+	close(leaving)
+	for i, want := range []bool{false, true} {
+		if res, _ := readAnswer(t, br); res.Close != want {
+			t.Errorf("answer %d: ends the connection %v, want %v", i, res.Close, want)
+		}
+	}
+}
+
+// TestShutdown guards against a stop that drops a request that was read, or one
+// on a connection that was just opened, and against one that waits for idle
+// connections.
+func TestShutdown(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/slow" {
+			close(started)
+			<-release
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	_, idle := r.dial(get("/"))
+	readAnswer(t, idle)
+	_, busy := r.dial(get("/slow"))
+	<-started
+	fresh, freshReader := r.dial("")
+	time.Sleep(20 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- r.server.Shutdown(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	if _, err := io.WriteString(fresh, get("/")); err != nil {
+		t.Error(err)
+	}
+	if res, got := readAnswer(t, freshReader); got != "whole" || !res.Close {
+		t.Errorf("new connection: got %q, ends the connection %v", got, res.Close)
+	}
+	if _, err := idle.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: got %v, want its end", err)
+	}
+	close(release)
+	if _, got := readAnswer(t, busy); got != "whole" {
+		t.Errorf("request in flight: got %q", got)
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the shutdown does not end")
+	}
+}
+
+// TestRefused guards against requests beyond the limits and malformed ones that
+// reach the handler.
+func TestRefused(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"noRequest", "hello\r\n\r\n", http.StatusBadRequest},
+		{"noHost", "GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"twoLengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", http.StatusBadRequest},
+		{"longHeader", "GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("a", 20<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"slowHeader", "GET / HTTP/1.1\r\nHost:", http.StatusRequestTimeout},
+	} {
+		r := newRig(t, func(http.ResponseWriter, *http.Request) { t.Errorf("%s: the handler was called", c.name) })
+		_, br := r.dial(c.text)
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		if res.StatusCode != c.status || !res.Close {
+			t.Errorf("%s: got status %d, ends the connection %v, want %d and the end", c.name, res.StatusCode, res.Close, c.status)
+		}
+	}
+}
+
+// TestBodies guards against a body that is taken for the next request and against
+// an answer that loses its form.
+func TestBodies(t *testing.T) {
+	long := strings.Repeat("0123456789", 20<<10)
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		switch req.URL.Path {
+		case "/long":
+			_, _ = io.WriteString(w, long)
+		case "/trailer":
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			w.Header().Set(http.TrailerPrefix+"X-Sum", "1")
+		default:
+			_, _ = fmt.Fprintf(w, "%s %s", req.Method, body)
+		}
+	})
+	const chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	const sized = "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nGET "
+	_, br := r.dial(chunked + sized + get("/long") + get("/trailer") + get("/"))
+	for i, want := range []string{"POST abc", "PUT GET ", long, "part", "GET "} {
+		res, got := readAnswer(t, br)
+		if got != want {
+			t.Errorf("answer %d: got %d bytes %.40q, want %.40q", i, len(got), got, want)
+		}
+		if sum := res.Trailer.Get("X-Sum"); (sum == "1") != (want == "part") {
+			t.Errorf("answer %d: trailer %q", i, sum)
+		}
+	}
+	held, heldReader := r.dial("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+	if line, err := heldReader.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 100 ") {
+		t.Fatalf("got %q, %v, want to be asked for the body", line, err)
+	}
+	_, _ = heldReader.ReadString('\n')
+	_, _ = io.WriteString(held, "ok")
+	if _, got := readAnswer(t, heldReader); got != "POST ok" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// TestAbort guards against a part of an answer that looks like the whole.
+func TestAbort(t *testing.T) {
+	for _, size := range []int{10, maxBuffered + 1} {
+		r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size))
+			panic(http.ErrAbortHandler)
+		})
+		_, br := r.dial(get("/"))
+		res, err := http.ReadResponse(br, nil)
+		if err == nil {
+			_, err = io.ReadAll(res.Body)
+		}
+		if err == nil {
+			t.Errorf("%d bytes: the answer looks whole", size)
+		}
+	}
+}
--- a/kingcuppitch.go
+++ b/kingcuppitch.go
@@ -28,6 +28,8 @@
 type Daemon interface {
 	// Run serves until ctx is cancelled and shuts down without cutting a call.
 	Run(ctx context.Context) error
+	// Reload takes changed settings; names, places and addresses stay.
+	Reload(s settings.Settings)
 }
 
 // Option configures a Daemon.
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -59,10 +59,10 @@
 	peerIdle = 15 * time.Second
 	// pollPeriod is how long a read of the log waits for a record.
 	pollPeriod = 2 * time.Second
-	// longPollPeriod is the same where one daemon of each zone reads and each
-	// call to the platform is paid for. A silent connection is found by
-	// keep-alive probes well before.
-	longPollPeriod = 25 * time.Second
+	// compactedPollPeriod is the same where one daemon of each zone reads. A
+	// store that answers some daemons and not others is found out within it, and
+	// another daemon takes over within the time that a version has to be in force.
+	compactedPollPeriod = time.Second
 	// compactedSilence is the silence after which an upstream on the platform
 	// counts as gone. Announcements may be late by seconds there, and a server
 	// that is gone shows at the first request.
@@ -292,7 +292,10 @@
 	if c.onView != nil {
 		c.onView(view)
 	}
-	c.reader.Store(core.isReader())
+	if reads := core.isReader(); reads != c.reader.Swap(reads) && reads {
+		// Another daemon of the zone cannot read the log any more.
+		c.run(readLog{})
+	}
 	c.changed.notify()
 }
 
@@ -557,7 +560,7 @@
 
 func (c *control) pollPeriod() time.Duration {
 	if c.compacted {
-		return longPollPeriod
+		return compactedPollPeriod
 	}
 	return pollPeriod
 }
--- a/process/control/convert.go
+++ b/process/control/convert.go
@@ -11,6 +11,7 @@
 	return &wirev1.Member{
 		Name: m.Name, Region: m.Region, Zone: m.Zone, PeerAddress: m.Peer.String(), CallerAddress: m.Caller.String(),
 		Service: m.Service, Version: m.Version, State: string(m.State), Incarnation: m.Incarnation, Seq: m.Seq,
+		LogOut: m.LogOut,
 	}
 }
 
@@ -28,7 +29,7 @@
 	return membership.Member{
 		Name: m.GetName(), Region: m.GetRegion(), Zone: m.GetZone(), Peer: peer, Caller: caller,
 		Service: m.GetService(), Version: m.GetVersion(), State: membership.State(m.GetState()),
-		Incarnation: m.GetIncarnation(), Seq: m.GetSeq(),
+		Incarnation: m.GetIncarnation(), Seq: m.GetSeq(), LogOut: m.GetLogOut(),
 	}
 }
 
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -190,7 +190,7 @@
 	case recordsArrived:
 		reply = c.onRecords(ev, now, rnd)
 	case logFailed:
-		c.onLogFailed(now, ev)
+		c.onLogFailed(now, rnd, ev)
 	case stateArrived:
 		c.adopt(now, ev.state, ev.name)
 	case offsetOffered:
@@ -272,6 +272,7 @@
 			c.logReachable = true
 			c.event(now, timeline.KindLog, c.state.Offset, "log is reachable")
 			c.dirty = true
+			c.tellLog(rnd, false)
 		}
 	}
 	c.adoptSnapshot(ev.entries, now)
@@ -459,8 +460,19 @@
 	return out
 }
 
-func (c *core) onLogFailed(now time.Time, ev logFailed) {
+// tellLog tells the members whether this daemon can read the log. Another one
+// of the zone reads it in its place.
+func (c *core) tellLog(rnd float64, out bool) {
+	if c.table.Self().LogOut == out {
+		return
+	}
+	c.spread(rnd, []membership.Member{c.table.Update(func(m *membership.Member) { m.LogOut = out })})
+	c.dirty = true
+}
+
+func (c *core) onLogFailed(now time.Time, rnd float64, ev logFailed) {
 	c.metrics.Add("control.logFailures", 1)
+	c.tellLog(rnd, true)
 	if c.logReachable {
 		c.logReachable = false
 		c.event(now, timeline.KindLog, c.state.Offset, "log is unreachable: %v", ev.err)
--- a/process/daemon/announce.go
+++ b/process/daemon/announce.go
@@ -129,7 +129,7 @@
 		return fmt.Errorf("address %v is not on this instance", a.Address)
 	}
 	cfg := &d.control.Snapshot().State.Config
-	if _, ok := cfg.Upstream(a.Service); !ok && len(cfg.Upstreams) > 0 && a.Service != d.settings.Service {
+	if _, ok := cfg.Upstream(a.Service); !ok && len(cfg.Upstreams) > 0 && a.Service != d.live.Load().Service {
 		return fmt.Errorf("upstream %q is not defined", a.Service)
 	}
 	return nil
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -8,18 +8,19 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/kingcuppitch/kingcuppitch/connection/caller"
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
@@ -70,6 +71,8 @@
 	Announcements(a Announcer) http.Handler
 	// Readiness tells whether the daemon takes new callers.
 	Readiness(ready func() bool) http.Handler
+	// Reload takes changed settings.
+	Reload(s settings.Settings)
 }
 
 // Option configures a Daemon.
@@ -106,7 +109,9 @@
 
 // Daemon is one kingcuppitchd process.
 type Daemon struct {
+	// settings are those at the start, live the newest.
 	settings settings.Settings
+	live     atomic.Pointer[settings.Settings]
 	logger   hclog.Logger
 	metrics  *metrics.Set
 	events   *timeline.Timeline
@@ -122,17 +127,20 @@
 	announced atomic.Pointer[Announcement]
 	// announcing orders the calls of the upstream.
 	announcing sync.Mutex
+	callers    *caller.Server
 	servers    []*server
 }
 
-// server is an HTTP server with its listener.
+// server serves one address.
 type server struct {
-	*http.Server
+	httpServer
 	name     string
 	listener net.Listener
-	busy     busyConns
-	// served is closed when Serve has returned.
-	served chan struct{}
+}
+
+type httpServer interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
 }
 
 // New returns a daemon that is not started.
@@ -141,6 +149,7 @@
 		settings: s, logger: logger, metrics: new(metrics.Set),
 		events: &timeline.Timeline{Name: s.Name, Zone: s.Zone}, limiter: new(configured),
 	}
+	d.live.Store(&s)
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -199,7 +208,6 @@
 	failed := make(chan error, len(d.servers))
 	for _, s := range d.servers {
 		go func() {
-			defer close(s.served)
 			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- eris.Wrapf(err, "serve %s", s.name)
 			}
@@ -214,6 +222,20 @@
 	return errors.Join(err, d.shutdown())
 }
 
+// Reload takes changed settings. Names, places and addresses are those at the
+// start.
+func (d *Daemon) Reload(s settings.Settings) {
+	old := d.live.Swap(&s)
+	d.logger.SetLevel(hclog.LevelFromString(s.LogLevel))
+	d.entry.SetService(s.Service)
+	if d.platform != nil {
+		d.platform.Reload(s)
+	}
+	if s.Fixed() != old.Fixed() {
+		d.logger.Warn("changed names, places and addresses take effect at the next start")
+	}
+}
+
 // listen opens all listeners, so that a taken address is found at the start.
 func (d *Daemon) listen() (err error) {
 	path, ctl := d.control.Handler()
@@ -225,49 +247,57 @@
 	}
 	vars := http.NewServeMux()
 	vars.Handle("GET /debug/vars", d.metrics)
-	list := []struct {
-		name    string
-		addr    netip.AddrPort
-		handler http.Handler
-		http2   bool
-		header  int
-	}{
-		{"callers", d.settings.CallerAddress, d.closeWhenLeaving(d.entry), false, maxHeader},
-		{"announcements", d.settings.AnnounceAddress, announce, false, maxHeader},
-		{"metrics", d.settings.MetricsAddress, vars, false, maxHeader},
-		{"peers", d.settings.PeerAddress, d.forwardFirst(peers), true, maxForwardedHeader},
+	d.callers = &caller.Server{Handler: d.entry, Limits: d.callerLimits, Logger: d.logger}
+	list := []server{
+		{name: "callers", httpServer: d.callers},
+		{name: "announcements", httpServer: d.newServer(announce, maxHeader)},
+		{name: "metrics", httpServer: d.newServer(vars, maxHeader)},
+		{name: "peers", httpServer: d.newPeerServer(d.forwardFirst(peers))},
+	}
+	addrs := map[string]netip.AddrPort{
+		"callers": d.settings.CallerAddress, "announcements": d.settings.AnnounceAddress,
+		"metrics": d.settings.MetricsAddress, "peers": d.settings.PeerAddress, "readiness": d.settings.ReadyAddress,
 	}
 	if d.platform != nil {
-		list = slices.Insert(list, 0, struct {
-			name    string
-			addr    netip.AddrPort
-			handler http.Handler
-			http2   bool
-			header  int
-		}{"readiness", d.settings.ReadyAddress, d.platform.Readiness(d.Ready), false, maxHeader})
+		list = append(list, server{name: "readiness", httpServer: d.newServer(d.platform.Readiness(d.Ready), maxHeader)})
 	}
-	for _, l := range list {
-		s := &server{name: l.name, served: make(chan struct{}), Server: &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: l.header,
-			ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-		}}
-		if l.http2 {
-			s.Protocols = new(http.Protocols)
-			s.Protocols.SetHTTP1(true)
-			s.Protocols.SetUnencryptedHTTP2(true)
-		}
-		s.ConnState = s.busy.set
-		if s.listener, err = listen(context.Background(), l.addr.String()); err != nil {
+	for _, s := range list {
+		if s.listener, err = listen(context.Background(), addrs[s.name].String()); err != nil {
 			for _, open := range d.servers {
 				_ = open.listener.Close()
 			}
-			return eris.Wrapf(err, "listen for %s", l.name)
+			return eris.Wrapf(err, "listen for %s", s.name)
 		}
-		d.servers = append(d.servers, s)
+		d.servers = append(d.servers, &s)
 	}
 	return nil
 }
 
+func (d *Daemon) newServer(h http.Handler, header int) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderWithin, IdleTimeout: idleWithin, MaxHeaderBytes: header,
+		ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+func (d *Daemon) newPeerServer(h http.Handler) *http.Server {
+	s := d.newServer(h, maxForwardedHeader)
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return s
+}
+
+// callerLimits returns the limits on callers that the configuration sets.
+func (d *Daemon) callerLimits() caller.Limits {
+	l := d.control.Snapshot().State.Config.Limits
+	return caller.Limits{
+		HeaderBytes:  cmp.Or(l.HeaderBytes, maxHeader),
+		HeaderWithin: cmp.Or(time.Duration(l.HeaderWithin), readHeaderWithin),
+		IdleWithin:   cmp.Or(time.Duration(l.IdleWithin), idleWithin),
+	}
+}
+
 // Ready reports whether the daemon takes new callers.
 func (d *Daemon) Ready() bool { return !d.leaving.Load() && d.control.Snapshot().Serving }
 
@@ -283,32 +313,6 @@
 	})
 }
 
-// closeWhenLeaving ends the connections of callers with an answer while the
-// daemon leaves, so that none is cut between two requests.
-func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&leavingWriter{ResponseWriter: w, leaving: &d.leaving}, r)
-	})
-}
-
-// leavingWriter asks for the end of the connection in each answer that begins
-// while the daemon leaves, also where the call began before.
-type leavingWriter struct {
-	http.ResponseWriter
-	leaving *atomic.Bool
-}
-
-// Unwrap lets http.ResponseController reach the connection.
-func (w *leavingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w *leavingWriter) WriteHeader(status int) {
-	if w.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
 // removeFromDirectory takes the daemon out of the list of those that know
 // nobody else. Failing that, its entry stays and costs others a vain call.
 func (d *Daemon) removeFromDirectory(ctx context.Context) {
@@ -321,12 +325,13 @@
 func (d *Daemon) shutdown() error {
 	d.events.Add(time.Now(), timeline.KindStop, 0, "daemon is leaving")
 	notice, within := leaveNotice, shutdownWithin
-	if grace := time.Duration(d.settings.GraceSeconds * float64(time.Second)); grace > 0 {
+	if grace := time.Duration(d.live.Load().GraceSeconds * float64(time.Second)); grace > 0 {
 		notice, within = grace*graceNotice/100, grace*graceWithin/100
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	d.leaving.Store(true)
+	d.callers.Leave()
 	d.control.Leave()
 	if d.platform != nil {
 		go d.removeFromDirectory(ctx)
@@ -339,9 +344,6 @@
 			d.entry.Close()
 			errs = append(errs, d.host.Drain(ctx), d.control.Claims().Close(ctx))
 		}
-		if s.name == "callers" {
-			errs = append(errs, s.finish(ctx))
-		}
 		errs = append(errs, s.Shutdown(ctx))
 	}
 	d.control.Stop()
--- a/process/daemon/listener.go
+++ b/process/daemon/listener.go
@@ -4,19 +4,9 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
-	"time"
-)
-
-const (
-	// firstRequestWithin is the age after which a connection without a request
-	// is not waited for; http.Server has the same bound.
-	firstRequestWithin = 5 * time.Second
-	// finishPoll is the period of looking for busy connections.
-	finishPoll = 5 * time.Millisecond
 )
 
 // listener hands out the connections that wait in the kernel's queue when it
@@ -95,65 +85,3 @@
 		}
 	}
 }
-
-// busyConns knows the connections on which a request is expected or runs; the
-// zero value is ready for use.
-type busyConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]busySince
-}
-
-type busySince struct {
-	state http.ConnState
-	at    time.Time
-}
-
-// set is the ConnState hook of a server.
-func (b *busyConns) set(c net.Conn, state http.ConnState) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if state != http.StateNew && state != http.StateActive {
-		delete(b.since, c)
-		return
-	}
-	if b.since == nil {
-		b.since = make(map[net.Conn]busySince)
-	}
-	b.since[c] = busySince{state, time.Now()}
-}
-
-// any reports whether a connection is busy. One that has sent nothing for
-// firstRequestWithin does not count.
-func (b *busyConns) any() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, s := range b.since {
-		if s.state == http.StateActive || time.Since(s.at) < firstRequestWithin {
-			return true
-		}
-	}
-	return false
-}
-
-// finish closes the listener and waits until no connection is busy. From the
-// start of Shutdown, http.Server drops requests that it has read but not begun
-// to serve, so there must be none left by then. A connection is known to be
-// busy at the latest when Serve returns.
-func (s *server) finish(ctx context.Context) error {
-	err := s.listener.Close()
-	select {
-	case <-s.served:
-	case <-ctx.Done():
-		return errors.Join(err, ctx.Err())
-	}
-	t := time.NewTicker(finishPoll)
-	defer t.Stop()
-	for s.busy.any() {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return errors.Join(err, ctx.Err())
-		}
-	}
-	return err
-}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -78,6 +78,8 @@
 	// upstream has announced itself.
 	Service, Version string
 	State            State
+	// LogOut says that the daemon cannot read the log.
+	LogOut bool
 	// Incarnation is the start time of the daemon in Unix nanoseconds.
 	Incarnation uint64
 	// Seq grows with every change that the member makes to its entry.
@@ -468,13 +470,14 @@
 }
 
 // ZoneRank returns the position of the daemon among the live members of its
-// zone for a task, by rendezvous hashing; 0 is the first choice. Daemons that
+// zone that can read the log for a task, by rendezvous hashing; 0 is the first
+// choice. Daemons that
 // know different members may disagree.
 func (t *Table) ZoneRank(task string) int {
 	key := xxhash.Sum64String(task + "/" + t.self.Zone)
 	own, rank := mix(xxhash.Sum64String(t.self.Name), key), 0
 	for _, e := range t.entries {
-		if e.Zone == t.self.Zone && e.State.rank() == 0 && e.State != Leaving && mix(e.key, key) > own {
+		if e.Zone == t.self.Zone && e.State.rank() == 0 && e.State != Leaving && !e.LogOut && mix(e.key, key) > own {
 			rank++
 		}
 	}
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -281,3 +281,26 @@
 	}
 	return tbl
 }
+
+// TestZoneRankWithoutLog guards against a task that stays with a member that
+// cannot read the log.
+func TestZoneRankWithoutLog(t *testing.T) {
+	now := time.Now()
+	tbl := NewTable(Member{Name: "self", Zone: "a", State: Ready})
+	var ahead []Member
+	for i := range 20 {
+		m := Member{Name: fmt.Sprintf("m%d", i), Zone: "a", State: Ready, Incarnation: 1}
+		tbl.Merge(now, []Member{m})
+		ahead = append(ahead, m)
+	}
+	if tbl.ZoneRank("reader") == 0 {
+		t.Fatal("no other member comes first, so the test shows nothing")
+	}
+	for _, m := range ahead {
+		m.Seq, m.LogOut = 1, true
+		tbl.Merge(now, []Member{m})
+	}
+	if got := tbl.ZoneRank("reader"); got != 0 {
+		t.Errorf("got rank %d, want 0", got)
+	}
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -86,6 +86,21 @@
 	LogLevel string `toml:"logLevel"`
 }
 
+// Fixed holds the settings that take effect at the start only.
+type Fixed struct {
+	Name, Region, Zone                          string
+	Caller, Peer, Announce, Metrics, Ready, Log netip.AddrPort
+	Platform                                    bool
+}
+
+// Fixed returns the settings that take effect at the start only.
+func (s Settings) Fixed() Fixed {
+	return Fixed{
+		Name: s.Name, Region: s.Region, Zone: s.Zone, Caller: s.CallerAddress, Peer: s.PeerAddress,
+		Announce: s.AnnounceAddress, Metrics: s.MetricsAddress, Ready: s.ReadyAddress, Log: s.LogAddress, Platform: s.Platform,
+	}
+}
+
 // Bounds are promised to the owners of the upstreams for all daemons together.
 type Bounds struct {
 	// RetryRatio is the largest share of repeated requests among those that an
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -28,8 +28,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/connection/caller"
 	"github.com/kingcuppitch/kingcuppitch/connection/peer"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
@@ -89,7 +91,7 @@
 func WithHeaders(n request.Headers) Option { return func(e *Entry) { e.headers = n } }
 
 // WithService sets the service beside which the requests of this entry begin.
-func WithService(name string) Option { return func(e *Entry) { e.service = name } }
+func WithService(name string) Option { return func(e *Entry) { e.SetService(name) } }
 
 // Entry is the HTTP handler for callers.
 type Entry struct {
@@ -100,7 +102,7 @@
 	internal []netip.Prefix
 	metrics  *metrics.Set
 	headers  request.Headers
-	service  string
+	service  atomic.Pointer[string]
 
 	loads    loads
 	peers    peer.Pool
@@ -111,12 +113,16 @@
 // New returns an entry.
 func New(view View, local Local, opts ...Option) *Entry {
 	e := &Entry{view: view, local: local, metrics: new(metrics.Set), headers: request.DefaultHeaders}
+	e.SetService("")
 	for _, opt := range opts {
 		opt(e)
 	}
 	return e
 }
 
+// SetService sets the service beside which the requests of this entry begin.
+func (e *Entry) SetService(name string) { e.service.Store(&name) }
+
 // Close waits until the answers of keyed requests are stored.
 func (e *Entry) Close() {
 	e.finishes.Wait()
@@ -156,6 +162,13 @@
 	if rt.Internal && !e.isInternal(r.RemoteAddr) {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonInternalRoute, Status: http.StatusForbidden, Detail: fmt.Sprintf("route %s is internal", rt.Name)}
 	}
+	if !rt.Idempotent {
+		// Until the answers before it are written, the connection may end and the
+		// caller send the request again.
+		if err := caller.AwaitTurn(ctx); err != nil {
+			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonCancelled, Detail: "the caller gave up"}
+		}
+	}
 	call, err := e.newCall(w, r, rt, snap, now)
 	if err != nil {
 		return nil, err
@@ -227,7 +240,7 @@
 		if call.Header.Get(n.ID) == "" {
 			call.Header.Set(n.ID, rand.Text())
 		}
-		call.Header.Set(n.CallerService, e.service)
+		call.Header.Set(n.CallerService, *e.service.Load())
 	}
 	return call, nil
 }
@@ -384,6 +397,7 @@
 	c := *call
 	c.ID = rand.Text()
 	c.Version = snap.State.Version
+	c.Upstream = upstream
 	c.UpstreamVersion = snap.Table.Version(upstream, snap.Share, mathrand.Float64())
 	inst, ok := snap.Table.Pick(route.Query{
 		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now, Open: call.Attempts > 0 && len(made) > 0,
--- a/request/entry/rig_test.go
+++ b/request/entry/rig_test.go
@@ -242,8 +242,8 @@
 
 func (r reply) reason() request.Reason { return request.Reason(r.header.Get(request.HeaderReason)) }
 
-// caller sends each request as it is, and follows and decompresses nothing.
-var caller = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 200}
+// callers sends each request as it is, and follows and decompresses nothing.
+var callers = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 200}
 
 func (m *mesh) call(t *testing.T, method, path, body string, header ...string) reply {
 	t.Helper()
@@ -265,7 +265,7 @@
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	res, err := caller.RoundTrip(req)
+	res, err := callers.RoundTrip(req)
 	if err != nil {
 		return reply{err: err, header: http.Header{}}
 	}
--- a/request/headers.go
+++ b/request/headers.go
@@ -31,5 +31,5 @@
 var meshHeaders = map[string]bool{
 	HeaderOutcome: true, HeaderRequest: true, HeaderRoute: true, HeaderUpstreamVersion: true, HeaderVersion: true,
 	HeaderReason: true, HeaderLoad: true, HeaderLimit: true, HeaderState: true, headerClass: true, headerRunBy: true,
-	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerObjective: true,
+	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerUpstream: true, headerObjective: true,
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -229,6 +229,8 @@
 		return refuse(request.ReasonNotReady, "upstream beside %s is %s", self.Name, self.State)
 	case h.target.Load() == nil:
 		return refuse(request.ReasonNotReady, "the limits of the upstream beside %s are not known", self.Name)
+	case call.Upstream != "" && call.Upstream != self.Service:
+		return refuse(request.ReasonWrongVersion, "instance %s belongs to upstream %s, not %s", self.Name, self.Service, call.Upstream)
 	case call.UpstreamVersion != "" && call.UpstreamVersion != self.Version:
 		return refuse(request.ReasonWrongVersion, "instance %s runs version %s, not %s", self.Name, self.Version, call.UpstreamVersion)
 	case !time.Now().Before(call.StartBy()):
--- a/request/request.go
+++ b/request/request.go
@@ -146,6 +146,9 @@
 	// Attempts bounds the instances that the call may reach; zero means the
 	// default.
 	Attempts int
+	// Upstream is the upstream that the entry chose; empty means the one that
+	// the route names.
+	Upstream string
 	// UpstreamVersion is the upstream version that the entry chose.
 	UpstreamVersion string
 	// Version is the configuration version of the entry.
