Log what decided each request, bounded, and serve histograms

One structured line on standard output for each request that failed, was refused or needed a second attempt, and for one in 32 of the others, the same on all daemons of a request; at most 200 a second, in the background, with a count of what was left out. HdrHistograms by route and outcome on the metrics address.

--- a/cmd/kingcuppitchd/main.go
+++ b/cmd/kingcuppitchd/main.go
@@ -57,7 +57,9 @@
 }
 
 func serve(path string, s settings.Settings) int {
-	logger := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.LogLevel)})
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name: s.Name, Level: hclog.LevelFromString(s.LogLevel), Output: os.Stdout, JSONFormat: true,
+	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	opts := []kingcuppitch.Option{kingcuppitch.WithSettings(s), kingcuppitch.WithLogger(logger)}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/kingcuppitch/kingcuppitch/connection/caller"
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/decision"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
@@ -115,12 +116,14 @@
 	logger   hclog.Logger
 	metrics  *metrics.Set
 	events   *timeline.Timeline
-	control  control.Control
-	platform Platform
-	limiter  limiter
-	host     *host.Host
-	entry    *entry.Entry
-	leaving  atomic.Bool
+	// decisions are the lines on requests.
+	decisions *decision.Log
+	control   control.Control
+	platform  Platform
+	limiter   limiter
+	host      *host.Host
+	entry     *entry.Entry
+	leaving   atomic.Bool
 	// incarnation is the last announced incarnation of the upstream.
 	incarnation atomic.Uint64
 	// announced is the last announcement of the upstream.
@@ -153,6 +156,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.decisions = decision.New(logger)
 	d.events.Notify = d.logEvent
 	d.metrics.Process()
 	internal := s.InternalCallers
@@ -182,10 +186,10 @@
 	}
 	d.control = control.New(controlOpts...)
 	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
-		host.WithHeaders(headers), host.WithUnreachable(d.upstreamGone))
+		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamGone))
 	entryOpts := []entry.Option{
 		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
-		entry.WithHeaders(headers), entry.WithService(s.Service),
+		entry.WithHeaders(headers), entry.WithService(s.Service), entry.WithDecisions(d.decisions),
 	}
 	if d.platform == nil {
 		entryOpts = append(entryOpts, entry.WithClaims(d.control.Claims()))
@@ -347,5 +351,6 @@
 		errs = append(errs, s.Shutdown(ctx))
 	}
 	d.control.Stop()
+	d.decisions.Close()
 	return errors.Join(errs...)
 }
--- /dev/null
+++ b/process/decision/decision.go
@@ -0,0 +1,113 @@
+// Package decision logs what a daemon decided on each request and why, so that
+// the cause of a failed request is found by its id.
+//
+// Entry and host of a request write lines with the same id. Ordinary requests are
+// sampled by their id, on all daemons the same ones; what failed or was odd is
+// kept. The volume is bounded per second, writing never blocks, and what was left
+// out is counted in a line of its own.
+//
+// # Usage
+//
+//	l := decision.New(logger)
+//	defer l.Close()
+//	if l.Keeps(id, odd) {
+//		l.Write("request answered", "id", id, "status", 200)
+//	}
+package decision
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	// sampleOne of so many ordinary requests is logged.
+	sampleOne = 32
+	// maxPerSecond bounds the lines of a daemon. A line costs about 10 µs, so
+	// they take at most 0.2 percent of a core.
+	maxPerSecond = 200
+	// queued bounds the lines that wait to be written.
+	queued = 512
+)
+
+// Log writes lines in the background. A nil Log keeps nothing.
+type Log struct {
+	logger  hclog.Logger
+	lines   chan line
+	dropped atomic.Int64
+	done    chan struct{}
+
+	mu sync.Mutex
+	// left is the number of lines that may be written before renewAt.
+	left    int
+	renewAt time.Time
+	closed  bool
+}
+
+type line struct {
+	msg  string
+	args []any
+}
+
+// New returns a log that writes to the given logger.
+func New(logger hclog.Logger) *Log {
+	l := &Log{logger: logger, lines: make(chan line, queued), done: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+// Keeps reports whether lines on the request are kept. Ask it before the values of
+// a line are gathered.
+func (l *Log) Keeps(id string, odd bool) bool {
+	return l != nil && (odd || xxhash.Sum64String(id)%sampleOne == 0)
+}
+
+// Write queues a line, or counts it as left out.
+func (l *Log) Write(msg string, args ...any) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); !now.Before(l.renewAt) {
+		l.left, l.renewAt = maxPerSecond, now.Add(time.Second)
+	}
+	if l.left <= 0 || l.closed {
+		l.dropped.Add(1)
+		return
+	}
+	select {
+	case l.lines <- line{msg, args}:
+		l.left--
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Close writes what is queued.
+func (l *Log) Close() {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.mu.Unlock()
+	<-l.done
+}
+
+func (l *Log) run() {
+	defer close(l.done)
+	for ln := range l.lines {
+		if n := l.dropped.Swap(0); n > 0 {
+			l.logger.Warn("lines on requests left out", "lines", n)
+		}
+		l.logger.Info(ln.msg, ln.args...)
+	}
+}
--- /dev/null
+++ b/process/decision/decision_test.go
@@ -0,0 +1,106 @@
+package decision
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+func newLogger(w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Output: w, JSONFormat: true})
+}
+
+// TestWrite guards against a line without its values and against a volume that
+// grows with the load.
+func TestWrite(t *testing.T) {
+	var out bytes.Buffer
+	l := New(newLogger(&out))
+	const lines = 10 * maxPerSecond
+	for i := range lines {
+		l.Write("request refused", "id", fmt.Sprint(i))
+	}
+	l.Close()
+	l.Write("after the end")
+	var first map[string]any
+	n := 0
+	for dec := json.NewDecoder(&out); dec.More(); n++ {
+		var m map[string]any
+		if err := dec.Decode(&m); err != nil {
+			t.Fatal(err)
+		}
+		if first == nil && m["id"] != nil {
+			first = m
+		}
+	}
+	if first["@message"] != "request refused" || first["id"] != "0" {
+		t.Errorf("got %v", first)
+	}
+	if n == 0 || n > 2*maxPerSecond {
+		t.Errorf("got %d lines of %d, want at most %d", n, lines, 2*maxPerSecond)
+	}
+}
+
+// blockedWriter blocks all writes until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	once    sync.Once
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// TestNeverBlocks guards against requests that wait for the reader of the log.
+func TestNeverBlocks(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	l := New(newLogger(w))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * queued {
+			l.Write("line")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("Write waits for the writer")
+	}
+	if l.dropped.Load() == 0 {
+		t.Error("nothing was counted as left out")
+	}
+	w.once.Do(func() { close(w.release) })
+	l.Close()
+}
+
+// TestKeeps guards against a sample that differs between the daemons of a request,
+// and against odd requests that are left out.
+func TestKeeps(t *testing.T) {
+	a, b := New(newLogger(io.Discard)), New(newLogger(io.Discard))
+	defer a.Close()
+	defer b.Close()
+	kept := 0
+	for i := range 64 * sampleOne {
+		id := fmt.Sprint(i)
+		if a.Keeps(id, false) != b.Keeps(id, false) || !a.Keeps(id, true) {
+			t.Fatalf("request %s is kept by one only", id)
+		}
+		if a.Keeps(id, false) {
+			kept++
+		}
+	}
+	if kept < 32 || kept > 128 {
+		t.Errorf("kept %d of %d", kept, 64*sampleOne)
+	}
+	var none *Log
+	if none.Keeps("x", true) {
+		t.Error("a nil log keeps lines")
+	}
+}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -1,4 +1,5 @@
-// Package metrics counts what a daemon does and serves the counts as expvar.
+// Package metrics counts what a daemon does, keeps histograms of latencies by route
+// and outcome, and serves both as expvar.
 //
 // # Usage
 //
@@ -12,12 +13,78 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"strconv"
+	"sync"
 	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Set is a set of counters and gauges; the zero value is empty and ready.
 type Set struct {
 	vars expvar.Map
+
+	mu    sync.Mutex
+	times map[series]*hdrhistogram.Histogram
+}
+
+// series names a histogram by what it measures, the route and the outcome.
+type series struct{ name, route, outcome string }
+
+const (
+	// histogramMax is the longest time that a histogram tells apart, in
+	// microseconds.
+	histogramMax = int64(time.Minute / time.Microsecond)
+	// histogramDigits is the precision of a histogram in decimal digits.
+	histogramDigits = 2
+	// maxSeries bounds the histograms; further routes share one.
+	maxSeries = 60
+)
+
+// quantiles are the quantiles that are served, in percent.
+var quantiles = []float64{50, 90, 99, 99.9}
+
+// Observe adds a time to the histogram of a route and an outcome.
+func (s *Set) Observe(name string, took time.Duration, route, outcome string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := series{name, route, outcome}
+	h, ok := s.times[k]
+	if !ok && len(s.times) >= maxSeries {
+		k.route = "other"
+		h, ok = s.times[k]
+	}
+	if !ok {
+		if s.times == nil {
+			s.times = make(map[series]*hdrhistogram.Histogram)
+		}
+		h = hdrhistogram.New(1, histogramMax, histogramDigits)
+		s.times[k] = h
+	}
+	_ = h.RecordValue(max(1, min(took.Microseconds(), histogramMax)))
+}
+
+// histogram is a histogram as it is served.
+type histogram struct {
+	Count int64 `json:"count"`
+	// QuantilesMs are milliseconds by percent.
+	QuantilesMs map[string]float64 `json:"quantilesMs"`
+}
+
+// histograms returns the histograms by measure, route and outcome.
+func (s *Set) histograms() map[string]histogram {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]histogram, len(s.times))
+	for k, h := range s.times {
+		v := histogram{Count: h.TotalCount(), QuantilesMs: make(map[string]float64, len(quantiles))}
+		for _, q := range quantiles {
+			v.QuantilesMs[strconv.FormatFloat(q, 'f', -1, 64)] = float64(h.ValueAtQuantile(q)) / 1000
+		}
+		out[k.name+"/"+k.route+"/"+k.outcome] = v
+	}
+	return out
 }
 
 // Add adds n to a counter.
@@ -34,9 +101,10 @@
 	return 0
 }
 
-// Process adds gauges of this process: heap in bytes, goroutines and processor
+// Process adds the histograms and gauges of this process: heap in bytes, goroutines and processor
 // time in seconds.
 func (s *Set) Process() {
+	s.Gauge("latencies", func() any { return s.histograms() })
 	s.Gauge("process.heapBytes", func() any {
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/kingcuppitch/kingcuppitch/connection/caller"
 	"github.com/kingcuppitch/kingcuppitch/connection/peer"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/decision"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
@@ -93,6 +94,9 @@
 // WithService sets the service beside which the requests of this entry begin.
 func WithService(name string) Option { return func(e *Entry) { e.SetService(name) } }
 
+// WithDecisions sets the log of decisions.
+func WithDecisions(l *decision.Log) Option { return func(e *Entry) { e.decisions = l } }
+
 // Entry is the HTTP handler for callers.
 type Entry struct {
 	view     View
@@ -102,7 +106,9 @@
 	internal []netip.Prefix
 	metrics  *metrics.Set
 	headers  request.Headers
-	service  atomic.Pointer[string]
+	// decisions may be nil.
+	decisions *decision.Log
+	service   atomic.Pointer[string]
 
 	loads    loads
 	peers    peer.Pool
@@ -135,7 +141,9 @@
 	// The attempts and a streamed answer end with the context.
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	ans, err := e.serve(ctx, w, r)
+	p := passage{start: time.Now()}
+	ans, err := e.serve(ctx, w, r, &p)
+	e.record(&p, r, ans, err)
 	if err != nil {
 		e.refuse(w, err)
 		return
@@ -149,12 +157,13 @@
 }
 
 // serve answers one request; an error is a *request.Refusal.
-func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) (*request.Answer, error) {
-	now := time.Now()
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, p *passage) (*request.Answer, error) {
+	now := p.start
 	snap := e.view.Snapshot()
 	if !snap.Serving {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNotReady, Detail: "this daemon has no current configuration", RetryAt: now.Add(refusalPause)}
 	}
+	p.version = snap.State.Version
 	rt, ok := snap.Table.Match(hostName(r.Host), r.Method, r.URL.Path)
 	if !ok {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoRoute, Status: http.StatusNotFound, Detail: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
@@ -173,13 +182,14 @@
 	if err != nil {
 		return nil, err
 	}
+	p.call = call
 	// A streamed answer is still read after the return, so the deadline ends
 	// with the context of the whole call.
 	whole := ctx
 	ctx, cancel := context.WithDeadline(whole, call.Deadline)
 	context.AfterFunc(whole, cancel)
 	if rt.Idempotent || len(r.Header.Values(request.HeaderKey)) == 0 {
-		return e.attempts(ctx, call, rt.Split(mathrand.Float64()))
+		return e.attempts(ctx, call, rt.Split(mathrand.Float64()), p)
 	}
 	key := r.Header.Get(request.HeaderKey)
 	if err := checkKey(r.Header, key, now); err != nil {
@@ -187,7 +197,7 @@
 	}
 	// A key belongs to a path. It does not belong to the route, which operators
 	// may rename or split between two tries of one request.
-	return e.keyed(ctx, call, rt.Split(mathrand.Float64()), r.Method+" "+r.URL.Path+"\n"+key)
+	return e.keyed(ctx, call, rt.Split(mathrand.Float64()), r.Method+" "+r.URL.Path+"\n"+key, p)
 }
 
 // hostName returns a host without its port, in lower case.
@@ -229,7 +239,7 @@
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	call := &request.Call{
-		Route: rt.Name, Method: r.Method, Path: r.URL.RequestURI(), Header: request.CleanHeader(r.Header), Body: body,
+		Trace: traceID(e.headers), Route: rt.Name, Method: r.Method, Path: r.URL.RequestURI(), Header: request.CleanHeader(r.Header), Body: body,
 		Deadline: deadline, Idempotent: rt.Idempotent, Class: rt.Class, Version: snap.State.Version, Attempts: rt.Attempts,
 	}
 	if rt.Objective > 0 {
@@ -275,7 +285,7 @@
 }
 
 // keyed runs a request with an idempotency key at most once.
-func (e *Entry) keyed(ctx context.Context, call *request.Call, upstream, key string) (*request.Answer, error) {
+func (e *Entry) keyed(ctx context.Context, call *request.Call, upstream, key string, p *passage) (*request.Answer, error) {
 	if e.claims == nil {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonLogOut, Detail: "keyed requests are not served", RetryAt: time.Now().Add(refusalPause)}
 	}
@@ -293,7 +303,7 @@
 	}
 	// The host refuses a call that reaches it after RunBy.
 	call.RunBy = grant.RunBy
-	ans, err := e.attempts(ctx, call, upstream)
+	ans, err := e.attempts(ctx, call, upstream, p)
 	var ref *request.Refusal
 	switch {
 	case err == nil && ans.Outcome == request.Ran:
@@ -340,7 +350,7 @@
 }
 
 // attempts tries instances until one answers or the policy ends it.
-func (e *Entry) attempts(ctx context.Context, call *request.Call, upstream string) (*request.Answer, error) {
+func (e *Entry) attempts(ctx context.Context, call *request.Call, upstream string, p *passage) (*request.Answer, error) {
 	budget := e.budget(upstream)
 	preset, _ := e.view.Snapshot().State.InForce(time.Now())
 	budget.Request(time.Now(), preset.RetryPercent)
@@ -356,7 +366,7 @@
 		if len(made) > 0 {
 			e.metrics.Add("entry.retries", 1)
 		}
-		ans, inst, err := e.attempt(ctx, call, upstream, made)
+		ans, inst, err := e.attempt(ctx, call, upstream, made, p)
 		if err == nil {
 			return ans, nil
 		}
@@ -387,7 +397,7 @@
 }
 
 // attempt sends the call to one instance.
-func (e *Entry) attempt(ctx context.Context, call *request.Call, upstream string, made []retry.Attempt) (*request.Answer, string, error) {
+func (e *Entry) attempt(ctx context.Context, call *request.Call, upstream string, made []retry.Attempt, p *passage) (*request.Answer, string, error) {
 	now := time.Now()
 	snap := e.view.Snapshot()
 	tried := make([]string, 0, len(made))
@@ -408,6 +418,7 @@
 	}
 	c.Deadline = retry.AttemptDeadline(call, len(made), now)
 	attemptCtx, cancel := context.WithDeadline(ctx, c.Deadline)
+	p.try(inst, &e.loads, now)
 	e.loads.start(inst.Name)
 	var ans *request.Answer
 	var err error
@@ -423,6 +434,7 @@
 		silent.Reason = request.ReasonNoAnswer
 		err = &silent
 	}
+	p.tried(err, now)
 	if ans != nil && ans.Rest != nil {
 		ans.Rest = &closer{ReadCloser: ans.Rest, cancel: cancel}
 	} else {
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -75,6 +75,18 @@
 	return ratio, now.Before(in.failingUntil)
 }
 
+// report returns the ratio that counts now, and how old the report is on which
+// it is based; zero means that there is none.
+func (l *loads) report(name string, now time.Time) (ratio float64, age time.Duration) {
+	ratio, _ = l.Ratio(name, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if in, ok := l.list[name]; ok && !in.reportUntil.IsZero() {
+		age = now.Sub(in.reportUntil.Add(-reportPeriod))
+	}
+	return ratio, age
+}
+
 func (l *loads) start(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/request/headers.go
+++ b/request/headers.go
@@ -27,9 +27,17 @@
 // DefaultHeaders are the headers of the product's own interface.
 var DefaultHeaders = Headers{ID: HeaderUpstreamRequest, Timeout: HeaderTimeout}
 
+// TraceOf returns the id by which the lines on a request are found.
+func (n Headers) TraceOf(c *Call) string {
+	if n.CallerNamesID {
+		return c.Header.Get(n.ID)
+	}
+	return c.Trace
+}
+
 // meshHeaders are passed between daemons; callers and upstreams cannot set them.
 var meshHeaders = map[string]bool{
 	HeaderOutcome: true, HeaderRequest: true, HeaderRoute: true, HeaderUpstreamVersion: true, HeaderVersion: true,
 	HeaderReason: true, HeaderLoad: true, HeaderLimit: true, HeaderState: true, headerClass: true, headerRunBy: true,
-	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerUpstream: true, headerObjective: true,
+	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerTrace: true, headerUpstream: true, headerObjective: true,
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -26,6 +26,7 @@
 
 	"github.com/kingcuppitch/kingcuppitch/connection/instance"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/decision"
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
@@ -85,6 +86,9 @@
 // connection or another instance has its address.
 func WithUnreachable(f func()) Option { return func(h *Host) { h.unreachable = f } }
 
+// WithDecisions sets the log of decisions.
+func WithDecisions(l *decision.Log) Option { return func(h *Host) { h.decisions = l } }
+
 // Host hands calls to the upstream instance beside the daemon.
 type Host struct {
 	view     View
@@ -99,6 +103,8 @@
 	warmup   warmup
 	// unreachable is told when the upstream is gone.
 	unreachable func()
+	// decisions may be nil.
+	decisions *decision.Log
 }
 
 // target is the upstream instance and its connections.
@@ -154,7 +160,10 @@
 // Do hands a call to the upstream. An error is a *request.Refusal.
 func (h *Host) Do(ctx context.Context, call *request.Call) (ans *request.Answer, err error) {
 	h.calls.start()
+	began, load := time.Now(), h.load()
+	var granted time.Time
 	defer func() {
+		h.record(call, began, granted, load, err)
 		// A streamed answer is in flight until its body is closed.
 		if ans == nil || ans.Rest == nil {
 			h.calls.end()
@@ -174,9 +183,36 @@
 		h.limiter.Cancel(time.Now(), ticket)
 		return nil, h.refused(err)
 	}
+	granted = time.Now()
 	return h.hand(ctx, call, ticket)
 }
 
+// record counts the end of a call and logs what decided it.
+func (h *Host) record(call *request.Call, began, granted time.Time, load request.Load, err error) {
+	took, outcome, reason, detail := time.Since(began), request.Ran, request.Reason(""), ""
+	var ref *request.Refusal
+	if errors.As(err, &ref) {
+		outcome, reason, detail = ref.Outcome, ref.Reason, ref.Detail
+	}
+	h.metrics.Observe("host.latency", took, call.Route, string(outcome))
+	id := h.headers.TraceOf(call)
+	if !h.decisions.Keeps(id, err != nil) {
+		return
+	}
+	args := []any{
+		"id", id, "side", "host", "route", call.Route, "configVersion", h.view.Snapshot().State.Version,
+		"entryVersion", call.Version, "outcome", outcome, "reason", reason, "detail", detail, "inFlight", load.InFlight,
+		"limit", load.Limit, "state", load.State, "tookMs", took.Milliseconds(),
+	}
+	if !granted.IsZero() {
+		args = append(args, "waitedMs", granted.Sub(began).Milliseconds())
+	}
+	if t := h.target.Load(); t != nil {
+		args = append(args, "instance", t.id)
+	}
+	h.decisions.Write("call handled", args...)
+}
+
 // waitShare is the part of the time until the objective that a request may wait
 // for a slot; an answer takes the rest.
 const waitShare = 0.5
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -86,7 +86,9 @@
 		{"starting", func(_ *Host, self *membership.Member, _ *request.Call) { self.State = membership.Starting }, request.ReasonNotReady},
 		{"zoneOut", func(_ *Host, self *membership.Member, _ *request.Call) { self.Zone = "out" }, request.ReasonZoneOut},
 		{"version", func(_ *Host, self *membership.Member, _ *request.Call) { self.Version = "v2" }, request.ReasonWrongVersion},
-		{"upstream", func(_ *Host, self *membership.Member, call *request.Call) { self.Service, call.Upstream = "other", "booking" }, request.ReasonWrongVersion},
+		{"upstream", func(_ *Host, self *membership.Member, call *request.Call) {
+			self.Service, call.Upstream = "other", "booking"
+		}, request.ReasonWrongVersion},
 		{"deadline", func(_ *Host, _ *membership.Member, call *request.Call) { call.Deadline = time.Now() }, request.ReasonDeadline},
 		{"runBy", func(_ *Host, _ *membership.Member, call *request.Call) { call.RunBy = time.Now() }, request.ReasonDeadline},
 	} {
--- a/request/request.go
+++ b/request/request.go
@@ -126,7 +126,10 @@
 // Call is one request on its way to an upstream.
 type Call struct {
 	// ID is unique to one attempt.
-	ID     string
+	ID string
+	// Trace is the same for all attempts of a request, unless a header of the
+	// caller names the request.
+	Trace  string
 	Route  string
 	Method string
 	Path   string // with the query
--- a/request/wire.go
+++ b/request/wire.go
@@ -21,6 +21,7 @@
 	headerIdempotent = "Kingcuppitch-Idempotent"
 	headerRetryAt    = "Kingcuppitch-Retry-At"
 	headerRefused    = "Kingcuppitch-Refused"
+	headerTrace      = "Kingcuppitch-Trace"
 	headerUpstream   = "Kingcuppitch-Upstream"
 	headerHost       = "Kingcuppitch-Host"
 	headerObjective  = "Kingcuppitch-Objective-Ms"
@@ -76,6 +77,9 @@
 		h.Set(headerHost, c.Host)
 	}
 	h.Set(headerUpstream, c.Upstream)
+	if c.Trace != "" {
+		h.Set(headerTrace, c.Trace)
+	}
 	h.Set(headerIdempotent, strconv.FormatBool(c.Idempotent))
 	h.Set(HeaderUpstreamVersion, c.UpstreamVersion)
 	h.Set(HeaderVersion, strconv.FormatInt(c.Version, 10))
@@ -96,8 +100,8 @@
 	c = &Call{
 		ID: r.Header.Get(HeaderRequest), Route: r.Header.Get(HeaderRoute), Class: r.Header.Get(headerClass),
 		UpstreamVersion: r.Header.Get(HeaderUpstreamVersion), Method: r.Method, Host: r.Header.Get(headerHost),
-		Upstream: r.Header.Get(headerUpstream),
-		Path:     "/" + strings.TrimPrefix(r.URL.RequestURI(), prefix), Header: CleanHeader(r.Header),
+		Upstream: r.Header.Get(headerUpstream), Trace: r.Header.Get(headerTrace),
+		Path: "/" + strings.TrimPrefix(r.URL.RequestURI(), prefix), Header: CleanHeader(r.Header),
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
 	if err != nil || ms <= 0 || c.ID == "" {
--- a/standin/measure/control.go
+++ b/standin/measure/control.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/kingcuppitch/kingcuppitch/connection/peer"
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
+	"github.com/kingcuppitch/kingcuppitch/connection/peer"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
