Fetch large records once instead of forwarding them to every peer

Cause: a configuration of 300 routes is 75 kB as a record; each of 11 daemons forwarded it whole to six peers, and each reader to other zones.

Change: of records above 4 kB only the offset is told, other zones 150 ms later; a daemon that lacks them fetches them from one peer, and tries again after a refused fetch.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -290,14 +290,11 @@
 		}
 		closed, busy, fresh := c.closed, c.pending > 0, c.served == 0
 		c.mu.Unlock()
-		if closed {
+		if closed || c.server.isClosing() && !fresh && !busy {
 			return false
 		}
 		wait := c.server.Limits().IdleWithin + idleSlack
-		if c.server.isClosing() && !busy {
-			if !fresh && c.br.Buffered() == 0 {
-				return false
-			}
+		if c.server.isClosing() && fresh {
 			wait = firstPeriod
 		}
 		c.lr.N = math.MaxInt64
@@ -306,6 +303,11 @@
 		if err == nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			// A request that comes while the server shuts down, behind others or
+			// after their answers, is left unread; the caller sends it elsewhere.
+			if c.server.isClosing() && c.served > 0 {
+				c.closed = true
+			}
 			c.reading = !c.closed
 			return c.reading
 		}
--- a/connection/caller/caller_test.go
+++ b/connection/caller/caller_test.go
@@ -311,3 +311,50 @@
 		}
 	}
 }
+
+// TestNoRequestsDuringShutdown guards against a caller that keeps a connection
+// alive through a shutdown by always sending the next request ahead.
+func TestNoRequestsDuringShutdown(t *testing.T) {
+	var served atomic.Int32
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		served.Add(1)
+		time.Sleep(20 * time.Millisecond)
+	})
+	c, br := r.dial(get("/"))
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				_, _ = io.WriteString(c, get("/"))
+			}
+		}
+	}()
+	for range 3 {
+		readAnswer(t, br)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	before := served.Load()
+	if err := r.server.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if n := served.Load() - before; n > maxAhead {
+		t.Errorf("%d requests were served during the shutdown", n)
+	}
+	last := false
+	for {
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			break
+		}
+		_ = res.Body.Close()
+		last = res.Close
+	}
+	if !last {
+		t.Error("the last answer does not end the connection")
+	}
+}
--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -138,7 +138,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lastAnswer != 0 && c.lastAnswer < w.number {
+	// A request before this one may have been given up without an answer.
+	if c.ctx.Err() != nil || c.lastAnswer != 0 && c.lastAnswer < w.number {
 		return errGone
 	}
 	return nil
@@ -197,7 +198,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ends := w.req.Close || w.ends.Load() || strings.EqualFold(h.Get("Connection"), "close") || !w.body.ended() ||
-		leaving && c.served == w.number && !c.reading
+		leaving && c.served == w.number && (!c.reading || c.closed)
 	if ends {
 		c.closed, c.lastAnswer = true, w.number
 	}
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -84,7 +84,7 @@
 	maxActions = 64
 	// maxFetches bounds the fetches served at once, so that peers that return
 	// together do not take the daemon's processor from its calls.
-	maxFetches = 4
+	maxFetches = 8
 	// claimSyncPeriod is the period in which the owned shards of claims are
 	// compared with the open writers, claimSyncTimeout bounds closing one.
 	claimSyncPeriod  = 2 * time.Second
@@ -637,6 +637,9 @@
 }
 
 func (c *control) runExchange(ctx context.Context, a sendExchange) {
+	if wait := time.Until(a.notBefore); !a.notBefore.IsZero() && !c.pause(wait) {
+		return
+	}
 	asked := time.Now()
 	res, err := c.client(a.to.Peer).Exchange(ctx, connect.NewRequest(a.req))
 	switch {
@@ -654,6 +657,9 @@
 	res, err := c.client(a.to.Peer).Fetch(ctx, connect.NewRequest(&wirev1.FetchRequest{From: a.offset}))
 	if err != nil {
 		c.metrics.Add("control.fetchFailures", 1)
+		if c.pause(jitter(fetchRetry)) {
+			c.send(behind{to: a.to, offset: a.upTo})
+		}
 		return
 	}
 	if data := res.Msg.GetSnapshot(); len(data) > 0 {
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -26,6 +26,15 @@
 	recordFanout = 6
 	// pushFanout is the number of peers to which other news are forwarded.
 	pushFanout = 3
+	// maxPushed is the size up to which records are forwarded without being asked
+	// for, in bytes.
+	maxPushed = 4 << 10
+	// otherZoneNotice is by how much later other zones are told of large records.
+	otherZoneNotice = 150 * time.Millisecond
+	// fetchPeriod is how long the answer to a fetch is waited for before another
+	// peer is asked, fetchRetry the pause after a fetch that was refused.
+	fetchPeriod = 400 * time.Millisecond
+	fetchRetry  = 60 * time.Millisecond
 	// keptRecords and keptBytes bound the raw records held for peers.
 	keptRecords = 2048
 	keptBytes   = 8 << 20
@@ -93,7 +102,12 @@
 		service, version, state string
 		incarnation             uint64
 	}
-	leaving  struct{}
+	leaving struct{}
+	// behind says that a fetch from a peer that holds more records has failed.
+	behind struct {
+		to     membership.Member
+		offset int64
+	}
 	fetchIn  struct{ req *wirev1.FetchRequest }
 	statusIn struct{ withoutState bool }
 )
@@ -109,10 +123,14 @@
 		req *wirev1.ExchangeRequest
 		// news marks an exchange that only forwards changed entries.
 		news bool
+		// notBefore is when it is sent; zero means at once.
+		notBefore time.Time
 	}
 	sendFetch struct {
 		to     membership.Member
 		offset int64
+		// upTo is the offset that the peer holds.
+		upTo int64
 	}
 	sendProbe struct {
 		target membership.Member
@@ -163,6 +181,10 @@
 	// services restricts the followed services; empty means all.
 	services []string
 	lastTick time.Time
+	// fetchUntil is how long the answer of a peer to a fetch up to fetchOffset is
+	// waited for.
+	fetchUntil  time.Time
+	fetchOffset int64
 	preset   string
 
 	// dirty asks for a new view for traffic at once, stale for one soon: many
@@ -215,6 +237,9 @@
 		c.onReports(now, ev)
 	case moveReported:
 		c.onReport(now, ev.report)
+	case behind:
+		c.fetchUntil = time.Time{}
+		c.fetch(now, ev.to, ev.offset)
 	case fetchIn:
 		reply = c.onFetch(ev.req)
 	case statusIn:
@@ -293,11 +318,11 @@
 	}
 	if len(fresh) > 0 {
 		c.setState(now, st)
-		c.push(rnd, fresh, ev.source)
+		c.push(now, rnd, fresh, ev.source)
 	}
 	if n := len(ev.entries); n > 0 && ev.entries[n-1].Offset > c.state.Offset {
 		c.metrics.Add("control.gaps", 1)
-		c.catchUp(ev.source)
+		c.catchUp(now, ev.source)
 	}
 	if ev.next > 0 && !ev.asked.Before(c.pausedUntil) {
 		c.caughtUp = c.state.Offset >= ev.next-1
@@ -336,10 +361,23 @@
 	return e
 }
 
+// fetch asks a peer for the records up to an offset, unless a peer has just been
+// asked for them.
+func (c *core) fetch(now time.Time, to membership.Member, offset int64) {
+	if offset <= c.state.Offset || to.Name == "" || to.Name == c.table.Self().Name {
+		return
+	}
+	if now.Before(c.fetchUntil) && offset <= c.fetchOffset {
+		return
+	}
+	c.fetchUntil, c.fetchOffset = now.Add(fetchPeriod), offset
+	c.act(sendFetch{to: to, offset: c.state.Offset + 1, upTo: offset})
+}
+
 // catchUp asks the peer that is ahead for what is missing, or reads the log.
-func (c *core) catchUp(source string) {
+func (c *core) catchUp(now time.Time, source string) {
 	if m, ok := c.table.Get(source); ok && source != c.table.Self().Name {
-		c.act(sendFetch{to: m, offset: c.state.Offset + 1})
+		c.fetch(now, m, c.state.Offset+1)
 		return
 	}
 	c.act(readLog{})
@@ -431,21 +469,38 @@
 }
 
 // push forwards new records to random peers of the zone and to one peer in
-// each other zone, so that a zone that cannot reach the log receives them.
-func (c *core) push(rnd float64, entries []log.Entry, source string) {
+// each other zone, so that a zone that cannot reach the log receives them. Of
+// large records only the offset is told; peers that lack them fetch them once.
+// Other zones usually have them from a reader of their own by then.
+func (c *core) push(now time.Time, rnd float64, entries []log.Entry, source string) {
 	self := c.table.Self()
 	to := c.table.Random(rnd, recordFanout, func(m membership.Member) bool { return m.Zone == self.Zone && m.Name != source })
+	var others []membership.Member
 	if source == "" {
-		to = append(to, c.onePerZone(rnd)...)
+		others = c.onePerZone(rnd)
 	}
-	if len(to) == 0 {
-		return
-	}
-	req := &wirev1.PushRequest{From: self.Name}
+	req, size := &wirev1.PushRequest{From: self.Name}, 0
 	for _, e := range entries {
 		req.Records = append(req.Records, &wirev1.Record{Offset: e.Offset, Data: e.Data})
+		size += len(e.Data)
 	}
-	c.act(sendPush{to: to, req: req})
+	if size > maxPushed {
+		for _, m := range to {
+			c.act(sendExchange{to: m, req: c.offsetNotice(), news: true})
+		}
+		for _, m := range others {
+			c.act(sendExchange{to: m, req: c.offsetNotice(), news: true, notBefore: now.Add(otherZoneNotice)})
+		}
+		return
+	}
+	if to = append(to, others...); len(to) > 0 {
+		c.act(sendPush{to: to, req: req})
+	}
+}
+
+// offsetNotice tells how far this daemon has come.
+func (c *core) offsetNotice() *wirev1.ExchangeRequest {
+	return &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset}
 }
 
 func (c *core) onePerZone(rnd float64) []membership.Member {
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -40,9 +40,7 @@
 	c.contactUntil = now.Add(contactPeriod)
 	c.merge(now, rnd, append(membersFromWire(req.GetMembers()), from))
 	c.mergeDecisions(now, rnd, req)
-	if req.GetOffset() > c.state.Offset && from.Name != "" {
-		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
-	}
+	c.fetch(now, from, req.GetOffset())
 	res := &wirev1.ExchangeResponse{From: toWire(c.table.Self()), Offset: c.state.Offset, Serving: c.serving}
 	if len(req.GetDigests()) > 0 {
 		res.Digests = digestsToWire(c.table.Digests())
@@ -60,9 +58,7 @@
 	c.merge(now, rnd, append(membersFromWire(ev.res.GetMembers()), from))
 	c.mergeDecisions(now, rnd, ev.res)
 	c.onOffer(now, offsetOffered{zone: from.Zone, offset: ev.res.GetOffset(), serving: ev.res.GetServing(), asked: ev.asked})
-	if ev.res.GetOffset() > c.state.Offset {
-		c.act(sendFetch{to: from, offset: c.state.Offset + 1})
-	}
+	c.fetch(now, from, ev.res.GetOffset())
 	if len(ev.res.GetDigests()) == 0 {
 		return
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -46,8 +46,8 @@
 	// graceNotice and graceWithin are the same two as percent of the time until
 	// the daemon is killed. Callers are led away after two looks at its
 	// readiness, a second apart.
-	graceNotice = 55
-	graceWithin = 95
+	graceNotice = 50
+	graceWithin = 87
 	// readHeaderWithin bounds the time to read a request header.
 	readHeaderWithin = 10 * time.Second
 	// idleWithin bounds idle connections of callers.
