--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -88,6 +88,8 @@
 	addr   netip.AddrPort
 	free   chan struct{}
 	opened func()
+	// returned hands a connection to an exchange that waits for one.
+	returned chan *conn
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -96,7 +98,7 @@
 
 // New returns a pool without connections.
 func New(addr netip.AddrPort, opts ...Option) *Pool {
-	p := &Pool{addr: addr, opened: func() {}}
+	p := &Pool{addr: addr, opened: func() {}, returned: make(chan *conn)}
 	WithConnections(1)(p)
 	for _, opt := range opts {
 		opt(p)
@@ -175,6 +177,8 @@
 	}
 	select {
 	case p.free <- struct{}{}:
+	case c := <-p.returned:
+		return c, true, nil
 	case <-ctx.Done():
 		return nil, false, ctx.Err()
 	}
@@ -196,13 +200,16 @@
 func (p *Pool) put(c *conn) {
 	c.used = time.Now()
 	p.mu.Lock()
-	if !p.closed {
-		p.idle = append(p.idle, c)
-		p.mu.Unlock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.drop(c)
 		return
 	}
-	p.mu.Unlock()
-	p.drop(c)
+	select {
+	case p.returned <- c:
+	default:
+		p.idle = append(p.idle, c)
+	}
 }
 
 // usable reports whether an idle connection is open and has nothing to read.
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -43,10 +43,31 @@
 	queue       queue
 	// service is the mean time of an answer in seconds.
 	service float64
+	// arrivals are the recent requests of each rank.
+	arrivals map[int]*arrivals
 	// timer dispatches the queue when cold start allows the next request.
 	timer *time.Timer
 }
 
+// arrivals counts requests with a weight that falls with their age.
+type arrivals struct {
+	count float64
+	at    time.Time
+}
+
+// arrivalMemory is the age at which a request counts for 1/e in the rate of its
+// rank. It is a few answers long, so that a burst shows at once.
+const arrivalMemory = 500 * time.Millisecond
+
+func (a *arrivals) add(now time.Time, n float64) {
+	a.count = a.count*math.Exp(-now.Sub(a.at).Seconds()/arrivalMemory.Seconds()) + n
+	a.at = now
+}
+
+// minShare is the least part of the slots that is counted on for a rank whose
+// betters take all.
+const minShare = 0.02
+
 // Bounds are what the instance announces.
 type Bounds struct {
 	// Slots is the number of requests that it runs at once.
@@ -149,11 +170,12 @@
 	defer g.mu.Unlock()
 	g.dispatch(now)
 	e := &entry{class: class, deadline: until, rank: rank(class, shed)}
+	g.count(now, e.rank)
 	if g.open(now) {
 		g.grant(now, e)
 		return e, nil
 	}
-	if g.wait(g.queue.ahead(e.rank)) > until.Sub(now) {
+	if g.waitOf(now, e.rank, g.queue.ahead(e.rank)) > until.Sub(now) {
 		return nil, g.overload(now)
 	}
 	if g.queue.len() >= queuedPerSlot*g.bounds.Slots {
@@ -170,11 +192,41 @@
 	return e, nil
 }
 
+// count notes the arrival of a request.
+func (g *Gate) count(now time.Time, rank int) {
+	a, ok := g.arrivals[rank]
+	if !ok {
+		if g.arrivals == nil {
+			g.arrivals = make(map[int]*arrivals)
+		}
+		a = &arrivals{at: now}
+		g.arrivals[rank] = a
+	}
+	a.add(now, 1)
+}
+
+// waitOf estimates how long a request of a rank waits behind n others, while those
+// of higher ranks keep coming as they do.
+func (g *Gate) waitOf(now time.Time, rank, n int) time.Duration {
+	higher := 0.0
+	for r, a := range g.arrivals {
+		if r > rank {
+			a.add(now, 0)
+			higher += a.count / arrivalMemory.Seconds()
+		}
+	}
+	rate := g.perSecond(now)
+	if rate <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(float64(n+1) / max(rate-higher, minShare*rate) * float64(time.Second))
+}
+
 // refuseLate refuses the queued requests of lower ranks whose time will pass
 // behind those ahead of them.
 func (g *Gate) refuseLate(now time.Time, rank int) {
 	for _, q := range append([]*entry(nil), g.queue.entries...) {
-		if q.rank < rank && g.wait(g.queue.ahead(q.rank)-1) > q.deadline.Sub(now)+g.grace() {
+		if q.rank < rank && g.wait(now, g.queue.ahead(q.rank)-1) > q.deadline.Sub(now)+g.grace() {
 			g.refuse(q, g.overload(now))
 		}
 	}
@@ -273,22 +325,28 @@
 	g.timer.Reset(next)
 }
 
-// wait estimates how long a request waits behind n others.
-func (g *Gate) wait(n int) time.Duration {
-	perSecond := float64(g.bounds.Slots) / g.mean()
-	if g.cold(time.Now()) {
-		perSecond = min(perSecond, g.bounds.ColdPerSecond)
+// perSecond returns the requests that the instance answers in a second.
+func (g *Gate) perSecond(now time.Time) float64 {
+	rate := float64(g.bounds.Slots) / g.mean()
+	if g.cold(now) {
+		rate = min(rate, g.bounds.ColdPerSecond)
 	}
-	if perSecond <= 0 {
+	return rate
+}
+
+// wait estimates how long a request waits behind n others.
+func (g *Gate) wait(now time.Time, n int) time.Duration {
+	rate := g.perSecond(now)
+	if rate <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration(float64(n+1) / perSecond * float64(time.Second))
+	return time.Duration(float64(n+1) / rate * float64(time.Second))
 }
 
 // overload returns the refusal of a saturated instance. Successive refusals name
 // times that differ by up to a factor of two.
 func (g *Gate) overload(now time.Time) *request.Refusal {
-	after := min(max(g.wait(g.queue.len()), minRetryAfter), maxRetryAfter)
+	after := min(max(g.wait(now, g.queue.len()), minRetryAfter), maxRetryAfter)
 	return &request.Refusal{
 		Outcome: request.NotRun, Reason: request.ReasonOverload, Detail: "all slots of the upstream instance are taken",
 		RetryAt: now.Add(time.Duration(float64(after) * (1 + g.queue.spread()))),
--- /dev/null
+++ b/request/admission/gate_test.go
@@ -0,0 +1,184 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+)
+
+var ranks = []string{"rank2", "rank1"}
+
+// TestGateSlots guards against more requests than slots at once, and against a slot
+// that is lost.
+func TestGateSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g Gate
+		if _, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second)); err == nil {
+			t.Fatal("granted without bounds")
+		}
+		g.SetBounds(Bounds{Slots: 3})
+		var mu sync.Mutex
+		running, most, served := 0, 0, 0
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				running++
+				most = max(most, running)
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+				mu.Lock()
+				running--
+				served++
+				mu.Unlock()
+				g.Done(time.Now(), tk, Result{Took: 20 * time.Millisecond})
+			})
+		}
+		wg.Wait()
+		if most != 3 || served != 8 {
+			t.Errorf("got %d at once and %d served, want 3 and 8", most, served)
+		}
+		if n, queued, _, _ := g.Load(); n != 0 || queued != 0 {
+			t.Errorf("got %d in flight and %d queued at the end", n, queued)
+		}
+	})
+}
+
+// TestGateCold guards against a cold instance that gets more requests in any
+// second than it bears, and against one that gets none.
+func TestGateCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, span = 20, 5 * time.Second
+		var g Gate
+		begin := time.Now()
+		g.SetBounds(Bounds{Slots: 50, ColdUntil: begin.Add(span), ColdPerSecond: perSecond})
+		var starts []time.Time
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for time.Since(begin) < span {
+			wg.Go(func() {
+				tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(100*time.Millisecond))
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				starts = append(starts, time.Now())
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				g.Done(time.Now(), tk, Result{Took: 10 * time.Millisecond})
+			})
+			time.Sleep(2 * time.Millisecond)
+		}
+		wg.Wait()
+		for i, s := range starts {
+			if j := i + perSecond; j < len(starts) && starts[j].Sub(s) < time.Second && starts[j].Before(begin.Add(span)) {
+				t.Fatalf("%d requests within %v", perSecond+1, starts[j].Sub(s))
+			}
+		}
+		if want := int(0.8 * perSecond * span.Seconds()); len(starts) < want {
+			t.Errorf("got %d requests, want at least %d", len(starts), want)
+		}
+	})
+}
+
+// TestGateOverload plays the pattern of a peak: far more requests than slots, of
+// three ranks, with an objective. The most urgent are served, the others get what
+// is left in the order of their ranks, and whoever cannot be served in time is told
+// so early.
+func TestGateOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			slots    = 12
+			service  = 50 * time.Millisecond
+			patience = 100 * time.Millisecond
+			span     = 5 * time.Second
+		)
+		// 240 requests a second fit; 100 of each rank come.
+		var g Gate
+		g.SetBounds(Bounds{Slots: slots})
+		asked, served := map[string]int{}, map[string]int{}
+		var held time.Duration
+		var refused int
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		begin := time.Now()
+		for i := 0; time.Since(begin) < span; i++ {
+			class := fmt.Sprintf("rank%d", i%3)
+			asked[class]++
+			wg.Go(func() {
+				now := time.Now()
+				tk, err := g.Acquire(t.Context(), class, ranks, now.Add(patience))
+				var ref *request.Refusal
+				if errors.As(err, &ref) {
+					mu.Lock()
+					refused++
+					held += time.Since(now)
+					mu.Unlock()
+					if ref.Outcome != request.NotRun || !ref.RetryAt.After(now) {
+						t.Errorf("got %+v, want a true refusal with a time", ref)
+					}
+					return
+				}
+				time.Sleep(service)
+				g.Done(time.Now(), tk, Result{Took: service})
+				mu.Lock()
+				served[class]++
+				mu.Unlock()
+			})
+			time.Sleep(10 * time.Millisecond / 3)
+		}
+		wg.Wait()
+		share := func(c string) float64 { return float64(served[c]) / float64(asked[c]) }
+		t.Logf("served: rank0 %.2f, rank1 %.2f, rank2 %.2f; a refusal takes %v", share("rank0"), share("rank1"), share("rank2"), held/time.Duration(max(1, refused)))
+		if share("rank0") < 0.98 || share("rank1") < 0.95 {
+			t.Errorf("got %.2f of rank0 and %.2f of rank1, want nearly all", share("rank0"), share("rank1"))
+		}
+		if total := served["rank0"] + served["rank1"] + served["rank2"]; float64(total) < 0.95*slots*span.Seconds()/service.Seconds() {
+			t.Errorf("served %d, slots stay empty", total)
+		}
+		if mean := held / time.Duration(max(1, refused)); mean > patience/2 {
+			t.Errorf("refusals take %v, want at most half of the patience", mean)
+		}
+	})
+}
+
+// TestGateCancel guards against a slot that a caller holds who has left.
+func TestGateCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g Gate
+		g.SetBounds(Bounds{Slots: 1})
+		tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		if _, err := g.Acquire(ctx, "rank0", ranks, time.Now().Add(time.Second)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v", err)
+		}
+		g.Cancel(time.Now(), tk)
+		g.Cancel(time.Now(), tk)
+		if n, queued, _, _ := g.Load(); n != 0 || queued != 0 {
+			t.Errorf("got %d in flight and %d queued", n, queued)
+		}
+		held, _ := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+		g.Restarted()
+		if _, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second)); err != nil {
+			t.Errorf("after a restart: %v", err)
+		}
+		g.Done(time.Now(), held, Result{})
+		if n, _, _, _ := g.Load(); n != 1 {
+			t.Errorf("got %d in flight, want only that of the new incarnation", n)
+		}
+	})
+}
