Give routes with little traffic a larger share of a new version

Change: before the last stage a route sends at least 3 requests a second to the new version, up to a quarter of its own.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -185,7 +185,7 @@
 	// waited for.
 	fetchUntil  time.Time
 	fetchOffset int64
-	preset   string
+	preset      string
 
 	// dirty asks for a new view for traffic at once, stale for one soon: many
 	// members may change together.
--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -207,7 +207,7 @@
 	for _, d := range []*core{c, peer} {
 		d.handle(tick{}, epoch.Add(time.Second), 0)
 		d.handle(logFailed{errors.New("outage")}, epoch, 0)
-		if got := d.snapshot().Share(d.state.Moves[0]); got <= 0 {
+		if got := d.snapshot().Share(d.state.Moves[0], ""); got <= 0 {
 			t.Fatalf("share at the start: got %v, want more than 0", got)
 		}
 	}
--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,6 +49,7 @@
 	progress    map[int64]*progress
 	reportAfter map[int64]reportDue
 	shares      map[int64]float64
+	routeShares map[int64]map[string]float64
 	decideAfter time.Time
 }
 
@@ -63,7 +65,8 @@
 	return decisions{
 		verdicts: make(map[int64]move.Verdict), crashes: new(quarantine.Set),
 		appendAfter: make(map[int64]time.Time), shares: make(map[int64]float64),
-		progress: make(map[int64]*progress), reportAfter: make(map[int64]reportDue),
+		routeShares: make(map[int64]map[string]float64),
+		progress:    make(map[int64]*progress), reportAfter: make(map[int64]reportDue),
 	}
 }
 
@@ -94,6 +97,7 @@
 		if m.State != fold.MoveRunning {
 			delete(d.appendAfter, m.ID)
 			delete(d.verdicts, m.ID)
+			delete(d.routeShares, m.ID)
 			if _, ok := d.shares[m.ID]; ok {
 				delete(d.shares, m.ID)
 				c.dirty = true
@@ -110,6 +114,10 @@
 			d.shares[m.ID] = share
 			c.dirty = true
 		}
+		if shares := d.evidence.RouteShares(m, d.shares[m.ID], now); !maps.Equal(shares, d.routeShares[m.ID]) {
+			d.routeShares[m.ID] = shares
+			c.stale = true
+		}
 		c.appendEnd(now, m)
 	}
 }
@@ -288,13 +296,15 @@
 // fill adds the view of traffic on the decisions.
 func (d *decisions) fill(s *Snapshot, st *fold.State) {
 	s.Shares, s.TakenBack = make(map[int64]float64), make(map[int64]bool)
+	s.RouteShares = make(map[int64]map[string]float64)
 	for _, m := range st.Moves {
 		if m.State != fold.MoveRunning {
 			continue
 		}
-		s.Shares[m.ID] = d.shares[m.ID]
+		s.Shares[m.ID], s.RouteShares[m.ID] = d.shares[m.ID], d.routeShares[m.ID]
 		if _, bad := d.verdicts[m.ID]; bad {
 			s.Shares[m.ID], s.TakenBack[m.ID] = 0, true
+			delete(s.RouteShares, m.ID)
 		}
 	}
 	s.crashes = d.crashes
--- a/process/control/snapshot.go
+++ b/process/control/snapshot.go
@@ -26,6 +26,8 @@
 	LogReachable bool
 	// Shares holds the share of traffic of the new version by running move.
 	Shares map[int64]float64
+	// RouteShares holds larger shares of routes with little traffic.
+	RouteShares map[int64]map[string]float64
 	// TakenBack holds the moves against which there is a verdict.
 	TakenBack map[int64]bool
 	// crashes is the merged set of crash reports; it is safe for concurrent use.
@@ -34,8 +36,13 @@
 	owners func() [claim.Shards]owner
 }
 
-// Share returns the share of traffic of the new version of a move.
-func (s *Snapshot) Share(m fold.Move) float64 { return s.Shares[m.ID] }
+// Share returns the share of traffic of the new version of a move on a route.
+func (s *Snapshot) Share(m fold.Move, route string) float64 {
+	if share, ok := s.RouteShares[m.ID][route]; ok {
+		return share
+	}
+	return s.Shares[m.ID]
+}
 
 // Quarantined reports whether requests with the fingerprint are refused.
 func (s *Snapshot) Quarantined(fingerprint uint64) bool {
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -42,6 +42,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request/retry"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
 const (
@@ -408,7 +409,8 @@
 	c.ID = rand.Text()
 	c.Version = snap.State.Version
 	c.Upstream = upstream
-	c.UpstreamVersion = snap.Table.Version(upstream, snap.Share, mathrand.Float64())
+	share := func(m fold.Move) float64 { return snap.Share(m, call.Route) }
+	c.UpstreamVersion = snap.Table.Version(upstream, share, mathrand.Float64())
 	inst, ok := snap.Table.Pick(route.Query{
 		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now, Open: call.Attempts > 0 && len(made) > 0,
 		Rnd: [3]float64{mathrand.Float64(), mathrand.Float64(), mathrand.Float64()},
--- a/version/move/timed.go
+++ b/version/move/timed.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"math"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
@@ -33,6 +34,12 @@
 	// timedMinSamples is the number of samples of the new version that the
 	// stages after the first need.
 	timedMinSamples = 30
+	// routeRate is the number of requests a second of each route that reach the
+	// new version, as far as routeLimit of the route allows. A fault on a route
+	// with little traffic would otherwise show in the last stage only, and a few
+	// requests a second are a small part of all.
+	routeRate  = 3
+	routeLimit = 0.25
 )
 
 // timedSchedule exposes 7 percent of the requests before its last stage.
@@ -75,3 +82,25 @@
 func (e *Evidence) timedDone(m fold.Move, now time.Time) bool {
 	return m.State == fold.MoveRunning && progress(m, now) >= timedDoneAt && e.timedShare(m, 1, now) == 1
 }
+
+// RouteShares returns the shares of routes with little traffic, which are above the
+// given share of the move before its last stage.
+func (e *Evidence) RouteShares(m fold.Move, share float64, now time.Time) map[string]float64 {
+	elapsed := now.Sub(m.StartAt).Seconds()
+	if m.Within <= 0 || share <= 0 || share >= 1 || elapsed < 2*timedWindow(m).Seconds() {
+		return nil
+	}
+	out := make(map[string]float64)
+	for route, windows := range e.view(m, now, omission{}).routes {
+		var n uint64
+		for _, p := range windows {
+			n += p.to.Requests + p.from.Requests
+		}
+		if rate := float64(n) / elapsed; rate > 0 {
+			if s := min(math.Round(100*routeRate/rate)/100, routeLimit); s > share {
+				out[route] = s
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/version/move/timed_test.go
@@ -0,0 +1,189 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+)
+
+// timedCase is a timed move between versions with given faults.
+type timedCase struct {
+	name      string
+	perSecond float64
+	within    time.Duration
+	instances int
+	// fails returns the share of requests that the new version fails, and the
+	// factor of its latency, by time since the order, route and its share.
+	fails func(at time.Duration, route int, share float64) (errors, slow float64)
+	// both fails the requests of both versions.
+	both func(at time.Duration) (errors, slow float64)
+	bad  bool
+}
+
+const (
+	// reportDelay is the age of the evidence on which daemons decide: a report
+	// of the host and its way.
+	reportDelay = 500 * time.Millisecond
+	// exposeShare, exposeSlack and rollbackWithin are what the users allow.
+	exposeShare    = 0.1
+	exposeSlack    = 50
+	rollbackWithin = 5 * time.Second
+)
+
+func constant(errors, slow float64) func(time.Duration, int, float64) (float64, float64) {
+	return func(time.Duration, int, float64) (float64, float64) { return errors, slow }
+}
+
+func timedCases() []timedCase {
+	late := func(at time.Duration, _ int, _ float64) (float64, float64) {
+		if at > 3*time.Second {
+			return 0.5, 1
+		}
+		return 0, 1
+	}
+	oneRoute := func(_ time.Duration, route int, _ float64) (float64, float64) {
+		if route == 1 {
+			return 0.35, 1
+		}
+		return 0, 1
+	}
+	underLoad := func(_ time.Duration, _ int, share float64) (float64, float64) {
+		if share >= 0.25 {
+			return 0.5, 1
+		}
+		return 0, 1
+	}
+	none := constant(0.004, 1)
+	trouble := func(at time.Duration) (float64, float64) {
+		if at > 5*time.Second && at < 9*time.Second {
+			return 0.3, 3
+		}
+		return 0.004, 1
+	}
+	var out []timedCase
+	for _, rate := range []float64{70, 265, 700} {
+		for _, within := range []time.Duration{12 * time.Second, 16 * time.Second, 40 * time.Second} {
+			add := func(name string, fails func(time.Duration, int, float64) (float64, float64), both func(time.Duration) (float64, float64), bad bool) {
+				out = append(out, timedCase{
+					name: fmt.Sprintf("%s/%.0f/%v", name, rate, within), perSecond: rate, within: within, instances: 8, fails: fails, both: both, bad: bad,
+				})
+			}
+			add("good", none, nil, false)
+			add("troubleOfBoth", none, trouble, false)
+			add("errors", constant(0.5, 1), nil, true)
+			add("thirdFails", constant(0.33, 1), nil, true)
+			add("slow", constant(0, 8), nil, true)
+			add("late", late, nil, true)
+			add("oneRoute", oneRoute, nil, true)
+			add("underLoad", underLoad, nil, true)
+		}
+	}
+	return out
+}
+
+type timedResult struct {
+	verdict, done     time.Duration
+	reason            string
+	all, exposed      int
+	fiftieth, lastBad time.Duration
+}
+
+// play runs a timed move request by request.
+func (c timedCase) play(seed uint64) (r timedResult) {
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	m := fold.Move{ID: 9, State: fold.MoveRunning, Move: record.Move{Upstream: "u", To: "v2", Within: config.Duration(c.within)}}
+	m.StartAt = epoch
+	m.DoneBy = epoch.Add(c.within)
+	type sample struct {
+		at time.Duration
+		k  Key
+		ms float64
+		f  bool
+	}
+	var ev Evidence
+	counters := map[Key]Counters{}
+	var waiting []sample
+	share, bad := 0.0, 0
+	var shares map[string]float64
+	next := time.Duration(0)
+	for at := time.Duration(0); at < c.within; at += time.Duration(rnd.ExpFloat64() / c.perSecond * float64(time.Second)) {
+		now := epoch.Add(at)
+		if at >= next {
+			next = at + 200*time.Millisecond
+			for len(waiting) > 0 && waiting[0].at+reportDelay <= at {
+				s := waiting[0]
+				waiting = waiting[1:]
+				n := counters[s.k]
+				n.Add(time.Duration(s.ms*float64(time.Millisecond)), s.f, false)
+				counters[s.k] = n
+				ev.Merge(s.k, n)
+			}
+			if v, ok := ev.Judge(m, now); ok && r.verdict == 0 {
+				r.verdict, r.reason = at, v.Reason
+			}
+			if ev.Done(m, now) && r.done == 0 && r.verdict == 0 {
+				r.done = at
+			}
+			share = ev.Share(m, 10, r.verdict > 0, now)
+			shares = ev.RouteShares(m, share, now)
+		}
+		if r.done > 0 {
+			break
+		}
+		r.all++
+		route, version, errors, slow := 0, "v1", 0.004, 1.0
+		if rnd.Float64() < 0.32 {
+			route = 1
+		}
+		if rnd.Float64() < max(share, shares[fmt.Sprint("route", route)]) {
+			version = "v2"
+			r.exposed++
+			errors, slow = c.fails(at, route, share)
+		}
+		if c.both != nil {
+			if e, s := c.both(at); e > errors {
+				errors, slow = e, s
+			}
+		}
+		failed := rnd.Float64() < errors
+		ms := 60 * math.Exp(0.8*rnd.NormFloat64()-0.32) * slow
+		if version == "v2" && (failed && errors > 0.01 || slow > 2) {
+			if bad++; bad == 50 {
+				r.fiftieth = at
+			}
+			r.lastBad = at
+		}
+		k := Key{Move: 9, Instance: fmt.Sprint(version, rnd.IntN(c.instances)), Incarnation: 1, Route: fmt.Sprint("route", route), Version: version, Window: WindowOf(m, now)}
+		waiting = append(waiting, sample{at, k, ms, failed})
+	}
+	return r
+}
+
+// TestTimedMoves guards against good versions that are late or rolled back, and
+// against bad ones that get more than their share of the requests or any long
+// after their fault shows.
+func TestTimedMoves(t *testing.T) {
+	for _, c := range timedCases() {
+		for seed := range uint64(4) {
+			r := c.play(seed)
+			exposed := float64(r.exposed) > exposeShare*float64(r.all)+exposeSlack
+			switch {
+			case !c.bad && (r.done == 0 || r.verdict > 0):
+				t.Errorf("%s seed %d: a good version is not done: %+v", c.name, seed, r)
+			case c.bad && r.fiftieth > 0 && r.lastBad > r.fiftieth+rollbackWithin:
+				t.Errorf("%s seed %d: bad answers long after the fault shows: %+v", c.name, seed, r)
+			case c.bad && r.done > 0 && r.fiftieth > 0:
+				t.Errorf("%s seed %d: a bad version is done: %+v", c.name, seed, r)
+			case c.bad && exposed:
+				t.Errorf("%s seed %d: %d of %d requests reached a bad version", c.name, seed, r.exposed, r.all)
+			}
+		}
+	}
+}
