Find a new version that fails much within two seconds

One at-once rule beside it: a good part of the requests failed, three times as many as the old version would have in the same windows, on half of the instances or more. The old version keeps a tenth until all requests move.

--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -227,13 +227,13 @@
 	c.lastTick = now
 	c.handle(countersMeasured{counters}, now, 0)
 	_, actions := c.handle(tick{}, now, 0)
-	if got := c.snapshot().Share(c.state.Moves[0]); got != 0 {
+	if got := c.snapshot().Share(c.state.Moves[0], ""); got != 0 {
 		t.Fatalf("share after the verdict: got %v, want 0", got)
 	}
 	for _, a := range find[sendExchange](actions) {
 		peer.handle(exchangeIn{a.req}, now, 0)
 	}
-	if got := peer.snapshot().Share(peer.state.Moves[0]); got != 0 {
+	if got := peer.snapshot().Share(peer.state.Moves[0], ""); got != 0 {
 		t.Errorf("share at a peer without the log: got %v, want 0", got)
 	}
 	if got := len(find[appendRecord](actions)); got != 0 {
--- a/version/move/move.go
+++ b/version/move/move.go
@@ -116,6 +116,9 @@
 	}
 	v := e.view(m, now, omission{})
 	f, ok := e.fault(v, m, now, judgeAlpha, true)
+	if !ok && m.Within > 0 {
+		f, ok = e.quickFault(m, now)
+	}
 	if !ok {
 		f, ok = v.stalled(m, now)
 	}
--- a/version/move/timed.go
+++ b/version/move/timed.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -38,12 +39,16 @@
 	// new version, as far as routeLimit of the route allows. A fault on a route
 	// with little traffic would otherwise show in the last stage only, and a few
 	// requests a second are a small part of all.
-	routeRate  = 3
+	routeRate  = 4
 	routeLimit = 0.25
 )
 
 // timedSchedule exposes 7 percent of the requests before its last stage.
-var timedSchedule = []stage{{0, 0.05}, {0.55, 0.15}, {0.65, 0.3}, {0.74, 1}}
+var timedSchedule = []stage{{0, 0.04}, {0.5, 0.12}, {0.62, 0.3}, {0.74, lastShare}, {0.82, 1}}
+
+// lastShare leaves the old version enough requests for a comparison until all
+// requests move.
+const lastShare = 0.9
 
 // timedWindow returns the length of the windows of a timed move.
 func timedWindow(m fold.Move) time.Duration {
@@ -104,3 +109,110 @@
 	}
 	return out
 }
+
+const (
+	// quickWindows is the number of windows that quickFault looks at.
+	quickWindows = 4
+	// quickHits and quickRatio are the least number and share of failed requests
+	// of a route that it takes for a fault.
+	quickHits  = 6
+	quickRatio = 0.15
+	// quickFactor is the least factor between the failed requests and those that
+	// the old version would have failed, and one more.
+	quickFactor = 3
+	// quickSamples of the old version tell how it does in the same time.
+	quickSamples = 5
+)
+
+// quickFault finds a new version that fails many requests at once. The exact test
+// needs several seconds of both versions for the same, and in the last stage the
+// old version has hardly any requests. Where it has, it must do much better in the
+// same time; otherwise it must have done so before.
+func (e *Evidence) quickFault(m fold.Move, now time.Time) (finding, bool) {
+	all := e.view(m, now, omission{})
+	for route, windows := range all.routes {
+		for _, after := range []int64{WindowOf(m, now) - quickWindows, math.MinInt64} {
+			to, from := recent(windows, after)
+			if !isQuickFault(to, expected(windows, after)) {
+				continue
+			}
+			if failing, used := e.spread(m, route, after); 2*failing < used {
+				continue
+			}
+			return finding{reason: reasonErrors, route: route, detail: fmt.Sprintf("%d of %d requests failed on %s, %d of %d on %s",
+				to.Errors, to.Requests, m.To, from.Errors, from.Requests, m.From)}, true
+		}
+	}
+	return finding{}, false
+}
+
+// spread returns on how many instances of the new version requests failed, and on
+// how many there were any. A version fails on most of them, a sick instance or
+// availability zone on some.
+func (e *Evidence) spread(m fold.Move, route string, after int64) (failing, used int) {
+	byInstance := make(map[string]*Counters)
+	for s, cells := range e.cells {
+		if s.move != m.ID || s.route != route {
+			continue
+		}
+		for i := range cells {
+			if c := &cells[i]; c.version == m.To && c.window > after {
+				if byInstance[s.instance] == nil {
+					byInstance[s.instance] = new(Counters)
+				}
+				byInstance[s.instance].add(&c.counters)
+			}
+		}
+	}
+	for _, c := range byInstance {
+		if c.Requests > 0 {
+			used++
+		}
+		if c.Errors > 0 {
+			failing++
+		}
+	}
+	return failing, used
+}
+
+// isQuickFault reports whether the new version failed a good part of all requests,
+// and many more than the old one would have.
+func isQuickFault(to Counters, expected float64) bool {
+	return to.Errors >= quickHits && errorRatio(to) >= quickRatio && float64(to.Errors) >= quickFactor*(expected+1)
+}
+
+// expected returns how many requests of the new version would have failed after a
+// window if it failed as often as the old one in the same windows. Where the old
+// one has no requests, its failures in all windows tell.
+func expected(windows map[int64]*pair, after int64) (n float64) {
+	_, always := recent(windows, math.MinInt64)
+	for w, p := range windows {
+		if w <= after {
+			continue
+		}
+		ratio := errorRatio(always)
+		if p.from.Requests >= quickSamples {
+			ratio = errorRatio(p.from)
+		}
+		n += ratio * float64(p.to.Requests)
+	}
+	return n
+}
+
+// recent sums the windows after the given one, by version.
+func recent(windows map[int64]*pair, after int64) (to, from Counters) {
+	for w, p := range windows {
+		if w > after {
+			to.add(&p.to)
+			from.add(&p.from)
+		}
+	}
+	return to, from
+}
+
+func errorRatio(c Counters) float64 {
+	if c.Requests == 0 {
+		return 0
+	}
+	return float64(c.Errors) / float64(c.Requests)
+}
--- a/version/move/timed_test.go
+++ b/version/move/timed_test.go
@@ -182,7 +182,7 @@
 			case c.bad && r.done > 0 && r.fiftieth > 0:
 				t.Errorf("%s seed %d: a bad version is done: %+v", c.name, seed, r)
 			case c.bad && exposed:
-				t.Errorf("%s seed %d: %d of %d requests reached a bad version", c.name, seed, r.exposed, r.all)
+				t.Errorf("%s seed %d: %d of %d requests reached a bad version: %+v", c.name, seed, r.exposed, r.all, r)
 			}
 		}
 	}
