Give up a silent instance only for another attempt

Change: where a route has an objective, the part of the time ends an attempt only if the policy grants another one at that moment. Pings and connection attempts between daemons take a second in all.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -26,12 +26,14 @@
 
 const (
 	// pingAfter is the silence on a connection after which it is pinged.
-	pingAfter = time.Second
+	pingAfter = 600 * time.Millisecond
 	// pingTimeout is the time to answer a ping; a connection is closed after
-	// two seconds of silence in all.
-	pingTimeout = time.Second
-	// dialTimeout bounds a connection attempt.
-	dialTimeout = time.Second
+	// little more than a second of silence in all, so that a request that may be
+	// repeated can still be answered elsewhere.
+	pingTimeout = 500 * time.Millisecond
+	// dialTimeout bounds a connection attempt, which takes one round trip. A
+	// daemon that does not answer in this time is not there or starved.
+	dialTimeout = 300 * time.Millisecond
 	// defaultIdleTimeout closes connections that were not used.
 	defaultIdleTimeout = time.Minute
 )
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -359,15 +359,27 @@
 		made []retry.Attempt
 		last error
 	)
+	var next *retry.Decision
 	for {
-		d := retry.Next(call, made, budget, time.Now(), mathrand.Float64())
+		d := retry.Decision{}
+		if next != nil {
+			d, next = *next, nil
+		} else {
+			d = retry.Next(call, made, budget, time.Now(), mathrand.Float64())
+		}
 		if !d.Retry || !sleepUntil(ctx, d.NotBefore) {
 			break
 		}
 		if len(made) > 0 {
 			e.metrics.Add("entry.retries", 1)
 		}
-		ans, inst, err := e.attempt(ctx, call, upstream, made, p)
+		ans, inst, err := e.attempt(ctx, call, upstream, made, p, func() bool {
+			d := retry.Next(call, append(slices.Clone(made), silentAttempt), budget, time.Now(), mathrand.Float64())
+			if d.Retry {
+				next = &d
+			}
+			return d.Retry
+		})
 		if err == nil {
 			return ans, nil
 		}
@@ -388,6 +400,9 @@
 	return nil, last
 }
 
+// silentAttempt is one whose instance has not answered yet.
+var silentAttempt = retry.Attempt{Outcome: request.Unknown, Reason: request.ReasonNoAnswer}
+
 // worse keeps the outcome unknown once one attempt may have run.
 func worse(last error, ref *request.Refusal) error {
 	var prev *request.Refusal
@@ -397,8 +412,10 @@
 	return ref
 }
 
-// attempt sends the call to one instance.
-func (e *Entry) attempt(ctx context.Context, call *request.Call, upstream string, made []retry.Attempt, p *passage) (*request.Answer, string, error) {
+// attempt sends the call to one instance. Where the call has an objective, an
+// instance that does not answer is given up only if giveUp allows another attempt;
+// otherwise it has all the time of the call.
+func (e *Entry) attempt(ctx context.Context, call *request.Call, upstream string, made []retry.Attempt, p *passage, giveUp func() bool) (*request.Answer, string, error) {
 	now := time.Now()
 	snap := e.view.Snapshot()
 	tried := make([]string, 0, len(made))
@@ -418,8 +435,20 @@
 	if !ok {
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(refusalPause)}
 	}
-	c.Deadline = retry.AttemptDeadline(call, len(made), now)
+	patience := retry.AttemptDeadline(call, len(made), now)
+	soft := !call.Objective.IsZero() && patience.Before(call.Deadline)
+	if !soft {
+		c.Deadline = patience
+	}
 	attemptCtx, cancel := context.WithDeadline(ctx, c.Deadline)
+	var silentFor atomic.Bool
+	if soft {
+		watch := &patienceWatch{over: func() {
+			silentFor.Store(true)
+			cancel()
+		}, giveUp: giveUp}
+		defer watch.start(patience).stop()
+	}
 	p.try(inst, &e.loads, now)
 	e.loads.start(inst.Name)
 	var ans *request.Answer
@@ -429,13 +458,13 @@
 	} else {
 		ans, err = e.forward(attemptCtx, inst, &c)
 	}
-	e.loads.finish(inst.Name, ans, err, time.Now())
 	var ref *request.Refusal
-	if errors.As(err, &ref) && ref.Reason == request.ReasonDeadline && time.Now().Before(call.Deadline) {
+	if errors.As(err, &ref) && (ref.Reason == request.ReasonDeadline && time.Now().Before(call.Deadline) || silentFor.Load()) {
 		silent := *ref
 		silent.Reason = request.ReasonNoAnswer
 		err = &silent
 	}
+	e.loads.finish(inst.Name, ans, err, time.Now())
 	p.tried(err, now)
 	if ans != nil && ans.Rest != nil {
 		ans.Rest = &closer{ReadCloser: ans.Rest, cancel: cancel}
@@ -445,6 +474,35 @@
 	return ans, inst.Name, err
 }
 
+// patienceWatch ends an attempt once its instance has been silent for too long and
+// another attempt is allowed. After stop it ends nothing.
+type patienceWatch struct {
+	giveUp func() bool
+	over   func()
+
+	mu      sync.Mutex
+	stopped bool
+	timer   *time.Timer
+}
+
+func (w *patienceWatch) start(at time.Time) *patienceWatch {
+	w.timer = time.AfterFunc(time.Until(at), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.stopped && w.giveUp() {
+			w.over()
+		}
+	})
+	return w
+}
+
+func (w *patienceWatch) stop() {
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+}
+
 func (e *Entry) budget(upstream string) *retry.Budget {
 	if b, ok := e.budgets.Load(upstream); ok {
 		return b.(*retry.Budget)
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -66,14 +66,14 @@
 	in := http.Header{
 		"Accept": {"a", "b"}, "Connection": {"close, X-One", "x-two"}, "X-One": {"1"}, "X-Two": {"2"}, "Keep-Alive": {"1"}, "Te": {"trailers"},
 		"Trailer": {"X"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"h2c"}, "Proxy-Authorization": {"p"}, "Expect": {"100-continue"},
-		"Content-Length": {"1"}, "Content-Encoding": {"gzip"}, "Kingcuppitch-Server-Seal": {"1"},
+		"Content-Length": {"1"}, "Content-Encoding": {"gzip"}, "Kingcuppitch-Elsewhere": {"1"},
 	}
 	for name := range meshHeaders {
 		in[name] = []string{"1"}
 	}
 	before := len(in)
 	got := CleanHeader(in)
-	if len(got) != 3 || got.Get("Kingcuppitch-Server-Seal") != "1" || len(got["Accept"]) != 2 || got.Get("Content-Encoding") != "gzip" {
+	if len(got) != 3 || got.Get("Kingcuppitch-Elsewhere") != "1" || len(got["Accept"]) != 2 || got.Get("Content-Encoding") != "gzip" {
 		t.Errorf("got %v", got)
 	}
 	if len(in) != before {
