Try another instance after a server error, and avoid instances that fail

An idempotent request whose route names its attempts is tried elsewhere when the instance answers with a server error; the answer stands if no other does better. The share of failed attempts raises the ratio by which instances are compared, and fades within seconds. A refusal that may have run is 502 also without a status of its own. Found by TestSilentInstance: the only instance was given up for another.

--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -358,6 +358,8 @@
 	var (
 		made []retry.Attempt
 		last error
+		// failed is the last whole answer that was a server error.
+		failed *request.Answer
 	)
 	var next *retry.Decision
 	for {
@@ -380,9 +382,14 @@
 			}
 			return d.Retry
 		})
-		if err == nil {
+		if err == nil && !mayImprove(call, ans) {
 			return ans, nil
 		}
+		if err == nil {
+			// Another instance may do better; this answer stands if none does.
+			failed = ans
+			err = &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonUpstreamError}
+		}
 		var ref *request.Refusal
 		if !errors.As(err, &ref) {
 			ref = &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonConnection, Detail: err.Error(), Status: http.StatusBadGateway}
@@ -394,12 +401,21 @@
 		last = worse(last, ref)
 		made = append(made, retry.Attempt{Outcome: ref.Outcome, Reason: ref.Reason, Instance: inst})
 	}
+	if failed != nil {
+		return failed, nil
+	}
 	if last == nil {
-		last = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonDeadline, Status: http.StatusGatewayTimeout, Detail: "the deadline passed before an attempt"}
+		last = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonDeadline, Detail: "the deadline passed before an attempt"}
 	}
 	return nil, last
 }
 
+// mayImprove reports whether the answer of another instance may be better: the
+// upstream failed a call that may be repeated and whose route names its attempts.
+func mayImprove(call *request.Call, ans *request.Answer) bool {
+	return call.Idempotent && call.Attempts > 0 && ans.Rest == nil && ans.Status >= http.StatusInternalServerError
+}
+
 // silentAttempt is one whose instance has not answered yet.
 var silentAttempt = retry.Attempt{Outcome: request.Unknown, Reason: request.ReasonNoAnswer}
 
@@ -428,10 +444,11 @@
 	c.Upstream = upstream
 	share := func(m fold.Move) float64 { return snap.Share(m, call.Route) }
 	c.UpstreamVersion = snap.Table.Version(upstream, share, mathrand.Float64())
-	inst, ok := snap.Table.Pick(route.Query{
+	query := route.Query{
 		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now, Open: call.Attempts > 0 && len(made) > 0,
 		Rnd: [3]float64{mathrand.Float64(), mathrand.Float64(), mathrand.Float64()},
-	}, &e.loads)
+	}
+	inst, ok := snap.Table.Pick(query, &e.loads)
 	if !ok {
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(refusalPause)}
 	}
@@ -446,7 +463,11 @@
 		watch := &patienceWatch{over: func() {
 			silentFor.Store(true)
 			cancel()
-		}, giveUp: giveUp}
+		}, giveUp: func() bool {
+			query.Exclude, query.Now, query.Open = append(query.Exclude, inst.Name), time.Now(), true
+			_, other := snap.Table.Pick(query, &e.loads)
+			return other && giveUp()
+		}}
 		defer watch.start(patience).stop()
 	}
 	p.try(inst, &e.loads, now)
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math"
+	"net/http"
 	"sync"
 	"time"
 
@@ -19,6 +21,16 @@
 	// saturatedPeriod is how long an instance counts as saturated after it
 	// refused a call for overload.
 	saturatedPeriod = 50 * time.Millisecond
+	// faultWeight is the weight of one attempt in the share of failed ones, and
+	// faultMemory the time in which that share fades to 1/e, so that an instance
+	// that was avoided is tried again.
+	faultWeight = 0.1
+	faultMemory = 3 * time.Second
+	// faultFloor is the ratio of load that an idle instance counts with, and
+	// faultPrice the factor by which failures raise the ratio: an instance that
+	// fails a third of its requests counts as saturated when it is a quarter full.
+	faultFloor = 0.05
+	faultPrice = 8
 	// unknownLimit is taken for an instance that has not reported a limit.
 	unknownLimit = 4
 )
@@ -38,6 +50,27 @@
 	failures       int
 	failingUntil   time.Time
 	saturatedUntil time.Time
+	// faults is the smoothed share of attempts that failed at the instance, as of
+	// faultsAt.
+	faults   float64
+	faultsAt time.Time
+}
+
+// fault returns the share of failed attempts, which fades while none is made.
+func (in *instanceLoad) fault(now time.Time) float64 {
+	if in.faults == 0 {
+		return 0
+	}
+	return in.faults * math.Exp(-now.Sub(in.faultsAt).Seconds()/faultMemory.Seconds())
+}
+
+func (in *instanceLoad) learn(now time.Time, failed bool) {
+	f := in.fault(now)
+	f -= f * faultWeight
+	if failed {
+		f += faultWeight
+	}
+	in.faults, in.faultsAt = f, now
 }
 
 func (l *loads) get(name string) *instanceLoad {
@@ -72,6 +105,9 @@
 	if now.Before(in.saturatedUntil) {
 		ratio = max(ratio, 1)
 	}
+	if f := in.fault(now); f > 0 {
+		ratio = max(ratio, faultFloor) * (1 + faultPrice*f)
+	}
 	return ratio, now.Before(in.failingUntil)
 }
 
@@ -105,6 +141,9 @@
 		in.report.InFlight = max(0, in.report.InFlight-1)
 	}
 	var ref *request.Refusal
+	if failed, known := failedAt(ans, err); known {
+		in.learn(now, failed)
+	}
 	switch {
 	case err == nil:
 		in.failures = 0
@@ -126,3 +165,20 @@
 	}
 	return false
 }
+
+// failedAt reports whether an attempt failed at the instance, and whether it tells
+// anything about it at all.
+func failedAt(ans *request.Answer, err error) (failed, known bool) {
+	var ref *request.Refusal
+	switch {
+	case err == nil:
+		return ans.Status >= http.StatusInternalServerError, true
+	case !errors.As(err, &ref):
+		return true, true
+	}
+	switch ref.Reason {
+	case request.ReasonShed, request.ReasonNoAnswer, request.ReasonConnection, request.ReasonTruncated, request.ReasonMismatch:
+		return true, true
+	}
+	return false, false
+}
--- /dev/null
+++ b/request/entry/objective_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+)
+
+func status(code int) func(net.Conn, *http.Request, []byte) {
+	return raw(fmt.Sprintf("HTTP/1.1 %d Failed\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nfail", code))
+}
+
+// TestServerError guards against a failed answer where another instance could have
+// answered, and against one that is lost where none could.
+func TestServerError(t *testing.T) {
+	failing, good := newUpstream(t, status(500)), newUpstream(t, echo)
+	for i := range 10 {
+		m := newMesh(t, meshOptions{}, failing.addr(), good.addr())
+		path := fmt.Sprintf("/timely/%d", i)
+		if got := m.call(t, http.MethodGet, path, ""); got.status != 200 || got.body != path {
+			t.Errorf("%s: got %d %q", path, got.status, got.body)
+		}
+		path = fmt.Sprintf("/reserve/%d", i)
+		if got := m.call(t, http.MethodPost, path, "x"); failing.ran(path)+good.ran(path) != 1 || got.status != 200 && got.body != "fail" {
+			t.Errorf("%s: got %d %q after %d runs", path, got.status, got.body, failing.ran(path)+good.ran(path))
+		}
+	}
+	m := newMesh(t, meshOptions{}, failing.addr(), failing.addr())
+	if got := m.call(t, http.MethodGet, "/timely/all", ""); got.status != 500 || got.body != "fail" {
+		t.Errorf("got %d %q, want the answer of the upstream", got.status, got.body)
+	}
+	if n := failing.ran("/timely/all"); n != 2 {
+		t.Errorf("reached %d instances, want 2", n)
+	}
+}
+
+// TestSilentInstance guards against a request that waits for a silent instance
+// until its time is over, and against one that is given up while no other attempt
+// is allowed.
+func TestSilentInstance(t *testing.T) {
+	silent := newUpstream(t, func(net.Conn, *http.Request, []byte) {})
+	slow := newUpstream(t, func(c net.Conn, r *http.Request, body []byte) {
+		time.Sleep(answerWithin * 2 / 3)
+		echo(c, r, body)
+	})
+	good := newUpstream(t, echo)
+	for i := range 4 {
+		m := newMesh(t, meshOptions{}, silent.addr(), good.addr())
+		path := fmt.Sprintf("/timely/%d", i)
+		began := time.Now()
+		if got := m.call(t, http.MethodGet, path, ""); got.status != 200 {
+			t.Errorf("%s: got %d %s %s", path, got.status, got.outcome(), got.reason())
+		}
+		if took := time.Since(began); took > answerWithin*2/3 {
+			t.Errorf("%s took %v", path, took)
+		}
+	}
+	// With one instance there is nobody else to ask.
+	m := newMesh(t, meshOptions{}, slow.addr())
+	if got := m.call(t, http.MethodGet, "/timely/slow", ""); got.status != 200 || slow.ran("/timely/slow") != 1 {
+		t.Errorf("got %d after %d runs", got.status, slow.ran("/timely/slow"))
+	}
+}
+
+// TestFailingInstance guards against an instance that fails a part of its requests
+// and gets as many as the others, and against one that is avoided for good.
+func TestFailingInstance(t *testing.T) {
+	var l loads
+	now := time.Now()
+	for range 40 {
+		l.start("bad")
+		l.finish("bad", &request.Answer{Status: 500}, nil, now)
+		l.start("good")
+		l.finish("good", &request.Answer{Status: 200}, nil, now)
+	}
+	bad, _ := l.Ratio("bad", now)
+	good, _ := l.Ratio("good", now)
+	if bad <= 4*max(good, faultFloor) {
+		t.Errorf("got ratios %.2f and %.2f", bad, good)
+	}
+	if later, _ := l.Ratio("bad", now.Add(10*faultMemory)); later > 2*faultFloor {
+		t.Errorf("got ratio %.2f long after the last failure", later)
+	}
+}
+
+// TestFractionalRetryTime guards against a time to come back that is later than the
+// refusal says.
+func TestFractionalRetryTime(t *testing.T) {
+	n := request.DefaultHeaders
+	n.FractionalRetryTime = true
+	m := newMesh(t, meshOptions{entry: []Option{WithHeaders(n)}})
+	got := m.call(t, http.MethodGet, "/slots/1", "")
+	if got.status != 503 || !strings.Contains(got.header.Get("Retry-After"), ".") {
+		t.Errorf("got %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+	_, _ = io.WriteString(io.Discard, got.body)
+}
--- a/request/entry/rig_test.go
+++ b/request/entry/rig_test.go
@@ -180,6 +180,7 @@
 		Routes: []config.Route{
 			{Name: "slots", Prefix: "/slots", Upstream: "booking", Idempotent: true, Class: "browse", AnswerWithin: within},
 			{Name: "reserve", Prefix: "/reserve", Upstream: "booking", Class: "book", AnswerWithin: within},
+			{Name: "timely", Prefix: "/timely", Upstream: "booking", Idempotent: true, Class: "browse", AnswerWithin: within, Objective: within / 20, Attempts: 2},
 			{Name: "archive", Prefix: "/archive", Upstream: "booking", Internal: true, Class: "browse", AnswerWithin: within},
 		},
 		Presets: []config.Preset{{Name: "ordinary", RetryPercent: 20, CanaryPercent: 5}},
--- a/request/request.go
+++ b/request/request.go
@@ -99,6 +99,8 @@
 	// ReasonCancelled means that the caller gave up; it says nothing about the
 	// instance.
 	ReasonCancelled Reason = "cancelled"
+	// ReasonUpstreamError means that the upstream answered with a server error.
+	ReasonUpstreamError Reason = "upstreamError"
 	// ReasonShed means that the upstream itself did not run the request.
 	ReasonShed Reason = "upstreamShed"
 	// ReasonWrongInstance means that another instance has the address.
--- a/request/wire.go
+++ b/request/wire.go
@@ -255,10 +255,14 @@
 	return ref, true
 }
 
-// StatusOf returns the HTTP status of a refusal.
+// StatusOf returns the HTTP status of a refusal. 503 promises that the request has
+// not run.
 func StatusOf(ref *Refusal) int {
-	if ref.Status != 0 {
+	switch {
+	case ref.Status != 0:
 		return ref.Status
+	case ref.Outcome != NotRun:
+		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
 }
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -83,3 +83,13 @@
 		t.Error("got nil for nil")
 	}
 }
+
+// TestStatusOf guards against a status that promises that a request has not run
+// although it may have.
+func TestStatusOf(t *testing.T) {
+	for outcome, want := range map[Outcome]int{NotRun: 503, Unknown: 502, "": 502} {
+		if got := StatusOf(&Refusal{Outcome: outcome}); got != want {
+			t.Errorf("outcome %q: got status %d, want %d", outcome, got, want)
+		}
+	}
+}
