--- a/process/client/client.go
+++ b/process/client/client.go
@@ -173,7 +173,7 @@
 	flags.StringVar(&output, "output", "text", "format of the results, `text|json`")
 	flags.DurationVar(&timeout, "timeout", defaultTimeout, "time limit of the command; a watch has none unless it is given")
 	root.AddCommand(
-		a.newValidate(), a.newPublish(), a.newStatus(), a.newWatch(), a.newPreset(),
+		a.newValidate(), a.newTrace(), a.newPublish(), a.newStatus(), a.newWatch(), a.newPreset(),
 		a.newZone(), a.newMove(), a.newTimeline(),
 	)
 	root.CompletionOptions.HiddenDefaultCmd = true
