--- a/process/daemon/announce.go
+++ b/process/daemon/announce.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/control"
@@ -197,7 +198,43 @@
 		return
 	}
 	if u, ok := snap.State.Config.Upstream(a.Service); ok {
-		d.limiter.setBounds(u, a)
+		d.limiter.setBounds(u, d.returning(snap, a, time.Now()))
 		d.host.SetUpstream(a.Address, u.Connections, a.ID)
 	}
 }
+
+// returnPeriod is how long an upstream whose availability zone has just come back
+// counts as cold if it does not announce itself. Heartbeats come every second or
+// two.
+const returnPeriod = 4 * time.Second
+
+// zoneReturn is what a daemon remembers of its availability zone.
+type zoneReturn struct {
+	mu sync.Mutex
+	// out says that the zone was out in the last view.
+	out bool
+	// at is when the zone came back, and known the announcement of that time.
+	at    time.Time
+	known *Announcement
+}
+
+// returning returns the announcement by which the upstream is bounded. The one from
+// before its zone came back says nothing about a cold start at the return.
+func (d *Daemon) returning(snap *control.Snapshot, a *Announcement, now time.Time) *Announcement {
+	z := &d.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	out := snap.ZoneOut()
+	if z.out && !out {
+		z.at, z.known = now, a
+	}
+	z.out = out
+	if z.known != a {
+		return a
+	}
+	cold := *a
+	if until := z.at.Add(returnPeriod); cold.ColdUntil.Before(until) {
+		cold.ColdUntil = until
+	}
+	return &cold
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -128,6 +128,7 @@
 	incarnation atomic.Uint64
 	// announced is the last announcement of the upstream.
 	announced atomic.Pointer[Announcement]
+	zone      zoneReturn
 	// announcing orders the calls of the upstream.
 	announcing sync.Mutex
 	callers    *caller.Server
