--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -91,6 +91,7 @@
 		d.decideAfter = now.Add(timedDecidePeriod)
 	}
 	d.crashes.Expire(now)
+	d.forget(c.state)
 	c.reportMoves(now)
 	d.evidence.Retain(func(id int64) bool { return c.running(id) })
 	for _, m := range c.state.Moves {
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
@@ -17,6 +18,9 @@
 	endStagger = time.Second
 	// reportRepeat is the pause before a report is tried again.
 	reportRepeat = 700 * time.Millisecond
+	// toldPeriod is how long the end of a move is told to peers. It covers the
+	// time in which each daemon has exchanged with another that knows it.
+	toldPeriod = time.Minute
 )
 
 // Report is the state of a move as it is told to operators.
@@ -53,8 +57,9 @@
 type progress struct {
 	start time.Time
 	// end is empty while the move runs.
-	end    fold.MoveState
-	reason string
+	end     fold.MoveState
+	reason  string
+	endedAt time.Time
 	// reported is the state that Outcomes holds.
 	reported fold.MoveState
 }
@@ -126,7 +131,7 @@
 	if p.end != "" {
 		return
 	}
-	p.end, p.reason = end, reason
+	p.end, p.reason, p.endedAt = end, reason, now
 	c.event(now, timeline.KindMove, id, "move %d is %s: %s", id, end, reason)
 	c.retime(now)
 }
@@ -139,6 +144,16 @@
 	c.dirty = true
 }
 
+// forget drops what is known of moves that the state does not remember any more.
+func (d *decisions) forget(st *fold.State) {
+	for id := range d.progress {
+		if id <= st.Offset && !slices.ContainsFunc(st.Moves, func(m fold.Move) bool { return m.ID == id }) {
+			delete(d.progress, id)
+			delete(d.reportAfter, id)
+		}
+	}
+}
+
 // reportMoves has the states of moves told to operators. Each zone has one
 // daemon for it, and the zones take turns.
 func (c *core) reportMoves(now time.Time) {
@@ -186,6 +201,9 @@
 func (d *decisions) progressToWire(now time.Time) []*wirev1.MoveProgress {
 	var out []*wirev1.MoveProgress
 	for id, p := range d.progress {
+		if p.end != "" && now.After(p.endedAt.Add(toldPeriod)) {
+			continue
+		}
 		out = append(out, &wirev1.MoveProgress{
 			Move: id, ElapsedMs: now.Sub(p.start).Milliseconds(), End: string(p.end), Reason: p.reason,
 		})
--- /dev/null
+++ b/process/control/moves_test.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+)
+
+const testWithin = 20 * time.Second
+
+// announcedConfig is a configuration whose instances announce their versions.
+func announcedConfig() *config.Config {
+	return &config.Config{
+		Zones:     []config.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Upstreams: []config.Upstream{{Name: "booking", Announced: true, Connections: 120}},
+		Routes:    []config.Route{{Name: "r", Prefix: "/", Upstream: "booking", Class: "c", AnswerWithin: config.Duration(time.Second)}},
+		Presets:   []config.Preset{{Name: "p", CanaryPercent: 10}},
+	}
+}
+
+func timedRecords(t *testing.T) []log.Entry {
+	t.Helper()
+	return []log.Entry{
+		entryOf(t, 1, record.Record{ID: "c", Kind: record.KindReplace, Replace: announcedConfig()}),
+		entryOf(t, 2, record.Record{ID: "m", Kind: record.KindMove, Move: &record.Move{
+			Upstream: "booking", To: "v2", Within: config.Duration(testWithin), Replaces: true,
+		}}),
+	}
+}
+
+// platformCore returns a core as it runs on the users' platform.
+func platformCore(name, zone string) *core {
+	c := testCore(name, zone)
+	c.outcomes, c.compacted, c.readers = true, true, 1
+	return c
+}
+
+// startTimed gives the core a running move that it hears of at the given time.
+func startTimed(t *testing.T, c *core, now time.Time) {
+	t.Helper()
+	c.handle(recordsArrived{entries: timedRecords(t), first: 1, next: 3, asked: now}, now, 0)
+	if !c.serving {
+		t.Fatal("the daemon does not serve")
+	}
+}
+
+// TestMoveTime guards against a move whose time begins anew on a daemon that hears
+// of it late, and against one that ends with a jump of the time of day.
+func TestMoveTime(t *testing.T) {
+	first, late := platformCore("d1", "a"), platformCore("d2", "b")
+	startTimed(t, first, epoch)
+	startTimed(t, late, epoch.Add(10*time.Second))
+	now := epoch.Add(11 * time.Second)
+	reply, _ := first.handle(exchangeIn{&wirev1.ExchangeRequest{From: toWire(late.table.Self()), Digests: digestsToWire(late.table.Digests())}}, now, 0)
+	late.handle(exchangeDone{to: first.table.Self(), res: reply.(*wirev1.ExchangeResponse), asked: now}, now, 0)
+	m, ok := late.state.RunningMove(2)
+	if !ok || m.StartAt.Sub(epoch).Abs() > time.Second || !m.DoneBy.Equal(m.StartAt.Add(testWithin)) {
+		t.Errorf("got a move from %v to %v, want from about %v", m.StartAt, m.DoneBy, epoch)
+	}
+}
+
+// TestMoveEnds guards against two ends of a move: the first one known stands, and a
+// daemon that would decide otherwise takes it over.
+func TestMoveEnds(t *testing.T) {
+	c := platformCore("d1", "a")
+	startTimed(t, c, epoch)
+	c.handle(moveReported{Report{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveDone}}, epoch, 0)
+	c.handle(moveReported{Report{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveTakenBack}}, epoch, 0)
+	if u, _ := c.state.Config.Upstream("booking"); u.Active != "v2" {
+		t.Errorf("got active version %q, want v2", u.Active)
+	}
+	// The next configuration names no version.
+	c.handle(recordsArrived{entries: []log.Entry{entryOf(t, 3, record.Record{ID: "c2", Kind: record.KindReplace, Replace: announcedConfig()})}, first: 1, next: 4, asked: epoch}, epoch, 0)
+	if u, _ := c.state.Config.Upstream("booking"); u.Active != "v2" {
+		t.Errorf("after a configuration: got active version %q, want v2", u.Active)
+	}
+	peer := platformCore("d2", "b")
+	startTimed(t, peer, epoch)
+	reply, _ := c.handle(exchangeIn{&wirev1.ExchangeRequest{From: toWire(peer.table.Self()), Digests: digestsToWire(peer.table.Digests())}}, epoch, 0)
+	peer.handle(exchangeDone{to: c.table.Self(), res: reply.(*wirev1.ExchangeResponse), asked: epoch}, epoch, 0)
+	if u, _ := peer.state.Config.Upstream("booking"); u.Active != "v2" {
+		t.Errorf("a peer has active version %q, want v2", u.Active)
+	}
+}
+
+// TestStartReadsReports guards against a daemon that starts after the end of a move
+// and sends requests to the version that was taken back.
+func TestStartReadsReports(t *testing.T) {
+	var kept []fold.Kept
+	for _, e := range timedRecords(t) {
+		rec, err := record.Decode(e.Data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept = append(kept, fold.Kept{Offset: e.Offset, Record: rec})
+	}
+	state, err := fold.FromNewest(kept, 2).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot := entryOf(t, 2, record.Record{ID: "newest", Kind: record.KindSnapshot, Snapshot: &record.Snapshot{UpTo: 2, State: state}})
+	c := platformCore("d1", "a")
+	_, actions := c.handle(recordsArrived{entries: []log.Entry{snapshot}, first: 1, next: 3, asked: epoch}, epoch, 0)
+	if c.serving || len(find[readReports](actions)) != 1 {
+		t.Fatalf("serving %v before the reports are read, actions %v", c.serving, actions)
+	}
+	c.handle(reportsRead{[]Report{{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveTakenBack, Reason: "errors"}}}, epoch, 0)
+	if !c.serving || c.state.Withdrawn("booking") != "v2" {
+		t.Errorf("serving %v, withdrawn version %q, want v2", c.serving, c.state.Withdrawn("booking"))
+	}
+}
+
+// TestReportOnce guards against a report that each daemon writes, and against one
+// that nobody writes when the daemon whose turn it is cannot reach the log.
+func TestReportOnce(t *testing.T) {
+	names := []string{"d1", "d2", "d3"}
+	var cores []*core
+	for i, zone := range []string{"a", "b", "c"} {
+		c := platformCore(names[i], zone)
+		for j, other := range []string{"a", "b", "c"} {
+			if j != i {
+				c.table.Merge(epoch, []membership.Member{testMember(names[j], other)})
+			}
+		}
+		startTimed(t, c, epoch)
+		cores = append(cores, c)
+	}
+	reports := func(from, to time.Duration, out *core) (list []Report) {
+		for at := from; at < to; at += 250 * time.Millisecond {
+			for _, c := range cores {
+				if c == out {
+					c.handle(logFailed{errors.New("outage")}, epoch.Add(at), 0)
+				}
+				_, actions := c.handle(tick{}, epoch.Add(at), 0)
+				for _, a := range find[reportMove](actions) {
+					list = append(list, a.report)
+					if c != out {
+						for _, peer := range cores {
+							peer.handle(moveReported{a.report}, epoch.Add(at), 0)
+						}
+					}
+				}
+			}
+		}
+		return list
+	}
+	if got := reports(0, 3*time.Second, nil); len(got) != 1 || got[0].State != fold.MoveRunning {
+		t.Errorf("got reports %+v, want one of the running move", got)
+	}
+	// The daemon of the zone whose turn it is loses the log; the verdict is told.
+	var turn *core
+	for _, c := range cores {
+		if c.table.ZoneOrder("end") == 0 {
+			turn = c
+		}
+		c.mergeDecisions(epoch.Add(3*time.Second), 0, &wirev1.ExchangeRequest{Verdicts: []*wirev1.Verdict{{Move: 2, Reason: "errors"}}})
+	}
+	if got := reports(3*time.Second, 6*time.Second, turn); len(got) != 1 || got[0].State != fold.MoveTakenBack || !strings.Contains(got[0].Reason, "errors") {
+		t.Errorf("got reports %+v, want one of the move taken back", got)
+	}
+}
+
+// TestReaderHandOver guards against a zone without a reader while its reader is
+// refused by the log and others are not.
+func TestReaderHandOver(t *testing.T) {
+	a, b := platformCore("d1", "a"), platformCore("d2", "a")
+	a.table.Merge(epoch, []membership.Member{b.table.Self()})
+	b.table.Merge(epoch, []membership.Member{a.table.Self()})
+	reader, other := a, b
+	if b.isReader() {
+		reader, other = b, a
+	}
+	if !reader.isReader() || other.isReader() {
+		t.Fatalf("readers: %v and %v, want one", a.isReader(), b.isReader())
+	}
+	_, actions := reader.handle(logFailed{errors.New("status 503")}, epoch, 0)
+	sent := find[sendExchange](actions)
+	if len(sent) != 1 {
+		t.Fatalf("got actions %v, want the others told", actions)
+	}
+	other.handle(exchangeIn{sent[0].req}, epoch, 0)
+	if !other.isReader() {
+		t.Error("the other daemon does not read")
+	}
+	if !reader.isReader() {
+		t.Error("the first daemon does not try again")
+	}
+}
+
+// TestLargeRecords guards against a large record that is sent to peers that have
+// it, and against one that a peer lacks for good after a refused fetch.
+func TestLargeRecords(t *testing.T) {
+	a, b := testCore("d1", "a"), testCore("d2", "a")
+	a.table.Merge(epoch, []membership.Member{b.table.Self()})
+	cfg := announcedConfig()
+	for i := range 200 {
+		r := cfg.Routes[0]
+		r.Name, r.Prefix = "r"+strings.Repeat("x", i%50)+string(rune('a'+i/50)), "/"+strings.Repeat("y", i+1)
+		cfg.Routes = append(cfg.Routes, r)
+	}
+	large := entryOf(t, 1, record.Record{ID: "c", Kind: record.KindReplace, Replace: cfg})
+	_, actions := a.handle(recordsArrived{entries: []log.Entry{large}, first: 1, next: 2, asked: epoch}, epoch, 0)
+	if n := len(find[sendPush](actions)); n != 0 || len(find[sendExchange](actions)) != 1 {
+		t.Fatalf("got %d pushes, actions %v", n, actions)
+	}
+	notice := find[sendExchange](actions)[0].req
+	for range 2 {
+		// The second notice comes from another peer.
+		_, actions = b.handle(exchangeIn{notice}, epoch, 0)
+	}
+	if n := len(find[sendFetch](actions)); n != 0 {
+		t.Errorf("%d fetches for the second notice, want none", n)
+	}
+	if _, actions = b.handle(behind{to: a.table.Self(), offset: 1}, epoch, 0); len(find[sendFetch](actions)) != 1 {
+		t.Errorf("got actions %v after a refused fetch, want another one", actions)
+	}
+}
