--- a/process/control/control.go
+++ b/process/control/control.go
@@ -534,7 +534,7 @@
 	for {
 		got.asked = time.Now()
 		until := got.asked
-		if len(got.entries) == 0 && c.reader.Load() && c.Snapshot().Serving {
+		if len(got.entries) == 0 && c.reader.Load() && (c.Snapshot().Serving || c.compacted && from == 1) {
 			until = until.Add(c.pollPeriod())
 		}
 		page, err := c.log.Read(c.ctx, record.Stream, from, until)
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -281,13 +281,19 @@
 		c.preset = p.Name
 		c.event(now, timeline.KindPreset, c.state.Version, "preset %s is in force", p.Name)
 	}
-	if !c.serving || now.After(c.contactUntil) && now.After(c.readAfter) {
+	if !c.serving && !c.awaitsFirst(now) || now.After(c.contactUntil) && now.After(c.readAfter) {
 		c.readAfter = now.Add(directReadMin + time.Duration(rnd*float64(directReadMin)))
 		c.act(readLog{})
 	}
 	c.decide(now, rnd)
 }
 
+// awaitsFirst reports whether the log holds nothing yet and the reader of the zone
+// will pass on what comes first.
+func (c *core) awaitsFirst(now time.Time) bool {
+	return c.compacted && c.logReachable && c.state.Offset == 0 && now.Before(c.contactUntil)
+}
+
 // onRecords folds records that arrived from the log or a peer and forwards
 // those that were new. It returns the offset that is folded.
 func (c *core) onRecords(ev recordsArrived, now time.Time, rnd float64) int64 {
