--- a/process/control/core.go
+++ b/process/control/core.go
@@ -238,8 +238,7 @@
 	case moveReported:
 		c.onReport(now, ev.report)
 	case behind:
-		c.fetchUntil = time.Time{}
-		c.fetch(now, ev.to, ev.offset)
+		c.fetchElsewhere(now, rnd, ev)
 	case fetchIn:
 		reply = c.onFetch(ev.req)
 	case statusIn:
@@ -380,6 +379,24 @@
 	c.act(sendFetch{to: to, offset: c.state.Offset + 1, upTo: offset})
 }
 
+// fetchElsewhere asks another peer after a fetch that failed; the one that was
+// asked may be leaving or gone.
+func (c *core) fetchElsewhere(now time.Time, rnd float64, ev behind) {
+	c.fetchUntil = time.Time{}
+	zone := c.table.Self().Zone
+	others := c.table.Random(rnd, 1, func(m membership.Member) bool {
+		return m.Name != ev.to.Name && m.Zone == zone && m.State != membership.Suspect
+	})
+	if len(others) == 0 {
+		others = c.table.Random(rnd, 1, func(m membership.Member) bool { return m.State != membership.Suspect })
+	}
+	if len(others) == 0 {
+		c.act(readLog{})
+		return
+	}
+	c.fetch(now, others[0], ev.offset)
+}
+
 // catchUp asks the peer that is ahead for what is missing, or reads the log.
 func (c *core) catchUp(now time.Time, source string) {
 	if m, ok := c.table.Get(source); ok && source != c.table.Self().Name {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -43,11 +43,13 @@
 	leaveNotice = 2 * time.Second
 	// shutdownWithin bounds a graceful shutdown.
 	shutdownWithin = 30 * time.Second
+	// stopWithin bounds the end of the control side, when all calls are answered.
+	stopWithin = 150 * time.Millisecond
 	// graceNotice and graceWithin are the same two as percent of the time until
 	// the daemon is killed. Callers are led away after two looks at its
 	// readiness, a second apart.
-	graceNotice = 50
-	graceWithin = 87
+	graceNotice = 45
+	graceWithin = 94
 	// readHeaderWithin bounds the time to read a request header.
 	readHeaderWithin = 10 * time.Second
 	// idleWithin bounds idle connections of callers.
@@ -354,7 +356,17 @@
 		}
 		errs = append(errs, s.Shutdown(ctx))
 	}
-	d.control.Stop()
-	d.decisions.Close()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.control.Stop()
+		d.decisions.Close()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopWithin):
+		errs = append(errs, errors.New("the control side did not stop in time"))
+	}
+	d.logger.Info("daemon stopped", "error", errors.Join(errs...))
 	return errors.Join(errs...)
 }
