--- a/process/daemon/announce.go
+++ b/process/daemon/announce.go
@@ -109,6 +109,17 @@
 		d.metrics.Add("announce.late", 1)
 		return nil
 	}
+	if d.platform != nil && a.State == membership.Ready {
+		known := d.announced.Load()
+		switch {
+		case known == nil:
+			d.hold(a)
+			return nil
+		case known.sameStart(a) && time.Now().Before(d.unconfirmedUntil):
+			// The upstream is being asked.
+			a.State = membership.Starting
+		}
+	}
 	d.setUpstream(a)
 	return nil
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -135,8 +135,11 @@
 	zone      zoneReturn
 	// announcing orders the calls of the upstream.
 	announcing sync.Mutex
-	callers    *caller.Server
-	servers    []*server
+	// unconfirmedUntil is how long the first upstream that announced itself is
+	// not used before it has answered; announcing guards it.
+	unconfirmedUntil time.Time
+	callers          *caller.Server
+	servers          []*server
 }
 
 // server serves one address.
--- a/request/headers.go
+++ b/request/headers.go
@@ -15,6 +15,8 @@
 	// Instance carries to the upstream the id of the instance that is meant;
 	// any other answers 421 and does not run the request.
 	Instance string
+	// InstanceID tells the id of the instance in its answers on its health.
+	InstanceID string
 	// NotRun marks an answer of the upstream that did not run the request.
 	NotRun string
 	// CallerNamesID says that the caller's own id is passed on; otherwise each
