Refuse connections from the moment the queue of a listener is empty

Cause of TestGracefulStop, failed once ("connect: connection reset by peer", 1 of 7368 requests, beside other tests): a connection that arrived between the emptying of the queue and the close was taken and reset.

--- a/process/daemon/listener.go
+++ b/process/daemon/listener.go
@@ -57,7 +57,12 @@
 	if err == nil {
 		// Nothing else is done between the last connection and the end of the
 		// socket, because a connection that arrives there is lost.
-		err = raw.Control(func(fd uintptr) { fds = acceptAll(int(fd)) })
+		err = raw.Control(func(fd uintptr) {
+			fds = acceptAll(int(fd))
+			// The socket refuses connections from here on. Without it they would be
+			// taken, and reset by the close, until the accepting goroutine is gone.
+			_ = syscall.Shutdown(int(fd), syscall.SHUT_RD)
+		})
 	}
 	err = errors.Join(err, l.TCPListener.Close())
 	for _, fd := range fds {
