Compare versions at once only while both have requests

It now counts only windows in which the old version has a fair part of the requests, and ends with the last stage (TestTimedMoves, troubleAtTheEnd).

--- a/version/move/timed.go
+++ b/version/move/timed.go
@@ -120,20 +120,23 @@
 	// quickFactor is the least factor between the failed requests and those that
 	// the old version would have failed, and one more.
 	quickFactor = 3
-	// quickSamples of the old version tell how it does in the same time.
-	quickSamples = 5
+	// quickSamples of the old version in a window tell how it does there.
+	quickSamples = 2
+	// quickPart of the requests of the new version is what the old one must have in
+	// a window; below it, it had requests in a part of the window only.
+	quickPart = 0.08
 )
 
 // quickFault finds a new version that fails many requests at once. The exact test
-// needs several seconds of both versions for the same, and in the last stage the
-// old version has hardly any requests. Where it has, it must do much better in the
-// same time; otherwise it must have done so before.
+// needs several seconds of both versions for the same. The old version must have
+// done much better in the same windows; once all requests have moved, there is
+// nothing left to compare.
 func (e *Evidence) quickFault(m fold.Move, now time.Time) (finding, bool) {
 	all := e.view(m, now, omission{})
 	for route, windows := range all.routes {
 		for _, after := range []int64{WindowOf(m, now) - quickWindows, math.MinInt64} {
-			to, from := recent(windows, after)
-			if !isQuickFault(to, expected(windows, after)) {
+			to, from, expected := compared(windows, after)
+			if !isQuickFault(to, expected) {
 				continue
 			}
 			if failing, used := e.spread(m, route, after); 2*failing < used {
@@ -181,33 +184,21 @@
 	return to.Errors >= quickHits && errorRatio(to) >= quickRatio && float64(to.Errors) >= quickFactor*(expected+1)
 }
 
-// expected returns how many requests of the new version would have failed after a
-// window if it failed as often as the old one in the same windows. Where the old
-// one has no requests, its failures in all windows tell.
-func expected(windows map[int64]*pair, after int64) (n float64) {
-	_, always := recent(windows, math.MinInt64)
+// compared sums the windows after the given one in which the old version had
+// requests too, and returns how many requests of the new version would have failed
+// if it failed as often as the old one in the same windows. Without the old version,
+// a fault of what both depend on looks like one of the new version.
+func compared(windows map[int64]*pair, after int64) (to, from Counters, expected float64) {
 	for w, p := range windows {
-		if w <= after {
+		if w <= after || p.from.Requests < quickSamples || float64(p.from.Requests) < quickPart*float64(p.to.Requests) {
 			continue
 		}
-		ratio := errorRatio(always)
-		if p.from.Requests >= quickSamples {
-			ratio = errorRatio(p.from)
-		}
-		n += ratio * float64(p.to.Requests)
-	}
-	return n
-}
-
-// recent sums the windows after the given one, by version.
-func recent(windows map[int64]*pair, after int64) (to, from Counters) {
-	for w, p := range windows {
-		if w > after {
-			to.add(&p.to)
-			from.add(&p.from)
-		}
+		to.add(&p.to)
+		from.add(&p.from)
+		expected += errorRatio(p.from) * float64(p.to.Requests)
 	}
-	return to, from
+	// Few requests without a failure do not show that none would fail.
+	return to, from, expected + float64(to.Requests)/float64(from.Requests+1)
 }
 
 func errorRatio(c Counters) float64 {
--- a/version/move/timed_test.go
+++ b/version/move/timed_test.go
@@ -67,6 +67,14 @@
 		}
 		return 0.004, 1
 	}
+	lateTrouble := func(within time.Duration) func(time.Duration) (float64, float64) {
+		return func(at time.Duration) (float64, float64) {
+			if at > within*8/10 {
+				return 0.2, 1
+			}
+			return 0.004, 1
+		}
+	}
 	var out []timedCase
 	for _, rate := range []float64{70, 265, 700} {
 		for _, within := range []time.Duration{12 * time.Second, 16 * time.Second, 40 * time.Second} {
@@ -76,6 +84,7 @@
 				})
 			}
 			add("good", none, nil, false)
+			add("troubleAtTheEnd", none, lateTrouble(within), false)
 			add("troubleOfBoth", none, trouble, false)
 			add("errors", constant(0.5, 1), nil, true)
 			add("thirdFails", constant(0.33, 1), nil, true)
