--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -255,7 +255,7 @@
 		stop()
 		return Result{Sent: w.n.Load() > 0}, err
 	}
-	hres, err := c.answer(req, x)
+	hres, err := c.answer(req, x) //nolint:bodyclose // the caller closes it
 	res.Sent = true
 	if err != nil {
 		stop()
--- a/process/control/moves_test.go
+++ b/process/control/moves_test.go
@@ -144,7 +144,7 @@
 					list = append(list, a.report)
 					if c != out {
 						for _, peer := range cores {
-							peer.handle(moveReported{a.report}, epoch.Add(at), 0)
+							peer.handle(moveReported(a), epoch.Add(at), 0)
 						}
 					}
 				}
--- a/request/entry/passage.go
+++ b/request/entry/passage.go
@@ -68,12 +68,16 @@
 // record counts the end of a request and logs what decided it.
 func (e *Entry) record(p *passage, r *http.Request, ans *request.Answer, err error) {
 	took := time.Since(p.start)
-	name, outcome, reason, status := "", request.Ran, request.Reason(""), 0
+	var (
+		outcome      request.Outcome
+		reason       request.Reason
+		status       int
+		name, detail string
+	)
 	id := r.Header.Get(e.headers.ID)
 	if p.call != nil {
 		name, id = p.call.Route, e.headers.TraceOf(p.call)
 	}
-	detail := ""
 	var ref *request.Refusal
 	switch {
 	case err == nil:
