Judge timed moves on two daemons that hear all hosts

Two daemons, chosen by hashing, now hear all hosts several times a second; their answers tell the shares. Without an answer a daemon stays at the share of the first stage.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -51,6 +51,9 @@
 	// recordPeriod is the period of reports of the own host while a timed move
 	// runs: three of them and the way to all daemons take a second.
 	recordPeriod = 250 * time.Millisecond
+	// recordPerMember is the time that a judge has for the report of each member:
+	// it takes 0.2 ms of a processor, of which small instances have a sixth.
+	recordPerMember = 8 * time.Millisecond
 	// rpcTimeout bounds a call to a peer.
 	rpcTimeout = 800 * time.Millisecond
 	// seedShare is the share of gossip periods in which a seed is asked too.
@@ -395,7 +398,12 @@
 // recordLoop passes the counters of the own host on while a timed move runs,
 // whose verdict cannot wait for the next exchange.
 func (c *control) recordLoop() {
-	for c.pause(jitter(recordPeriod)) {
+	for {
+		// The judges hear all hosts; more of them report less often.
+		period := max(recordPeriod, time.Duration(len(c.view.Load().Members))*recordPerMember)
+		if !c.pause(jitter(period)) {
+			return
+		}
 		if slices.ContainsFunc(c.view.Load().State.Moves, isTimed) {
 			c.recorder.flush(time.Now())
 		}
--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -110,13 +110,17 @@
 				c.addVerdict(now, rnd, v)
 			}
 		}
-		if share := d.share(c.state, m, now); share != d.shares[m.ID] {
-			c.event(now, timeline.KindMove, m.ID, "move %d of %s: share of version %s is %.0f%%", m.ID, m.Upstream, m.To, 100*share)
-			d.shares[m.ID] = share
+		use := judgedShares{share: d.share(c.state, m, now)}
+		if isTimed(m) {
+			use = c.timedShares(m, now)
+		}
+		if use.share != d.shares[m.ID] {
+			c.event(now, timeline.KindMove, m.ID, "move %d of %s: share of version %s is %.0f%%", m.ID, m.Upstream, m.To, 100*use.share)
+			d.shares[m.ID] = use.share
 			c.dirty = true
 		}
-		if shares := d.evidence.RouteShares(m, d.shares[m.ID], now); !maps.Equal(shares, d.routeShares[m.ID]) {
-			d.routeShares[m.ID] = shares
+		if !maps.Equal(use.routes, d.routeShares[m.ID]) {
+			d.routeShares[m.ID] = use.routes
 			c.stale = true
 		}
 		c.appendEnd(now, m)
@@ -174,6 +178,10 @@
 		c.decision.evidence.Merge(k, n)
 		req.Counters = append(req.Counters, countersToWire(k, n))
 	}
+	if slices.ContainsFunc(c.state.Moves, isTimed) {
+		c.reportCounters(req.Counters)
+		return
+	}
 	if len(req.Counters) > 0 {
 		c.spreadRequest(rnd, req)
 	}
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -42,6 +42,9 @@
 	c.mergeDecisions(now, rnd, req)
 	c.fetch(now, from, req.GetOffset())
 	res := &wirev1.ExchangeResponse{From: toWire(c.table.Self()), Offset: c.state.Offset, Serving: c.serving}
+	if req.GetJudge() {
+		res.Moves, res.Verdicts = c.judgement(now), c.decision.wireVerdicts()
+	}
 	if len(req.GetDigests()) > 0 {
 		res.Digests = digestsToWire(c.table.Digests())
 		res.Members = membersToWire(c.table.Delta(digestsFromWire(req.GetDigests())))
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -9,6 +9,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/move"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 )
 
@@ -21,6 +22,13 @@
 	// toldPeriod is how long the end of a move is told to peers. It covers the
 	// time in which each daemon has exchanged with another that knows it.
 	toldPeriod = time.Minute
+	// judgeTask names the task of judging timed moves, and judges is the number of
+	// daemons for it. Each host sends its counters to all of them.
+	judgeTask = "judge"
+	judges    = 2
+	// judgedPeriod is how long the shares of a judge are used. It covers several
+	// reports to it.
+	judgedPeriod = 3 * time.Second
 )
 
 // Report is the state of a move as it is told to operators.
@@ -62,6 +70,15 @@
 	endedAt time.Time
 	// reported is the state that Outcomes holds.
 	reported fold.MoveState
+	// judged holds the shares of a judge until judgedUntil.
+	judged      judgedShares
+	judgedUntil time.Time
+}
+
+// judgedShares are the shares of the new version that a judge uses.
+type judgedShares struct {
+	share  float64
+	routes map[string]float64
 }
 
 // Events and actions of moves.
@@ -157,10 +174,18 @@
 // reportMoves has the states of moves told to operators. Each zone has one
 // daemon for it, and the zones take turns.
 func (c *core) reportMoves(now time.Time) {
-	if !c.outcomes || !c.logReachable || !c.serving || c.table.ZoneRank("end") != 0 {
+	if !c.outcomes || !c.logReachable || !c.serving {
 		return
 	}
-	stagger := time.Duration(c.table.ZoneOrder("end")) * endStagger
+	// The judges decide; other zones take over where these cannot reach the log.
+	turn := slices.IndexFunc(c.judges(), func(m membership.Member) bool { return m.Name == c.table.Self().Name })
+	if turn < 0 {
+		if c.table.ZoneRank("end") != 0 {
+			return
+		}
+		turn = judges + c.table.ZoneOrder("end")
+	}
+	stagger := time.Duration(turn) * endStagger
 	for _, m := range c.state.Moves {
 		p := c.decision.progress[m.ID]
 		if p == nil || m.Reason != "" && p.end == "" {
@@ -169,7 +194,7 @@
 		want, reason := fold.MoveRunning, ""
 		if v, bad := c.decision.verdicts[m.ID]; bad {
 			want, reason = fold.MoveTakenBack, v.Reason+": "+v.Evidence
-		} else if c.decision.evidence.Done(m, now) {
+		} else if c.isJudge() && c.decision.evidence.Done(m, now) {
 			want, reason = fold.MoveDone, "the new version was used to the end without a fault"
 		}
 		if p.end != "" {
@@ -197,6 +222,58 @@
 	at    time.Time
 }
 
+// judges returns the daemons that hold the counters of all hosts while a timed move
+// runs. Exchanges would bring them to all daemons when the move is over.
+func (c *core) judges() []membership.Member {
+	list := c.table.Chosen(judgeTask)
+	return list[:min(judges, len(list))]
+}
+
+func (c *core) isJudge() bool {
+	name := c.table.Self().Name
+	return slices.ContainsFunc(c.judges(), func(m membership.Member) bool { return m.Name == name })
+}
+
+// reportCounters sends the counters of the own host to the judges, whose answers
+// tell the shares.
+func (c *core) reportCounters(counters []*wirev1.MoveCounters) {
+	req := &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset, Counters: counters, Judge: true}
+	for _, m := range c.judges() {
+		if m.Name != c.table.Self().Name {
+			c.act(sendExchange{to: m, req: req, news: true})
+		}
+	}
+}
+
+// judgement tells the shares of running timed moves to a host that reports.
+func (c *core) judgement(now time.Time) []*wirev1.MoveProgress {
+	if !c.isJudge() {
+		return nil
+	}
+	out := c.decision.progressToWire(now)
+	for _, w := range out {
+		if m, ok := c.state.RunningMove(w.GetMove()); ok && isTimed(m) {
+			w.Judged, w.Share, w.RouteShares = true, c.decision.shares[m.ID], c.decision.routeShares[m.ID]
+		}
+	}
+	return out
+}
+
+// timedShares returns the shares of a timed move: those of the own evidence on a
+// judge, those that a judge has told elsewhere, and those of the first stage where
+// none has.
+func (c *core) timedShares(m fold.Move, now time.Time) judgedShares {
+	d := &c.decision
+	share := d.share(c.state, m, now)
+	if c.isJudge() || share == 0 {
+		return judgedShares{share, d.evidence.RouteShares(m, share, now)}
+	}
+	if p := d.progress[m.ID]; p != nil && now.Before(p.judgedUntil) {
+		return p.judged
+	}
+	return judgedShares{share: min(share, move.FirstShare)}
+}
+
 // progressToWire tells peers what this daemon knows of moves.
 func (d *decisions) progressToWire(now time.Time) []*wirev1.MoveProgress {
 	var out []*wirev1.MoveProgress
@@ -225,6 +302,10 @@
 		if start := now.Add(-time.Duration(w.GetElapsedMs()) * time.Millisecond); start.Before(p.start.Add(-rpcTimeout)) {
 			p.start, moved = start, true
 		}
+		if w.GetJudged() {
+			p.judged = judgedShares{w.GetShare(), w.GetRouteShares()}
+			p.judgedUntil = now.Add(judgedPeriod)
+		}
 		if end := fold.MoveState(w.GetEnd()); end == fold.MoveDone || end == fold.MoveTakenBack {
 			c.endMove(now, w.GetMove(), end, w.GetReason())
 		}
--- a/process/control/moves_test.go
+++ b/process/control/moves_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/process/metrics"
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/move"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 )
@@ -227,3 +231,60 @@
 		}
 	}
 }
+
+// TestJudges guards against a fleet in which no daemon holds the counters of all hosts
+// while a timed move runs.
+func TestJudges(t *testing.T) {
+	const daemons = 66
+	zones := []string{"a", "b", "c", "d"}
+	cores := make(map[string]*core)
+	var members []membership.Member
+	for i := range daemons {
+		members = append(members, testMember(fmt.Sprint("d", i), zones[i%len(zones)]))
+	}
+	for _, m := range members {
+		c := newCore(m, new(metrics.Set), &timeline.Timeline{Name: m.Name, Zone: m.Zone})
+		c.outcomes, c.compacted = true, true
+		c.table.Merge(epoch, members)
+		startTimed(t, c, epoch)
+		cores[m.Name] = c
+	}
+	sent := 0
+	for name, c := range cores {
+		k := move.Key{Move: 2, Instance: name, Incarnation: 1, Route: "r", Version: "v1", Window: 1}
+		_, actions := c.handle(countersMeasured{map[move.Key]move.Counters{k: {Requests: 1}}}, epoch, 0)
+		for _, a := range find[sendExchange](actions) {
+			sent++
+			cores[a.to.Name].handle(exchangeIn{a.req}, epoch, 0)
+		}
+	}
+	holding := 0
+	for _, c := range cores {
+		n := 0
+		for range c.decision.evidence.All() {
+			n++
+		}
+		if n == daemons {
+			holding++
+		}
+	}
+	if holding != judges || sent > daemons*judges {
+		t.Errorf("%d daemons hold all counters after %d messages, want %d and at most %d", holding, sent, judges, daemons*judges)
+	}
+	// A host follows the shares of the judge, and falls back without it.
+	host, judge := cores["d0"], cores[cores["d0"].judges()[0].Name]
+	if host.isJudge() {
+		host = cores["d1"]
+	}
+	judge.decision.shares[2] = 0.3
+	now := epoch.Add(14 * time.Second)
+	reply, _ := judge.handle(exchangeIn{&wirev1.ExchangeRequest{From: toWire(host.table.Self()), Judge: true}}, now, 0)
+	host.handle(exchangeDone{to: judge.table.Self(), res: reply.(*wirev1.ExchangeResponse), asked: now}, now, 0)
+	m, _ := host.state.RunningMove(2)
+	if got := host.timedShares(m, now).share; got != 0.3 {
+		t.Errorf("got share %v, want that of the judge", got)
+	}
+	if got := host.timedShares(m, now.Add(2*judgedPeriod)).share; got > move.FirstShare {
+		t.Errorf("got share %v without a judge", got)
+	}
+}
--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -184,7 +185,7 @@
 		}
 	}
 	r.mu.Unlock()
-	if len(out) > 0 {
+	if len(out) > 0 || slices.ContainsFunc(st.Moves, isTimed) {
 		r.control.send(countersMeasured{out})
 	}
 }
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -469,6 +469,34 @@
 	return order
 }
 
+// Chosen returns one live member of each known zone for a task, the daemon itself
+// included, by rendezvous hashing. Daemons that know the same members choose alike.
+func (t *Table) Chosen(task string) []Member {
+	type choice struct {
+		member Member
+		weight uint64
+	}
+	best := make(map[string]choice)
+	consider := func(m Member, key uint64) {
+		w := mix(key, xxhash.Sum64String(task+"/"+m.Zone))
+		if c, ok := best[m.Zone]; !ok || w > c.weight {
+			best[m.Zone] = choice{m, w}
+		}
+	}
+	consider(t.self, xxhash.Sum64String(t.self.Name))
+	for _, e := range t.entries {
+		if e.State.rank() == 0 && e.State != Leaving {
+			consider(e.Member, e.key)
+		}
+	}
+	out := make([]Member, 0, len(best))
+	for _, c := range best {
+		out = append(out, c.member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // ZoneRank returns the position of the daemon among the live members of its
 // zone that can read the log for a task, by rendezvous hashing; 0 is the first
 // choice. Daemons that
--- a/version/move/timed.go
+++ b/version/move/timed.go
@@ -44,12 +44,15 @@
 )
 
 // timedSchedule exposes 7 percent of the requests before its last stage.
-var timedSchedule = []stage{{0, 0.04}, {0.5, 0.12}, {0.62, 0.3}, {0.74, lastShare}, {0.82, 1}}
+var timedSchedule = []stage{{0, FirstShare}, {0.5, 0.12}, {0.62, 0.3}, {0.74, lastShare}, {0.82, 1}}
 
 // lastShare leaves the old version enough requests for a comparison until all
 // requests move.
 const lastShare = 0.9
 
+// FirstShare is the share of the first stage of a timed move.
+const FirstShare = 0.04
+
 // timedWindow returns the length of the windows of a timed move.
 func timedWindow(m fold.Move) time.Duration {
 	return max(timedWindowMin, time.Duration(m.Within)/timedWindows)
