Keep room in the log for requests of unknown outcome

Cause of TestOperations, failed once: 120 refusals within a second took all lines of that second, and the line on a request of unknown outcome was left out.

--- a/process/decision/decision_test.go
+++ b/process/decision/decision_test.go
@@ -104,3 +104,18 @@
 		t.Error("a nil log keeps lines")
 	}
 }
+
+// TestWriteFirst guards against a request of unknown outcome whose line is lost among
+// those of refusals.
+func TestWriteFirst(t *testing.T) {
+	var out bytes.Buffer
+	l := New(newLogger(&out))
+	for range 2 * maxPerSecond {
+		l.Write("refused")
+	}
+	l.WriteFirst("unknown", "id", "x")
+	l.Close()
+	if !bytes.Contains(out.Bytes(), []byte(`"unknown"`)) {
+		t.Error("the line is lost")
+	}
+}
--- a/request/entry/passage.go
+++ b/request/entry/passage.go
@@ -103,5 +103,9 @@
 	if p.call != nil {
 		args = append(args, "timeoutMs", p.call.Deadline.Sub(p.start).Milliseconds())
 	}
-	e.decisions.Write("request answered", args...)
+	if outcome == request.NotRun {
+		e.decisions.Write("request answered", args...)
+		return
+	}
+	e.decisions.WriteFirst("request answered", args...)
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -210,7 +210,11 @@
 	if t := h.target.Load(); t != nil {
 		args = append(args, "instance", t.id)
 	}
-	h.decisions.Write("call handled", args...)
+	if outcome == request.NotRun {
+		h.decisions.Write("call handled", args...)
+		return
+	}
+	h.decisions.WriteFirst("call handled", args...)
 }
 
 // waitShare is the part of the time until the objective that a request may wait
