--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -49,7 +49,7 @@
 	// the daemon is killed. Callers are led away after two looks at its
 	// readiness, a second apart.
 	graceNotice = 45
-	graceWithin = 94
+	graceWithin = 90
 	// readHeaderWithin bounds the time to read a request header.
 	readHeaderWithin = 10 * time.Second
 	// idleWithin bounds idle connections of callers.
