--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -59,8 +59,9 @@
 	// IDHeader names the header by which the instance says which request it
 	// answers, and ID is its value; without a header every answer is taken.
 	IDHeader, ID string
-	// IdleUntil is the last use of a connection from which on it carries the
-	// request; a request that must not be repeated asks for a recent one.
+	// UsedSince is the time since which a connection must have been used to carry
+	// the request. One that was idle for longer may be dead, and a request that
+	// must not be repeated asks for a recent use.
 	UsedSince time.Time
 }
 
