--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -43,6 +43,10 @@
 	leaveNotice = 2 * time.Second
 	// shutdownWithin bounds a graceful shutdown.
 	shutdownWithin = 30 * time.Second
+	// hostNotice is the time between telling the peers that the upstream is not to
+	// be used and closing the listeners. News reach all daemons in a few hundred
+	// milliseconds, and a call that comes late is refused as not run.
+	hostNotice = 800 * time.Millisecond
 	// stopWithin bounds the end of the control side, when all calls are answered.
 	stopWithin = 150 * time.Millisecond
 	// graceNotice and graceWithin are the same two as percent of the time until
@@ -345,10 +349,15 @@
 	defer cancel()
 	d.leaving.Store(true)
 	d.callers.Leave()
-	d.control.Leave()
 	if d.platform != nil {
+		// New callers are led away first. Meanwhile the upstream, which may live on,
+		// goes on working for other daemons.
 		go d.removeFromDirectory(ctx)
+		host := min(hostNotice, notice)
+		time.Sleep(notice - host)
+		notice = host
 	}
+	d.control.Leave()
 	time.Sleep(notice)
 	// Callers first: their calls may still need other daemons and the claims.
 	var errs []error
