--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -117,7 +117,14 @@
 		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now, Open: call.Attempts > 0 && len(made) > 0,
 		Rnd: [3]float64{mathrand.Float64(), mathrand.Float64(), mathrand.Float64()},
 	}
-	inst, ok := snap.Table.Pick(query, &e.loads)
+	inst, ok := route.Instance{}, false
+	if p.reserved != nil {
+		// The attempt before was given up for this instance.
+		inst, ok, p.reserved = *p.reserved, true, nil
+		c.UpstreamVersion = inst.Version
+	} else {
+		inst, ok = snap.Table.Pick(query, &e.loads)
+	}
 	if !ok {
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(refusalPause)}
 	}
@@ -134,8 +141,12 @@
 			cancel()
 		}, giveUp: func() bool {
 			query.Exclude, query.Now, query.Open = append(query.Exclude, inst.Name), time.Now(), true
-			_, other := snap.Table.Pick(query, &e.loads)
-			return other && giveUp()
+			other, ok := snap.Table.Pick(query, &e.loads)
+			if !ok || !giveUp() {
+				return false
+			}
+			p.reserved = &other
+			return true
 		}}
 		defer watch.start(patience).stop()
 	}
--- a/request/entry/objective_test.go
+++ b/request/entry/objective_test.go
@@ -68,6 +68,46 @@
 	}
 }
 
+// TestGivenUpForAnother guards against a silent instance that is given up for another
+// one which is then not asked, because it is saturated by that time.
+func TestGivenUpForAnother(t *testing.T) {
+	silent := newUpstream(t, func(net.Conn, *http.Request, []byte) {})
+	good := newUpstream(t, echo)
+	asked := false
+	for i := 0; i < 20 && !asked; i++ {
+		m := newMesh(t, meshOptions{}, silent.addr(), good.addr())
+		path := fmt.Sprintf("/timely/%d", i)
+		// Between the decision and the attempt the other instance fills up.
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					if m.metrics.Get("entry.retries") > 0 {
+						return
+					}
+					if silent.ran(path) > 0 && i%2 == 0 {
+						time.Sleep(answerWithin/2 + 5*time.Millisecond)
+						m.entry.loads.finish("booking-1", nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonOverload}, time.Now())
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}()
+		got := m.call(t, http.MethodGet, path, "")
+		close(stop)
+		asked = silent.ran(path) > 0
+		if got.status != 200 {
+			t.Errorf("%s: got %d %s %s", path, got.status, got.outcome(), got.reason())
+		}
+	}
+	if !asked {
+		t.Error("the silent instance was never asked, so the test shows nothing")
+	}
+}
+
 // TestFailingInstance guards against an instance that fails a part of its requests
 // and gets as many as the others, and against one that is avoided for good.
 func TestFailingInstance(t *testing.T) {
--- a/request/entry/passage.go
+++ b/request/entry/passage.go
@@ -20,6 +20,8 @@
 	// call is nil if the request was refused before it was read.
 	call  *request.Call
 	tries []try
+	// reserved is the instance for which a silent one was given up; nil if none.
+	reserved *route.Instance
 }
 
 // try is one attempt and what spoke for its instance.
