Give up a silent instance only if it answers nobody

An instance that has answered other calls since the attempt began is at work, and the call has all its time (TestSlowRequest). The instance that is asked next stays the one that the decision was made for.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -140,6 +140,10 @@
 			silentFor.Store(true)
 			cancel()
 		}, giveUp: func() bool {
+			if e.loads.answeredSince(inst.Name, now) {
+				// It is at work; the call merely takes long.
+				return false
+			}
 			query.Exclude, query.Now, query.Open = append(query.Exclude, inst.Name), time.Now(), true
 			other, ok := snap.Table.Pick(query, &e.loads)
 			if !ok || !giveUp() {
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -50,6 +50,8 @@
 	failures       int
 	failingUntil   time.Time
 	saturatedUntil time.Time
+	// answeredAt is when the instance last answered a call of this entry.
+	answeredAt time.Time
 	// faults is the smoothed share of attempts that failed at the instance, as of
 	// faultsAt.
 	faults   float64
@@ -123,6 +125,15 @@
 	return ratio, age
 }
 
+// answeredSince reports whether the instance has answered a call of this entry since
+// the given time.
+func (l *loads) answeredSince(name string, t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in, ok := l.list[name]
+	return ok && in.answeredAt.After(t)
+}
+
 func (l *loads) start(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -146,7 +157,7 @@
 	}
 	switch {
 	case err == nil:
-		in.failures = 0
+		in.failures, in.answeredAt = 0, now
 	case errors.As(err, &ref) && ref.Reason == request.ReasonOverload:
 		in.saturatedUntil = now.Add(saturatedPeriod)
 	case ref != nil && isInstanceFault(ref.Reason):
--- a/request/entry/objective_test.go
+++ b/request/entry/objective_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -108,6 +109,39 @@
 	}
 }
 
+// TestSlowRequest guards against a request that is cut although its instance is at
+// work, as its answers to others show.
+func TestSlowRequest(t *testing.T) {
+	busy := newUpstream(t, func(c net.Conn, r *http.Request, body []byte) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			time.Sleep(answerWithin * 2 / 3)
+		}
+		echo(c, r, body)
+	})
+	m := newMesh(t, meshOptions{}, busy.addr(), busy.addr())
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	// Enough calls at once that both instances answer some.
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					m.call(t, http.MethodGet, "/timely/quick", "")
+				}
+			}
+		})
+	}
+	got := m.call(t, http.MethodGet, "/timely/slow", "")
+	close(stop)
+	wg.Wait()
+	if got.status != 200 || busy.ran("/timely/slow") != 1 {
+		t.Errorf("got %d after %d runs, want one", got.status, busy.ran("/timely/slow"))
+	}
+}
+
 // TestFailingInstance guards against an instance that fails a part of its requests
 // and gets as many as the others, and against one that is avoided for good.
 func TestFailingInstance(t *testing.T) {
