--- a/connection/caller/caller_test.go
+++ b/connection/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -358,3 +359,42 @@
 		t.Error("the last answer does not end the connection")
 	}
 }
+
+// TestEndlessRequests guards against memory that grows with what a caller sends
+// without end.
+func TestEndlessRequests(t *testing.T) {
+	const chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct{ name, text, rest string }{
+		{"requestLine", "GET /", "a"},
+		{"headerName", "GET / HTTP/1.1\r\n", "a"},
+		{"headers", "GET / HTTP/1.1\r\n", "A: b\r\n"},
+		{"chunkSize", chunked, "0"},
+		{"chunkExtension", chunked + "1;", "a"},
+		{"chunkExtensions", chunked, "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n"},
+		{"trailer", chunked + "1\r\nx\r\n0\r\n", "A: b\r\n"},
+		{"trailerValue", chunked + "1\r\nx\r\n0\r\nA: ", "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, func(_ http.ResponseWriter, req *http.Request) {
+				if _, err := io.Copy(io.Discard, req.Body); err == nil {
+					t.Error("the body was taken for a whole one")
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			nc, _ := r.dial(c.text)
+			block := []byte(strings.Repeat(c.rest, 1+(32<<10)/len(c.rest)))
+			sent := 0
+			for {
+				n, err := nc.Write(block)
+				if sent += n; err != nil {
+					break
+				}
+			}
+			runtime.ReadMemStats(&after)
+			if n := after.TotalAlloc - before.TotalAlloc; n > 4<<20 {
+				t.Errorf("%d bytes were allocated, want at most 4 MB; %d were sent", n, sent)
+			}
+		})
+	}
+}
--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -5,7 +5,8 @@
 // of the request may have reached the instance, which decides whether a request
 // counts as not run. An answer is taken only if it names the request; one to an
 // earlier request that was given up is skipped. A connection is used again only
-// after a whole answer, and not after one with bytes behind it.
+// after a whole answer, and not after one with bytes behind it. What is read of an
+// instance is bounded, since one in trouble may write without end.
 //
 // # Usage
 //
@@ -20,6 +21,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -81,6 +83,17 @@
 	return func(p *Pool) { p.free = make(chan struct{}, max(1, n)) }
 }
 
+// WithLimits bounds the answers; limits of zero keep their defaults.
+func WithLimits(l Limits) Option {
+	return func(p *Pool) {
+		p.limits = Limits{
+			Head:    cmp.Or(l.Head, DefaultLimits.Head),
+			Skipped: cmp.Or(l.Skipped, DefaultLimits.Skipped),
+			Body:    cmp.Or(l.Body, DefaultLimits.Body),
+		}
+	}
+}
+
 // WithOpened sets a function that is told of each new connection.
 func WithOpened(f func()) Option { return func(p *Pool) { p.opened = f } }
 
@@ -89,6 +102,7 @@
 	addr   netip.AddrPort
 	free   chan struct{}
 	opened func()
+	limits Limits
 	// returned hands a connection to an exchange that waits for one.
 	returned chan *conn
 
@@ -99,7 +113,7 @@
 
 // New returns a pool without connections.
 func New(addr netip.AddrPort, opts ...Option) *Pool {
-	p := &Pool{addr: addr, opened: func() {}, returned: make(chan *conn)}
+	p := &Pool{addr: addr, opened: func() {}, limits: DefaultLimits, returned: make(chan *conn)}
 	WithConnections(1)(p)
 	for _, opt := range opts {
 		opt(p)
@@ -110,6 +124,8 @@
 // conn is one connection; it belongs to one exchange or to the idle list.
 type conn struct {
 	net.Conn
+	// read bounds what br reads ahead.
+	read *limitedReader
 	br   *bufio.Reader
 	used time.Time
 	// idleUntil is when the instance may close the idle connection; zero means
@@ -119,6 +135,11 @@
 	last string
 }
 
+func newConn(nc net.Conn) *conn {
+	read := &limitedReader{r: nc}
+	return &conn{Conn: nc, read: read, br: bufio.NewReaderSize(read, bufferSize)}
+}
+
 // Do sends a request and reads the head of its answer. The end of ctx ends the
 // exchange, also while the body is read.
 func (p *Pool) Do(ctx context.Context, req *http.Request, x Exchange) (res Result, err error) {
@@ -190,7 +211,7 @@
 		return nil, false, err
 	}
 	p.opened()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, bufferSize)}, false, nil
+	return newConn(nc), false, nil
 }
 
 func (p *Pool) drop(c *conn) {
@@ -256,13 +277,13 @@
 		stop()
 		return Result{Sent: w.n.Load() > 0}, err
 	}
-	hres, err := c.answer(req, x) //nolint:bodyclose // the caller closes it
+	hres, err := c.answer(req, x, p.limits) //nolint:bodyclose // the caller closes it
 	res.Sent = true
 	if err != nil {
 		stop()
 		return res, err
 	}
-	hres.Body = &body{ReadCloser: hres.Body, pool: p, conn: c, stop: stop, written: written, reusable: !hres.Close}
+	hres.Body = &body{ReadCloser: hres.Body, pool: p, conn: c, left: p.limits.Body, stop: stop, written: written, reusable: !hres.Close}
 	if hres.ContentLength == 0 && !hres.Close {
 		// Nothing is left to read, so the connection is free before the close.
 		_, _ = hres.Body.Read(nil)
@@ -273,10 +294,15 @@
 }
 
 // answer reads the head of the answer that names the request.
-func (c *conn) answer(req *http.Request, x Exchange) (*http.Response, error) {
+func (c *conn) answer(req *http.Request, x Exchange, limits Limits) (*http.Response, error) {
+	defer c.read.allowAll()
 	for range maxSkipped {
+		// The start of the body may come with the head.
+		c.read.allow(limits.Head + bufferSize)
 		res, err := http.ReadResponse(c.br, req)
 		switch {
+		case err != nil && c.read.exceeded():
+			return nil, fmt.Errorf("a head of more than %d bytes: %w", limits.Head, ErrTooLong)
 		case err != nil:
 			return nil, err
 		case res.StatusCode < http.StatusContinue || res.StatusCode == http.StatusSwitchingProtocols:
@@ -289,6 +315,7 @@
 		case res.Close || c.last == "" || res.Header.Get(x.IDHeader) != c.last:
 			return nil, fmt.Errorf("%s %q: %w", x.IDHeader, res.Header.Get(x.IDHeader), ErrMismatch)
 		}
+		c.read.allow(limits.Skipped)
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, err
 		}
@@ -311,8 +338,10 @@
 // whole answer and drops it otherwise.
 type body struct {
 	io.ReadCloser
-	pool     *Pool
-	conn     *conn
+	pool *Pool
+	conn *conn
+	// left is the number of bytes that the body may still have.
+	left     int64
 	stop     func() bool
 	written  chan error
 	reusable bool
@@ -323,6 +352,9 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return 0, ErrTooLong
+	}
 	if errors.Is(err, io.EOF) {
 		b.ended = true
 	}
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -34,6 +34,9 @@
 	// dialTimeout bounds a connection attempt, which takes one round trip. A
 	// daemon that does not answer in this time is not there or starved.
 	dialTimeout = 300 * time.Millisecond
+	// maxHeader bounds the head of an answer, in bytes, as daemons do with that of a
+	// forwarded call.
+	maxHeader = 512 << 10
 	// defaultIdleTimeout closes connections that were not used.
 	defaultIdleTimeout = time.Minute
 )
@@ -99,6 +102,8 @@
 	t := &http.Transport{
 		IdleConnTimeout: cmp.Or(p.IdleTimeout, defaultIdleTimeout),
 		Protocols:       new(http.Protocols),
+
+		MaxResponseHeaderBytes: maxHeader,
 		// The encoding of an answer is between the caller and the upstream.
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -54,6 +54,9 @@
 	// recordPerMember is the time that a judge has for the report of each member:
 	// it takes 0.2 ms of a processor, of which small instances have a sixth.
 	recordPerMember = 8 * time.Millisecond
+	// maxMessage bounds a message of a peer, in bytes: a record or a snapshot, and
+	// what comes with it.
+	maxMessage = 2 * record.MaxSize
 	// rpcTimeout bounds a call to a peer.
 	rpcTimeout = 800 * time.Millisecond
 	// seedShare is the share of gossip periods in which a seed is asked too.
@@ -604,7 +607,7 @@
 }
 
 func (c *control) client(addr netip.AddrPort) wirev1connect.ControlClient {
-	return wirev1connect.NewControlClient(c.peers.Client(addr), "http://"+addr.String())
+	return wirev1connect.NewControlClient(c.peers.Client(addr), "http://"+addr.String(), connect.WithReadMaxBytes(maxMessage))
 }
 
 // run carries out an action of the core.
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -35,7 +35,7 @@
 
 // Handler implements Control.
 func (c *control) Handler() (string, http.Handler) {
-	return wirev1connect.NewControlHandler(&service{control: c}, connect.WithReadMaxBytes(2*record.MaxSize))
+	return wirev1connect.NewControlHandler(&service{control: c}, connect.WithReadMaxBytes(maxMessage))
 }
 
 // Exchange implements wirev1connect.ControlHandler.
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -27,6 +27,9 @@
 	maxColdMs = 60_000
 )
 
+// healthClient asks upstreams for their health, on a connection for each question.
+var healthClient = &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeader}
+
 // hold puts an announcement that is the first one since the daemon started in
 // force as one of an upstream that starts, and asks the upstream itself. An
 // upstream that has taken its leave of the daemon before its restart announces
@@ -117,8 +120,7 @@
 	if err != nil {
 		return ans
 	}
-	req.Close = true
-	res, err := http.DefaultTransport.RoundTrip(req)
+	res, err := healthClient.RoundTrip(req)
 	if err != nil {
 		return ans
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -58,6 +58,9 @@
 	readHeaderWithin = 10 * time.Second
 	// idleWithin bounds idle connections of callers.
 	idleWithin = 2 * time.Minute
+	// readWithin bounds the whole of a call of the upstream, of a question for
+	// readiness or for metrics.
+	readWithin = 10 * time.Second
 	// maxHeader bounds request headers, in bytes.
 	maxHeader = 64 << 10
 	// maxForwardedHeader bounds the headers of a forwarded call, in bytes. HTTP/2
@@ -201,7 +204,8 @@
 	}
 	d.control = control.New(controlOpts...)
 	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
-		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamGone))
+		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamGone),
+		host.WithAnswerLimits(s.Answers.Limits()))
 	entryOpts := []entry.Option{
 		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
 		entry.WithHeaders(headers), entry.WithService(s.Service), entry.WithDecisions(d.decisions),
@@ -272,8 +276,8 @@
 	d.callers = &caller.Server{Handler: d.entry, Limits: d.callerLimits, Logger: d.logger}
 	list := []server{
 		{name: "callers", httpServer: d.callers},
-		{name: "announcements", httpServer: d.newServer(announce, maxHeader)},
-		{name: "metrics", httpServer: d.newServer(vars, maxHeader)},
+		{name: "announcements", httpServer: d.newShortServer(announce)},
+		{name: "metrics", httpServer: d.newShortServer(vars)},
 		{name: "peers", httpServer: d.newPeerServer(d.forwardFirst(peers))},
 	}
 	addrs := map[string]netip.AddrPort{
@@ -281,7 +285,7 @@
 		"metrics": d.settings.MetricsAddress, "peers": d.settings.PeerAddress, "readiness": d.settings.ReadyAddress,
 	}
 	if d.platform != nil {
-		list = append(list, server{name: "readiness", httpServer: d.newServer(d.platform.Readiness(d.Ready), maxHeader)})
+		list = append(list, server{name: "readiness", httpServer: d.newShortServer(d.platform.Readiness(d.Ready))})
 	}
 	for _, s := range list {
 		if s.listener, err = listen(context.Background(), addrs[s.name].String()); err != nil {
@@ -302,6 +306,13 @@
 	}
 }
 
+// newShortServer returns a server of short requests.
+func (d *Daemon) newShortServer(h http.Handler) *http.Server {
+	s := d.newServer(h, maxHeader)
+	s.ReadTimeout = readWithin
+	return s
+}
+
 func (d *Daemon) newPeerServer(h http.Handler) *http.Server {
 	s := d.newServer(h, maxForwardedHeader)
 	s.Protocols = new(http.Protocols)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -33,6 +33,14 @@
 //	retryRatio = 0.2
 //	canaryShare = 0.1
 //	coldFactor = 1.5
+//
+// What is read of the upstream beside the daemon is bounded; these are the defaults,
+// in bytes:
+//
+//	[answers]
+//	headBytes = 65536
+//	skippedBytes = 1048576
+//	bodyBytes = 134217728
 package settings
 
 import (
@@ -41,6 +49,7 @@
 	"net/netip"
 	"os"
 
+	"github.com/kingcuppitch/kingcuppitch/connection/instance"
 	"github.com/kingcuppitch/kingcuppitch/internal/tomlsource"
 	"github.com/rotisserie/eris"
 )
@@ -90,6 +99,8 @@
 	Zones map[string]string `toml:"zones"`
 	// Bounds hold for all daemons together.
 	Bounds Bounds `toml:"bounds"`
+	// Answers bounds the answers of the upstream.
+	Answers Answers `toml:"answers"`
 	// LogLevel is trace, debug, info, warn or error.
 	LogLevel string `toml:"logLevel"`
 }
@@ -101,6 +112,7 @@
 	// Advertise is where other daemons reach Peer.
 	Advertise netip.AddrPort
 	Platform  bool
+	Answers   Answers
 }
 
 // Fixed returns the settings that take effect at the start only.
@@ -108,6 +120,7 @@
 	return Fixed{
 		Name: s.Name, Region: s.Region, Zone: s.Zone, Caller: s.CallerAddress, Peer: s.PeerAddress,
 		Announce: s.AnnounceAddress, Metrics: s.MetricsAddress, Ready: s.ReadyAddress, Log: s.LogAddress, Advertise: s.Advertised(), Platform: s.Platform,
+		Answers: s.Answers,
 	}
 }
 
@@ -133,6 +146,41 @@
 	ColdFactor float64 `toml:"coldFactor"`
 }
 
+// Answers bounds what is read of the upstream, in bytes; zero means the default.
+type Answers struct {
+	// HeadBytes bounds the status line and the headers of an answer.
+	HeadBytes int `toml:"headBytes"`
+	// SkippedBytes bounds the body of an answer to a request that was given up.
+	SkippedBytes int `toml:"skippedBytes"`
+	// BodyBytes bounds the body of an answer.
+	BodyBytes int64 `toml:"bodyBytes"`
+}
+
+// Limits returns the bounds for connections to the upstream.
+func (a Answers) Limits() instance.Limits {
+	return instance.Limits{Head: a.HeadBytes, Skipped: a.SkippedBytes, Body: a.BodyBytes}
+}
+
+const (
+	// minAnswerHead is the least bound on a head: servers send a dozen headers.
+	minAnswerHead = 4 << 10
+	// maxAnswerHead is the largest one. A daemon has hundreds of connections and little
+	// memory.
+	maxAnswerHead = 1 << 20
+)
+
+func (a Answers) check(report func(key, format string, args ...any)) {
+	if n := a.HeadBytes; n != 0 && (n < minAnswerHead || n > maxAnswerHead) {
+		report("answers.headBytes", "%d is not between %d and %d bytes", n, minAnswerHead, maxAnswerHead)
+	}
+	if a.SkippedBytes < 0 {
+		report("answers.skippedBytes", "%d is negative", a.SkippedBytes)
+	}
+	if a.BodyBytes < 0 {
+		report("answers.bodyBytes", "%d is negative", a.BodyBytes)
+	}
+}
+
 const (
 	// ownRetries is the part of the allowed ratio of repeated requests that the
 	// daemons use themselves. The calls that a repeated request makes count as
@@ -263,6 +311,7 @@
 		report("graceSeconds", "%v is negative", s.GraceSeconds)
 	}
 	s.Bounds.check(report)
+	s.Answers.check(report)
 	for i, a := range s.Seeds {
 		if !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() {
 			report(fmt.Sprintf("seeds[%d]", i), "an IP number and a port are required")
--- a/request/host/handover.go
+++ b/request/host/handover.go
@@ -106,6 +106,12 @@
 		o.host.metrics.Add("host.mismatchedAnswers", 1)
 		return nil, handedOver(request.ReasonMismatch, err.Error())
 	}
+	if errors.Is(err, instance.ErrTooLong) {
+		// The upstream is alive; nothing was lost in a crash.
+		o.result.Failed = true
+		o.host.metrics.Add("host.endlessAnswers", 1)
+		return nil, handedOver(request.ReasonMismatch, err.Error())
+	}
 	if err != nil {
 		return nil, o.noAnswer(ctx, err)
 	}
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -89,6 +89,9 @@
 // WithDecisions sets the log of decisions.
 func WithDecisions(l *decision.Log) Option { return func(h *Host) { h.decisions = l } }
 
+// WithAnswerLimits bounds what is read of the upstream.
+func WithAnswerLimits(l instance.Limits) Option { return func(h *Host) { h.limits = l } }
+
 // Host hands calls to the upstream instance beside the daemon.
 type Host struct {
 	view     View
@@ -97,6 +100,7 @@
 	observer Observer
 
 	headers  request.Headers
+	limits   instance.Limits
 	draining atomic.Bool
 	calls    calls
 	target   atomic.Pointer[target]
@@ -137,7 +141,7 @@
 	}
 	// One connection is left for a probe.
 	next := &target{addr: addr, connections: connections, id: id, pool: instance.New(addr,
-		instance.WithConnections(connections-1),
+		instance.WithConnections(connections-1), instance.WithLimits(h.limits),
 		instance.WithOpened(func() { h.metrics.Add("host.connections", 1) }))}
 	if old := h.target.Swap(next); old != nil {
 		old.pool.Close()
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -248,10 +248,12 @@
 	n.mu.Lock()
 	app := n.app
 	n.mu.Unlock()
-	app.Set([]standin.Behaviour{
+	sick := []standin.Behaviour{
 		{Work: 20 * work}, {Work: work, FailOneIn: 2}, {Work: work, DropOneIn: 3}, {Work: work, Unhealthy: true},
 		{Work: work, FailOneIn: 1},
-	}[rng.IntN(5)])
+		{Work: work, EndlessOneIn: 3, Endless: standin.EndlessStatus + standin.Endless(rng.IntN(int(standin.EndlessTrailer)))},
+	}
+	app.Set(sick[rng.IntN(len(sick))])
 	w.pause(between(rng, time.Second, 5*time.Second))
 	app.Set(standin.Behaviour{Work: work})
 	return true
