Close idle connections between daemons early, and count bytes between zones by cause

Cause: an entry keeps a connection to each instance that it has called in the last minute, and pings each after 0.6 s of silence. At 295 daemons an entry calls an instance every few seconds: some 150 connections each, 70,000 pings a second in all (worked out, not counted).

--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -137,6 +138,32 @@
 	}
 }
 
+// TestIdle guards against connections to hundreds of peers that are kept, and pinged,
+// for a call every few seconds.
+func TestIdle(t *testing.T) {
+	srv, addr := newPeer(t, func(http.ResponseWriter, *http.Request) {})
+	closed := make(chan struct{})
+	var once sync.Once
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			once.Do(func() { close(closed) })
+		}
+	}
+	p := Pool{IdleTimeout: 100 * time.Millisecond}
+	defer p.Close()
+	if _, err := get(t.Context(), &p, addr, "/"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is still open")
+	}
+	if _, err := get(t.Context(), &p, addr, "/"); err != nil {
+		t.Errorf("over a new connection: %v", err)
+	}
+}
+
 // TestTraffic guards against control bytes that are not counted.
 func TestTraffic(t *testing.T) {
 	_, addr := newPeer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 10_000)) })
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -27,6 +27,8 @@
 
 	mu    sync.Mutex
 	times map[series]*hdrhistogram.Histogram
+	// routes holds the routes that have counters of their own.
+	routes map[string]bool
 }
 
 // series names a histogram by what it measures, the route and the outcome.
@@ -38,7 +40,8 @@
 	histogramMax = int64(time.Minute / time.Microsecond)
 	// histogramDigits is the precision of a histogram in decimal digits.
 	histogramDigits = 2
-	// maxSeries bounds the histograms; further routes share one.
+	// maxSeries bounds the histograms, and the routes with counters; further routes
+	// share one.
 	maxSeries = 60
 )
 
@@ -90,6 +93,22 @@
 // Add adds n to a counter.
 func (s *Set) Add(name string, n int64) { s.vars.Add(name, n) }
 
+// AddRoute adds n to the counter of a route. At most maxSeries routes have one of their
+// own; further routes share one.
+func (s *Set) AddRoute(name, route string, n int64) {
+	s.mu.Lock()
+	if !s.routes[route] && len(s.routes) >= maxSeries {
+		route = "other"
+	} else {
+		if s.routes == nil {
+			s.routes = make(map[string]bool)
+		}
+		s.routes[route] = true
+	}
+	s.mu.Unlock()
+	s.vars.Add(name+"."+route, n)
+}
+
 // Gauge serves the value of f under the given name.
 func (s *Set) Gauge(name string, f func() any) { s.vars.Set(name, expvar.Func(f)) }
 
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -42,6 +42,12 @@
 	// refusalPause is when a caller may sensibly come back after a refusal
 	// that names no time of its own.
 	refusalPause = time.Second
+	// peerIdle is how long a connection to another daemon is kept without a call. One
+	// is pinged twice a second, so that it cannot go silent unnoticed, and a new one
+	// costs less than three pings. An entry of a large service would otherwise
+	// keep, and ping, connections to hundreds of instances that it uses every few
+	// seconds.
+	peerIdle = 1500 * time.Millisecond
 	// finishWithin bounds the time to store the answer of a keyed request.
 	finishWithin = 30 * time.Second
 	// maxKey bounds an idempotency key, in bytes.
@@ -114,6 +120,7 @@
 func New(view View, local Local, opts ...Option) *Entry {
 	e := &Entry{view: view, local: local, metrics: new(metrics.Set), headers: request.DefaultHeaders}
 	e.SetService("")
+	e.peers.IdleTimeout = peerIdle
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -46,6 +46,7 @@
 		e.metrics.Add("entry.truncatedAnswers", 1)
 		return nil, unknown(request.ReasonTruncated, err.Error())
 	}
+	e.countFar(inst, call, len(body))
 	load := request.DecodeLoad(res.Header)
 	if ref, refused := request.DecodeRefusal(res.StatusCode, res.Header, body); refused {
 		_ = res.Body.Close()
@@ -67,6 +68,16 @@
 	return ans, nil
 }
 
+// countFar counts the bytes of a request and its answer that crossed between zones,
+// without headers and without what is streamed.
+func (e *Entry) countFar(inst route.Instance, call *request.Call, answer int) {
+	if inst.Zone != e.view.Snapshot().Self.Zone {
+		e.metrics.AddRoute("bytesBetweenZones.requests", call.Route, int64(len(call.Body)))
+		e.metrics.AddRoute("bytesBetweenZones.answers", call.Route, int64(answer))
+		e.metrics.AddRoute("callsBetweenZones", call.Route, 1)
+	}
+}
+
 // lost classifies an exchange that gave no answer.
 func (e *Entry) lost(ctx context.Context, inst route.Instance, err error, connected bool) error {
 	if !connected {
