Calls of servers wait as long as their answer can still come

Each page calls loikus twice; these calls have an objective of 200 ms and were turned away after 100 ms in the queue, or at once, while bookings of the same rank wait 400 ms.

Change: a host learns from the service beside which calls began which routes servers alone call (origins.go), and lets these wait until their answer would come too late. Their rank stays.

--- a/request/host/host.go
+++ b/request/host/host.go
@@ -106,6 +106,7 @@
 	target   atomic.Pointer[target]
 	warmup   warmup
 	means    means
+	origins  origins
 	// unreachable is told when the upstream is gone.
 	unreachable func()
 	// decisions may be nil.
@@ -182,7 +183,10 @@
 	if err = h.check(snap, call); err != nil {
 		return nil, h.refused(err)
 	}
-	ticket, err := h.limiter.Acquire(ctx, call.Class, snap.Shed(time.Now()), startBy(call, time.Now()))
+	if n := h.headers.CallerService; n != "" {
+		h.origins.learn(call.Route, call.Header.Get(n))
+	}
+	ticket, err := h.limiter.Acquire(ctx, call.Class, snap.Shed(time.Now()), h.startBy(call, time.Now()))
 	if err != nil {
 		return nil, h.refused(overload(err))
 	}
@@ -229,14 +233,25 @@
 // for a slot; an answer takes the rest.
 const waitShare = 0.5
 
+// answerRoom is the time that is kept for the answer of a call of a server, as a
+// multiple of the mean.
+const answerRoom = 2
+
 // startBy returns the time until which a call may wait for a slot. A start so
 // late that the answer misses the objective takes the slot from a call that
-// would meet it.
-func startBy(call *request.Call, now time.Time) time.Time {
+// would meet it. A server that calls holds a slot itself, and all its work is lost
+// with the call: that may wait as long as its answer can still come.
+func (h *Host) startBy(call *request.Call, now time.Time) time.Time {
 	until := call.StartBy()
 	if call.Objective.IsZero() {
 		return until
 	}
+	if h.origins.ofServers(call.Route) {
+		if last := call.Deadline.Add(-answerRoom * h.means.of(call.Route)); last.Before(until) && last.After(now) {
+			return last
+		}
+		return until
+	}
 	useful := now.Add(time.Duration(waitShare * float64(call.Objective.Sub(now))))
 	if useful.Before(until) && useful.After(now) {
 		return useful
