--- a/process/control/control.go
+++ b/process/control/control.go
@@ -105,10 +105,15 @@
 	claimSyncTimeout = 5 * time.Second
 	// askTimeout bounds the wait for the actor.
 	askTimeout = 2 * time.Second
-	// publishPeriod is the shortest time between two views that differ only in
-	// members. A zone that returns announces 1,200 members within seconds, and a
-	// view of that size takes milliseconds to build.
-	publishPeriod = 50 * time.Millisecond
+	// publishMin is the shortest time between two views that differ only in members,
+	// and publishPerMember what it is for each of them where they are many. All
+	// daemons of a zone may start or return within seconds, and a view takes about a
+	// microsecond of a processor for each member, of which small instances have a
+	// sixth.
+	publishMin       = 50 * time.Millisecond
+	publishPerMember = 500 * time.Microsecond
+	// publishMax bounds that time.
+	publishMax = 250 * time.Millisecond
 	// validPeriod is how long traffic trusts a snapshot after a control tick.
 	validPeriod = pausePeriod
 )
@@ -267,11 +272,12 @@
 	reply, actions := core.handle(ctx.Message(), now, rand.Float64())
 	// An operator who is told of a member finds it in the traffic too.
 	_, asked := ctx.Message().(statusIn)
-	if core.dirty || core.stale && (asked || now.Sub(c.published) >= publishPeriod) {
+	period := min(max(publishMin, time.Duration(core.table.Len())*publishPerMember), publishMax)
+	if core.dirty || core.stale && (asked || now.Sub(c.published) >= period) {
 		c.publish(core)
 		c.published = now
 	} else if core.stale {
-		c.flushLater(&c.flushing, publishPeriod)
+		c.flushLater(&c.flushing, period)
 	}
 	if due, ok := core.newsDue(); ok {
 		c.flushLater(&c.telling, due.Sub(now))
