--- a/process/control/control.go
+++ b/process/control/control.go
@@ -87,7 +87,7 @@
 	directoryRetryMax = 4 * time.Second
 	directoryTimeout  = 2 * time.Second
 	// directoryPatience is how long a daemon that starts waits for the directory before
-	// it reads the log.
+	// it follows the log.
 	directoryPatience = 400 * time.Millisecond
 	// directoryIdle is the period in which a daemon checks that it still knows
 	// a member.
@@ -342,11 +342,7 @@
 	c.loop(c.tickLoop)
 	c.loop(c.gossipLoop)
 	c.loop(c.recordLoop)
-	c.loop(func() {
-		if c.awaitDirectory() {
-			c.tailLoop()
-		}
-	})
+	c.loop(c.followLog)
 	c.loop(c.seedLoop)
 	if !c.compacted {
 		c.loop(c.claimLoop)
@@ -498,21 +494,22 @@
 	c.send(exchangeDone{to: from, res: res.Msg, asked: asked})
 }
 
-// awaitDirectory waits until the directory has been asked, or takes too long: a daemon
-// that knows nobody takes itself for the reader of its zone. It reports whether
-// the daemon goes on.
-func (c *control) awaitDirectory() bool {
-	if c.directory == nil {
-		return true
-	}
-	select {
-	case <-c.listed:
-		return true
-	case <-time.After(directoryPatience):
-		return true
-	case <-c.ctx.Done():
-		return false
+// followLog reads the log at once, as a daemon that starts again must, and follows it
+// when the directory has been asked, or takes too long: a daemon that knows nobody
+// takes itself for the reader of its zone.
+func (c *control) followLog() {
+	if c.directory != nil {
+		if err := c.readOnce(false); err != nil {
+			c.send(logFailed{err: err})
+		}
+		select {
+		case <-c.listed:
+		case <-time.After(directoryPatience):
+		case <-c.ctx.Done():
+			return
+		}
 	}
+	c.tailLoop()
 }
 
 // directoryLoop enters the daemon in the directory and asks those listed there
@@ -581,7 +578,7 @@
 				continue
 			}
 		}
-		if err := c.readOnce(); err != nil {
+		if err := c.readOnce(true); err != nil {
 			c.send(logFailed{err: err})
 			if !c.pause(jitter(pause)) {
 				return
@@ -602,14 +599,15 @@
 	}
 }
 
-// readOnce reads from the folded offset to the end of the log.
-func (c *control) readOnce() error {
+// readOnce reads from the folded offset to the end of the log. With wait, a reader
+// waits there for the next record.
+func (c *control) readOnce(wait bool) error {
 	from := c.view.Load().State.Offset + 1
 	var got recordsArrived
 	for {
 		got.asked = time.Now()
 		until := got.asked
-		if len(got.entries) == 0 && c.reader.Load() && (c.view.Load().Serving || c.compacted && from == 1) {
+		if wait && len(got.entries) == 0 && c.reader.Load() && (c.view.Load().Serving || c.compacted && from == 1) {
 			until = until.Add(c.pollPeriod())
 		}
 		page, err := c.log.Read(c.ctx, record.Stream, from, until)
