control: events of versions say where a version came from and how long it was known

The lines on versions could not tell the hypotheses of the incident apart: a record said neither who sent it nor whether the daemon had known of it before. control.versionLag is the histogram of that time. No change of behaviour.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -189,6 +190,9 @@
 	// services restricts the followed services; empty means all.
 	services []string
 	lastTick time.Time
+	// behindSince is when a higher offset than the daemon's own was first reported;
+	// zero while none is known.
+	behindSince time.Time
 	// fetchUntil is the deadline for the response to a fetch of the records up to
 	// fetchOffset.
 	fetchUntil  time.Time
@@ -344,7 +348,7 @@
 			continue
 		}
 		out := st.Apply(e.Offset, e.Data)
-		c.observeOutcome(now, out)
+		c.observeOutcome(now, out, ev.source)
 		if out.Kind == record.KindSnapshot {
 			c.lastSnapshot = e.Offset
 			e = stub(e)
@@ -404,6 +408,9 @@
 	if offset <= c.state.Offset || to.Name == "" || to.Name == c.table.Self().Name {
 		return
 	}
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+	}
 	if now.Before(c.fetchUntil) && offset <= c.fetchOffset {
 		return
 	}
@@ -473,7 +480,7 @@
 		return
 	}
 	c.raw, c.rawBytes = nil, 0
-	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s", st.Version, source)
+	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, source, c.lag(now))
 	c.setState(now, st)
 }
 
@@ -485,6 +492,10 @@
 	c.decisions.setMoveTimes(st, now)
 	c.state = st
 	c.dirty = true
+	if !c.behindSince.IsZero() {
+		c.metrics.Observe("control.versionLag", now.Sub(c.behindSince), "", "")
+		c.behindSince = time.Time{}
+	}
 	follow := c.services
 	if len(follow) == 0 {
 		for _, u := range st.Config.Upstreams {
@@ -494,7 +505,17 @@
 	c.table.Follow(follow...)
 }
 
-func (c *core) observeOutcome(now time.Time, out fold.Outcome) {
+// lag describes for the timeline how long the daemon has known of a newer version.
+func (c *core) lag(now time.Time) string {
+	if c.behindSince.IsZero() {
+		return ""
+	}
+	return fmt.Sprintf(", %v after a newer version was reported", now.Sub(c.behindSince).Round(time.Millisecond))
+}
+
+// observeOutcome counts a folded record and adds it to the timeline. source is the
+// peer that sent the record; it is empty for the log.
+func (c *core) observeOutcome(now time.Time, out fold.Outcome, source string) {
 	c.metrics.Add("control.records."+string(out.Result), 1)
 	switch {
 	case out.Newer:
@@ -505,7 +526,7 @@
 	case out.Result == fold.Skipped:
 		c.event(now, timeline.KindRefused, out.Offset, "record %d skipped: %s", out.Offset, out.Reason)
 	case out.Result == fold.Accepted && out.Kind != record.KindSnapshot:
-		c.event(now, timelineKind(out.Kind), out.Offset, "%s record %d is in force", out.Kind, out.Offset)
+		c.event(now, timelineKind(out.Kind), out.Offset, "%s record %d is in force, from %s%s", out.Kind, out.Offset, cmp.Or(source, "the log"), c.lag(now))
 	}
 }
 
--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,6 +156,31 @@
 	}
 }
 
+// TestVersionEvents guards against a late version whose event does not say where it
+// came from and how long the daemon had known of it.
+func TestVersionEvents(t *testing.T) {
+	c := testCore("d1", "a")
+	c.table.Merge(epoch, []membership.Member{testMember("d2", "a")})
+	records := testRecords(t, 3)
+	c.handle(recordsArrived{entries: records[:1], first: 1, next: 2, asked: epoch}, epoch, 0)
+	c.handle(exchangeReceived{&wirev1.ExchangeRequest{From: toWire(testMember("d2", "a")), Offset: 3}}, epoch.Add(time.Second), 0)
+	c.handle(recordsArrived{entries: records[1:], source: "d2"}, epoch.Add(1700*time.Millisecond), 0)
+	var got []string
+	for _, e := range c.events.Events(time.Time{}, 10) {
+		if e.Kind == timeline.KindVersion && strings.Contains(e.Detail, "in force") {
+			got = append(got, e.Detail)
+		}
+	}
+	want := []string{
+		"publish record 1 is in force, from the log",
+		"publish record 2 is in force, from d2, 700ms after a newer version was reported",
+		"publish record 3 is in force, from d2, 700ms after a newer version was reported",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got events %q, want %q", got, want)
+	}
+}
+
 // TestPaused guards against a process that continues with an outdated state after
 // it was paused.
 func TestPaused(t *testing.T) {
