--- /dev/null
+++ b/process/control/fleet_test.go
@@ -0,0 +1,381 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
+	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
+)
+
+// Delays of a fleet of small instances, with a sixth of a CPU and links of
+// 10 Mbit/s, and a configuration of 100 kB.
+const (
+	sameZoneDelay  = 200 * time.Microsecond
+	crossZoneHop   = 1400 * time.Microsecond
+	messageTime    = time.Millisecond
+	configTime     = 60 * time.Millisecond
+	serveTime      = 20 * time.Millisecond
+	transferTime   = 20 * time.Millisecond
+	storeTime      = 4 * time.Millisecond
+	storeReadTime  = 80 * time.Millisecond
+	restartTime    = 400 * time.Millisecond
+	knownAtRestart = 5
+)
+
+// fleet is a simulation of daemons that follow a compacted log. Each daemon handles
+// one event after the other, and events, messages and transfers take time.
+type fleet struct {
+	cores map[string]*core
+	names []string
+	// busyUntil is when the CPU of a daemon is free, and fetches the number of
+	// fetches that it is serving.
+	busyUntil map[string]time.Time
+	fetches   map[string]int
+	// generation counts the restarts of a daemon; events of an earlier process are
+	// dropped.
+	generation map[string]int
+	startedAt  map[string]time.Time
+	rnd        *rand.Rand
+	now        time.Time
+	queue      timers
+	// records holds the records of the log from first on.
+	records []log.Entry
+	first   int64
+	// deafUntil is until when reads that wait are not told of new records.
+	deafUntil time.Time
+	// written is when each offset was acknowledged, and heldAt when each daemon
+	// held it.
+	written map[int64]time.Time
+	heldAt  map[int64]map[string]time.Time
+}
+
+type timer struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+// timers is a heap of timers by time.
+type timers []timer
+
+func (h timers) Len() int      { return len(h) }
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h timers) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].order < h[j].order
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h *timers) Push(x any) { *h = append(*h, x.(timer)) }
+func (h *timers) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
+
+// newFleet returns a fleet of n daemons in three zones that know each other and
+// hold a first configuration.
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{
+		cores: make(map[string]*core), busyUntil: make(map[string]time.Time), fetches: make(map[string]int),
+		generation: make(map[string]int), startedAt: make(map[string]time.Time), rnd: rand.New(rand.NewPCG(seed, 21)), now: epoch,
+		first: 1, written: make(map[int64]time.Time), heldAt: make(map[int64]map[string]time.Time),
+	}
+	f.write(t)
+	var members []membership.Member
+	for i := range n {
+		name := fmt.Sprint("d", i)
+		f.names = append(f.names, name)
+		f.cores[name] = platformCore(name, []string{"a", "b", "c"}[i%3])
+		members = append(members, f.cores[name].table.Self())
+	}
+	for _, name := range f.names {
+		f.cores[name].table.Merge(epoch, members)
+		f.cores[name].handle(recordsArrived{entries: f.records, first: 1, next: 2, asked: epoch}, epoch, 0)
+		f.start(name)
+	}
+	return f
+}
+
+// start schedules the periodic events of a daemon and its reads of the log.
+func (f *fleet) start(name string) {
+	f.every(name, func() time.Duration { return tickPeriod }, func() { f.deliver(name, tick{}, messageTime, nil) })
+	f.every(name, func() time.Duration { return f.jitter(gossipPeriod) }, func() { f.deliver(name, gossipDue{}, messageTime, nil) })
+	f.every(name, func() time.Duration { return updatePauseMin }, func() {
+		if due, ok := f.cores[name].updatesDue(); ok && !f.now.Before(due) {
+			f.deliver(name, flush{}, messageTime, nil)
+		}
+	})
+	f.follow(name)
+}
+
+func (f *fleet) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(f.rnd.Int64N(int64(d)))
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	heap.Push(&f.queue, timer{f.now.Add(d), f.queue.Len(), run})
+}
+
+// every runs an event of a daemon with the given pauses until the daemon restarts.
+func (f *fleet) every(name string, pause func() time.Duration, run func()) {
+	generation := f.generation[name]
+	var next func()
+	next = func() {
+		if f.generation[name] != generation {
+			return
+		}
+		run()
+		f.after(pause(), next)
+	}
+	f.after(time.Duration(f.rnd.Int64N(int64(pause()))), next)
+}
+
+// runUntil handles all events up to the given time.
+func (f *fleet) runUntil(end time.Time) {
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		t := heap.Pop(&f.queue).(timer)
+		f.now = t.at
+		t.run()
+	}
+	f.now = end
+}
+
+// write appends a large configuration to the log.
+func (f *fleet) write(t *testing.T) {
+	t.Helper()
+	offset := int64(len(f.records)) + 1
+	cfg := announcedConfig()
+	for i := range 60 {
+		r := cfg.Routes[0]
+		r.Name, r.Prefix = fmt.Sprint("r", i), fmt.Sprintf("/%d/version%d/", i, offset)
+		cfg.Routes = append(cfg.Routes, r)
+	}
+	f.records = append(f.records, entryOf(t, offset, record.Record{ID: fmt.Sprint("c", offset), Kind: record.KindReplace, Base: offset - 1, Replace: cfg}))
+	f.written[offset] = f.now
+}
+
+// forget deletes all records but the newest. For a second, reads that wait are not
+// told of new records.
+func (f *fleet) forget() {
+	f.first, f.deafUntil = int64(len(f.records))+1, f.now.Add(time.Second)
+}
+
+// follow reads the log while the daemon is a reader.
+func (f *fleet) follow(name string) {
+	generation := f.generation[name]
+	var poll func()
+	poll = func() {
+		c := f.cores[name]
+		end := int64(len(f.records))
+		switch {
+		case f.generation[name] != generation:
+			return
+		case !c.isReader() && c.state.Offset > 0:
+			f.after(tickPeriod, poll)
+		case c.state.Offset < end && !f.now.Before(f.deafUntil):
+			f.read(name, poll)
+		default:
+			f.after(10*time.Millisecond, poll)
+		}
+	}
+	f.after(0, poll)
+}
+
+// read reads the log to its end once, as a snapshot if records have been deleted.
+func (f *fleet) read(name string, then func()) {
+	c, asked := f.cores[name], f.now
+	from, end := c.state.Offset+1, int64(len(f.records))
+	ev := recordsArrived{first: f.first, next: end + 1, asked: asked}
+	if from < f.first || from == 1 {
+		ev.first, ev.entries = 1, []log.Entry{f.snapshot(end)}
+	} else {
+		ev.entries = slices.Clone(f.records[from-1 : end])
+	}
+	delay := storeTime + time.Duration(len(ev.entries))*storeReadTime
+	f.after(delay, func() {
+		f.deliver(name, ev, messageTime+time.Duration(len(ev.entries))*configTime, func(any) { f.after(0, then) })
+	})
+}
+
+func (f *fleet) snapshot(end int64) log.Entry {
+	rec, err := record.Decode(f.records[end-1].Data)
+	if err != nil {
+		panic(err)
+	}
+	state, err := fold.FromNewest([]fold.RetainedRecord{{Offset: end, Record: rec}}, end).Encode()
+	if err != nil {
+		panic(err)
+	}
+	data, err := record.Record{ID: "newest", Kind: record.KindSnapshot, Snapshot: &record.Snapshot{UpTo: end, State: state}}.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return log.Entry{Offset: end, Data: data}
+}
+
+// deliver hands an event to a daemon once its CPU is free and has spent the given
+// time on it.
+func (f *fleet) deliver(name string, ev any, cost time.Duration, then func(reply any)) {
+	generation := f.generation[name]
+	if f.busyUntil[name].Before(f.now) {
+		f.busyUntil[name] = f.now
+	}
+	f.busyUntil[name] = f.busyUntil[name].Add(cost)
+	f.after(f.busyUntil[name].Sub(f.now), func() {
+		c := f.cores[name]
+		if f.generation[name] != generation {
+			return
+		}
+		reply, actions := c.handle(ev, f.now, f.rnd.Float64())
+		f.noteHeld(name, c.state.Offset)
+		for _, a := range actions {
+			f.act(name, a)
+		}
+		if then != nil {
+			then(reply)
+		}
+	})
+}
+
+func (f *fleet) noteHeld(name string, offset int64) {
+	for ; offset > 0 && f.heldAt[offset][name].IsZero(); offset-- {
+		if f.heldAt[offset] == nil {
+			f.heldAt[offset] = make(map[string]time.Time)
+		}
+		f.heldAt[offset][name] = f.now
+	}
+}
+
+func (f *fleet) delay(a, b string) time.Duration {
+	if f.cores[a].table.Self().Zone == f.cores[b].table.Self().Zone {
+		return sameZoneDelay
+	}
+	return crossZoneHop
+}
+
+func (f *fleet) act(name string, action any) {
+	generation := f.generation[name]
+	// back hands a response to the daemon, unless it has restarted.
+	back := func(ev any, cost time.Duration) {
+		if f.generation[name] == generation {
+			f.deliver(name, ev, cost, nil)
+		}
+	}
+	switch a := action.(type) {
+	case sendPush:
+		for _, m := range a.to {
+			ev := recordsArrived{entries: entriesFromWire(a.req.GetRecords()), source: a.req.GetFrom()}
+			f.after(f.delay(name, m.Name), func() { f.deliver(m.Name, ev, messageTime, nil) })
+		}
+	case sendExchange:
+		asked, delay := f.now, f.delay(name, a.to.Name)
+		f.after(max(0, a.notBefore.Sub(f.now))+delay, func() {
+			f.deliver(a.to.Name, exchangeReceived{a.req}, messageTime, func(reply any) {
+				res := reply.(*wirev1.ExchangeResponse)
+				f.after(delay, func() { back(exchangeDone{to: a.to, res: res, asked: asked}, messageTime) })
+			})
+		})
+	case sendFetch:
+		f.fetch(a, f.delay(name, a.to.Name), back)
+	case readLog:
+		f.after(time.Duration(f.rnd.Int64N(int64(logRetryMin))), func() {
+			if f.generation[name] == generation {
+				f.read(name, func() {})
+			}
+		})
+	}
+}
+
+// fetch transfers records or a state from a peer, which serves maxFetches at once.
+func (f *fleet) fetch(a sendFetch, delay time.Duration, back func(ev any, cost time.Duration)) {
+	asked := f.now
+	f.after(delay, func() {
+		if f.fetches[a.to.Name] == maxFetches {
+			f.after(delay+f.jitter(fetchRetryDelay), func() { back(fetchFailed{to: a.to, offset: a.upTo}, messageTime) })
+			return
+		}
+		f.fetches[a.to.Name]++
+		f.deliver(a.to.Name, fetchReceived{&wirev1.FetchRequest{From: a.offset}}, messageTime, func(reply any) {
+			res := reply.(*wirev1.FetchResponse)
+			configs := max(len(res.GetRecords()), min(1, len(res.GetSnapshot())))
+			f.busyUntil[a.to.Name] = f.busyUntil[a.to.Name].Add(time.Duration(configs) * serveTime)
+			f.after(f.busyUntil[a.to.Name].Sub(f.now)+delay+time.Duration(configs)*transferTime, func() {
+				f.fetches[a.to.Name]--
+				cost := messageTime + time.Duration(configs)*configTime
+				if data := res.GetSnapshot(); len(data) > 0 {
+					st, err := fold.DecodeState(data)
+					if err != nil {
+						panic(err)
+					}
+					back(stateArrived{state: st, zone: res.GetZone(), name: a.to.Name}, cost)
+				} else if len(res.GetRecords()) > 0 {
+					back(recordsArrived{entries: entriesFromWire(res.GetRecords()), source: a.to.Name}, cost)
+				}
+				back(offsetReported{zone: res.GetZone(), offset: res.GetOffset(), serving: res.GetServing(), asked: asked}, messageTime)
+			})
+		})
+	})
+}
+
+// restartReaders replaces the readers of all zones by new processes that know a few
+// daemons and read the log.
+func (f *fleet) restartReaders() {
+	for _, name := range f.names {
+		old := f.cores[name]
+		if !old.isReader() {
+			continue
+		}
+		f.generation[name]++
+		self := old.table.Self()
+		c := platformCore(name, self.Zone)
+		c.table.Update(func(m *membership.Member) { m.Incarnation = self.Incarnation + 1 })
+		for _, i := range f.rnd.Perm(len(f.names))[:knownAtRestart] {
+			if other := f.names[i]; other != name {
+				c.table.Merge(f.now, []membership.Member{f.cores[other].table.Self()})
+			}
+		}
+		f.cores[name], f.fetches[name] = c, 0
+		f.startedAt[name] = f.now.Add(restartTime)
+		generation := f.generation[name]
+		f.after(restartTime, func() {
+			if f.generation[name] == generation {
+				f.start(name)
+			}
+		})
+	}
+}
+
+// late returns, for the daemons that ran all the time, the longest time until one
+// of them held a version, and the number of those that held one too late.
+func (f *fleet) late(within time.Duration) (longest time.Duration, late int) {
+	for offset, at := range f.written {
+		if at.Equal(epoch) {
+			continue
+		}
+		for _, name := range f.names {
+			if !f.startedAt[name].IsZero() {
+				continue
+			}
+			took := f.now.Sub(at)
+			if held := f.heldAt[offset][name]; !held.IsZero() {
+				took = held.Sub(at)
+			}
+			longest = max(longest, took)
+			if took > within {
+				late++
+			}
+		}
+	}
+	return longest, late
+}
