--- a/process/control/core.go
+++ b/process/control/core.go
@@ -236,7 +236,9 @@
 	case logFailed:
 		c.onLogFailed(now, ev)
 	case stateArrived:
-		c.adopt(now, ev.state, ev.name)
+		if c.adopt(now, ev.state, ev.name) && c.serving {
+			c.reportOffset(now, rnd, ev.name)
+		}
 	case offsetReported:
 		c.onOffsetReported(now, ev)
 	case gossipDue:
@@ -340,7 +342,9 @@
 			c.setLogUnreachable(false)
 		}
 	}
-	c.adoptSnapshot(ev.entries, now)
+	if c.adoptSnapshot(ev.entries, now) {
+		c.reportOffset(now, rnd, ev.source)
+	}
 	st := c.state.Clone()
 	var fresh []log.Entry
 	for _, e := range ev.entries {
@@ -453,10 +457,10 @@
 }
 
 // adoptSnapshot adopts the newest snapshot among the entries if the records before
-// them have expired.
-func (c *core) adoptSnapshot(entries []log.Entry, now time.Time) {
+// them have expired. It reports whether the state has changed.
+func (c *core) adoptSnapshot(entries []log.Entry, now time.Time) bool {
 	if len(entries) == 0 || entries[0].Offset <= c.state.Offset+1 && !c.compacted {
-		return
+		return false
 	}
 	for i := len(entries) - 1; i >= 0; i-- {
 		rec, err := record.Decode(entries[i].Data)
@@ -469,19 +473,21 @@
 			continue
 		}
 		c.reportsDue = c.hasOutcomes && len(st.Moves) > 0 && !c.serving
-		c.adopt(now, st, "a snapshot on the log")
-		return
+		return c.adopt(now, st, "a snapshot on the log")
 	}
+	return false
 }
 
-// adopt replaces the state by one from a snapshot or a peer if that is newer.
-func (c *core) adopt(now time.Time, st *fold.State, source string) {
+// adopt replaces the state by one from a snapshot or a peer if that is newer, and
+// reports whether it is.
+func (c *core) adopt(now time.Time, st *fold.State, source string) bool {
 	if st.Offset <= c.state.Offset {
-		return
+		return false
 	}
 	c.raw, c.rawBytes = nil, 0
 	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, source, c.lag(now))
 	c.setState(now, st)
+	return true
 }
 
 // setState puts a state in force. The offset never decreases.
@@ -551,36 +557,50 @@
 	}
 }
 
-// push forwards new records to random peers in the zone and to one peer in each
-// other zone, so that they reach a zone that cannot reach the log. For large
-// records only the offset is sent, and peers that lack them fetch them once. Other
-// zones usually have them from their own reader by then.
+// push forwards new records to peers. For large records only the offset is sent, and
+// peers that lack them fetch them once.
 func (c *core) push(now time.Time, rnd float64, entries []log.Entry, source string) {
-	self := c.table.Self()
-	to := c.table.Random(rnd, recordFanout, func(m membership.Member) bool { return m.Zone == self.Zone && m.Name != source })
-	var others []membership.Member
-	if source == "" {
-		others = c.onePeerPerZone(rnd)
-	}
-	req, size := &wirev1.PushRequest{From: self.Name}, 0
+	req, size := &wirev1.PushRequest{From: c.table.Self().Name}, 0
 	for _, e := range entries {
 		req.Records = append(req.Records, &wirev1.Record{Offset: e.Offset, Data: e.Data})
 		size += len(e.Data)
 	}
 	if size > maxPushBytes {
-		for _, m := range to {
-			c.act(sendExchange{to: m, req: c.offsetNotice(), update: true})
-		}
-		for _, m := range others {
-			c.act(sendExchange{to: m, req: c.offsetNotice(), update: true, notBefore: now.Add(crossZoneDelay)})
-		}
+		c.reportOffset(now, rnd, source)
 		return
 	}
-	if to = append(to, others...); len(to) > 0 {
+	near, far := c.receivers(rnd, source)
+	if to := append(near, far...); len(to) > 0 {
 		c.act(sendPush{to: to, req: req})
 	}
 }
 
+// reportOffset tells peers the daemon's offset, so that those that are behind fetch
+// the records or the state. Peers in other zones are told later, because they usually
+// have them from their own reader by then.
+func (c *core) reportOffset(now time.Time, rnd float64, source string) {
+	near, far := c.receivers(rnd, source)
+	for _, m := range near {
+		c.act(sendExchange{to: m, req: c.offsetNotice(), update: true})
+	}
+	for _, m := range far {
+		c.act(sendExchange{to: m, req: c.offsetNotice(), update: true, notBefore: now.Add(crossZoneDelay)})
+	}
+}
+
+// receivers returns the peers that are told of a new version: random ones in the
+// daemon's zone and, if the version comes from the log, one in each other zone, so
+// that it reaches a zone that cannot reach the log. source is the peer from which the
+// version comes; it is empty for the log.
+func (c *core) receivers(rnd float64, source string) (near, far []membership.Member) {
+	zone := c.table.Self().Zone
+	near = c.table.Random(rnd, recordFanout, func(m membership.Member) bool { return m.Zone == zone && m.Name != source })
+	if source == "" {
+		far = c.onePeerPerZone(rnd)
+	}
+	return near, far
+}
+
 // offsetNotice returns an exchange that only reports this daemon's offset.
 func (c *core) offsetNotice() *wirev1.ExchangeRequest {
 	return &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset}
