control: repeat a fetch that brought nothing

A daemon that had been told of a newer version could stay behind until its next periodic exchange, a second or more: its fetch was refused or unanswered, or went to a peer that did not have the version itself, and nothing repeated it.

Evidence: TestFetchRepeated fails before (no fetch after the time of the first one).

The fix: a tick after the time of a fetch asks another peer while the daemon is still behind.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -194,9 +194,10 @@
 	// zero while none is known.
 	behindSince time.Time
 	// fetchUntil is the deadline for the response to a fetch of the records up to
-	// fetchOffset.
+	// fetchOffset from fetchPeer.
 	fetchUntil  time.Time
 	fetchOffset int64
+	fetchPeer   membership.Member
 	// crossZoneOffset is the newest offset that crossZonePeer, a peer in another
 	// zone, has reported. Its records are fetched from there after
 	// crossZoneFetchAt.
@@ -318,8 +319,11 @@
 		c.readAfter = now.Add(directReadDelay + time.Duration(rnd*float64(directReadDelay)))
 		c.act(readLog{})
 	}
-	if c.crossZoneOffset > c.state.Offset && now.After(c.crossZoneFetchAt) {
+	switch {
+	case c.crossZoneOffset > c.state.Offset && now.After(c.crossZoneFetchAt):
 		c.fetch(now, c.crossZonePeer, c.crossZoneOffset)
+	case c.fetchOffset > c.state.Offset && now.After(c.fetchUntil):
+		c.fetchElsewhere(now, rnd, fetchFailed{to: c.fetchPeer, offset: c.fetchOffset})
 	}
 	c.decide(now, rnd)
 }
@@ -424,7 +428,7 @@
 		c.crossZoneOffset, c.crossZonePeer, c.crossZoneFetchAt = offset, to, now.Add(crossZoneDelay)
 		return
 	}
-	c.fetchUntil, c.fetchOffset = now.Add(fetchTimeout), offset
+	c.fetchUntil, c.fetchOffset, c.fetchPeer = now.Add(fetchTimeout), offset, to
 	c.act(sendFetch{to: to, offset: c.state.Offset + 1, upTo: offset})
 }
 
--- a/process/control/updates_test.go
+++ b/process/control/updates_test.go
@@ -137,3 +137,22 @@
 		t.Errorf("got fetches %v, want one from the other zone", got)
 	}
 }
+
+// TestFetchRepeated guards against a daemon that stays behind until its next exchange
+// because the peer that it asked did not answer or does not have the version either.
+func TestFetchRepeated(t *testing.T) {
+	c := testCore("d1", "a")
+	asked := testMember("d2", "a")
+	c.table.Merge(epoch, []membership.Member{asked, testMember("d3", "a")})
+	c.serving, c.lastTick, c.contactUntil = true, epoch, epoch.Add(time.Hour)
+	c.handle(exchangeReceived{&wirev1.ExchangeRequest{From: toWire(asked), Offset: 7}}, epoch, 0.9)
+	c.handle(offsetReported{zone: "a", offset: 6, serving: true, asked: epoch}, epoch.Add(time.Millisecond), 0.9)
+	_, actions := c.handle(tick{}, epoch.Add(fetchTimeout/2), 0.9)
+	if got := find[sendFetch](actions); len(got) != 0 {
+		t.Errorf("got fetches %v while the first one may still be answered, want none", got)
+	}
+	_, actions = c.handle(tick{}, epoch.Add(fetchTimeout+time.Millisecond), 0.9)
+	if got := find[sendFetch](actions); len(got) != 1 || got[0].to.Name != "d3" || got[0].upTo != 7 {
+		t.Errorf("got fetches %v after the time of the first one, want one from the other peer", got)
+	}
+}
