connection/instance: no request waits beside an idle connection

A request could wait until its deadline for a connection to its server although one was idle.

Cause: Pool.get found the idle list empty and then waited on a channel; a connection that was put back in between went to the idle list, and nothing woke the request if no other exchange ended later.

TestGivenUpWait covers the new way in which a connection could be lost.

The fix: requests that wait stand in a queue under the same lock as the idle list. A connection that is put back, or the place of a closed one, goes to the first of them.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -30,6 +30,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,7 +83,7 @@
 
 // WithConnections sets the maximum number of open connections.
 func WithConnections(n int) Option {
-	return func(p *Pool) { p.open = make(chan struct{}, max(1, n)) }
+	return func(p *Pool) { p.limit = max(1, n) }
 }
 
 // WithLimits sets the limits of responses; a limit of zero keeps its default.
@@ -102,20 +103,24 @@
 // Pool holds the connections to one instance.
 type Pool struct {
 	addr   netip.AddrPort
-	open   chan struct{}
 	onOpen func()
 	limits Limits
-	// returned passes a connection to an exchange that waits for one.
-	returned chan *conn
+	// limit is the maximum number of open connections.
+	limit int
 
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
+	mu sync.Mutex
+	// open is the number of open connections and of those being opened.
+	open int
+	idle []*conn
+	// waiters holds the exchanges that wait for a connection, in order. Each receives
+	// a connection, or nil if it is to open one.
+	waiters []chan *conn
+	closed  bool
 }
 
 // New returns a pool without connections.
 func New(addr netip.AddrPort, opts ...Option) *Pool {
-	p := &Pool{addr: addr, onOpen: func() {}, limits: DefaultLimits, returned: make(chan *conn)}
+	p := &Pool{addr: addr, onOpen: func() {}, limits: DefaultLimits}
 	WithConnections(1)(p)
 	for _, opt := range opts {
 		opt(p)
@@ -185,13 +190,9 @@
 
 // get returns an idle connection, or a new one.
 func (p *Pool) get(ctx context.Context, usedSince time.Time) (c *conn, reused bool, err error) {
-	for {
-		p.mu.Lock()
+	p.mu.Lock()
+	for len(p.idle) > 0 {
 		n := len(p.idle)
-		if n == 0 {
-			p.mu.Unlock()
-			break
-		}
 		c, p.idle = p.idle[n-1], p.idle[:n-1]
 		p.mu.Unlock()
 		// The most recently used connection is tried first.
@@ -199,42 +200,105 @@
 			return c, true, nil
 		}
 		p.drop(c)
+		p.mu.Lock()
 	}
+	if p.open < p.limit {
+		p.open++
+		p.mu.Unlock()
+		c, err = p.dial(ctx)
+		return c, false, err
+	}
+	w := make(chan *conn, 1)
+	p.waiters = append(p.waiters, w)
+	p.mu.Unlock()
 	select {
-	case p.open <- struct{}{}:
-	case c := <-p.returned:
-		return c, true, nil
+	case c = <-w:
 	case <-ctx.Done():
+		p.abandon(w)
 		return nil, false, ctx.Err()
 	}
+	if c != nil {
+		return c, true, nil
+	}
+	c, err = p.dial(ctx)
+	return c, false, err
+}
+
+// dial opens a connection that is already counted as open.
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", p.addr.String())
 	if err != nil {
-		<-p.open
-		return nil, false, err
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.release()
+		return nil, err
 	}
 	p.onOpen()
-	return newConn(nc), false, nil
+	return newConn(nc), nil
+}
+
+// abandon removes a waiter, or passes on what it has received in the meantime.
+func (p *Pool) abandon(w chan *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.waiters, w); i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		return
+	}
+	if c := <-w; c != nil {
+		p.keep(c)
+		return
+	}
+	p.release()
 }
 
 func (p *Pool) drop(c *conn) {
 	_ = c.Close()
-	<-p.open
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.release()
+}
+
+// release lets the first waiter open a connection in place of a closed one. The
+// caller holds mu.
+func (p *Pool) release() {
+	if w, ok := p.nextWaiter(); ok {
+		w <- nil
+		return
+	}
+	p.open--
 }
 
 func (p *Pool) put(c *conn) {
 	c.used = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keep(c)
+}
+
+// keep hands a connection to the first waiter or adds it to the idle ones. The caller
+// holds mu.
+func (p *Pool) keep(c *conn) {
 	if p.closed {
-		p.drop(c)
+		_ = c.Close()
+		p.release()
 		return
 	}
-	select {
-	case p.returned <- c:
-	default:
-		p.idle = append(p.idle, c)
+	if w, ok := p.nextWaiter(); ok {
+		w <- c
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+func (p *Pool) nextWaiter() (w chan *conn, ok bool) {
+	if len(p.waiters) == 0 {
+		return nil, false
 	}
+	w = p.waiters[0]
+	p.waiters = slices.Delete(p.waiters, 0, 1)
+	return w, true
 }
 
 // usable reports whether an idle connection may still be used: it has not expired,
--- a/connection/instance/instance_test.go
+++ b/connection/instance/instance_test.go
@@ -329,3 +329,34 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// TestGivenUpWait guards against a connection that is lost because the request that
+// waited for it gave up at the moment at which it received it.
+func TestGivenUpWait(t *testing.T) {
+	addr := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) { respondToAll(c, br) })
+	p := New(addr)
+	defer p.Close()
+	for range 2000 {
+		c, _, err := p.get(t.Context(), time.Time{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if c, _, err := p.get(ctx, time.Time{}); err == nil {
+				p.put(c)
+			}
+		}()
+		go cancel()
+		p.put(c)
+		<-done
+		if n := p.openConnections(); n != 1 {
+			t.Fatalf("got %d open connections, want 1", n)
+		}
+	}
+	if _, _, err := do(t, p, "1", "/", ""); err != nil {
+		t.Errorf("request after the others have given up: %v", err)
+	}
+}
--- a/connection/instance/limit_test.go
+++ b/connection/instance/limit_test.go
@@ -98,13 +98,20 @@
 			if n := after.TotalAlloc - before.TotalAlloc; n > memory {
 				t.Errorf("allocated %d bytes, want at most %d", n, memory)
 			}
-			if n := len(p.open); n != 0 {
+			if n := p.openConnections(); n != 0 {
 				t.Errorf("%d connections are open after the response", n)
 			}
 		})
 	}
 }
 
+// openConnections returns the number of open connections.
+func (p *Pool) openConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // TestSlowEndlessAnswer guards against an exchange that exceeds the deadline of its
 // request when bytes arrive slowly and without end.
 func TestSlowEndlessAnswer(t *testing.T) {
@@ -127,7 +134,7 @@
 		if took := time.Since(began); took > time.Second {
 			t.Errorf("header %q: ended after %v, want at most 1s", head, took)
 		}
-		if n := len(p.open); n != 0 {
+		if n := p.openConnections(); n != 0 {
 			t.Errorf("header %q: %d connections are open", head, n)
 		}
 	}
