control: a daemon that starts without the log asks a peer of each zone

Cause: it serves once peers of two zones have reported their offset. A peer that remembers it calls it, but from then on it waited for its periodic exchanges, one a second with a random partner, of which half of those in other zones are skipped.

Evidence: TestStartAsksEachZone fails before.

The fix: while it does not serve and cannot read the log, a daemon exchanges with one member of each zone that has not answered, every 0.5 s.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -57,6 +57,9 @@
 	// minOffsetZones is the number of availability zones from which peers must have
 	// reported their offset before a daemon serves without the log.
 	minOffsetZones = 2
+	// startExchangePeriod is the pause between two exchanges of a daemon that does not
+	// serve yet with the zones that have not reported their offset.
+	startExchangePeriod = 500 * time.Millisecond
 	// snapshotRecords is the number of records after which a snapshot is due.
 	snapshotRecords = 500
 	// snapshotMinRecords keeps a log with a short retention from filling up with
@@ -181,7 +184,10 @@
 	logFirst, logNext int64
 	lastSnapshot      int64
 	peerOffsets       map[string]int64
-	contactUntil      time.Time
+	// askZonesAfter is when the zones that have not reported their offset are asked
+	// again.
+	askZonesAfter time.Time
+	contactUntil  time.Time
 	// readAfter is the earliest time at which a daemon without contact reads the
 	// log again.
 	readAfter       time.Time
@@ -322,6 +328,7 @@
 		c.readAfter = now.Add(directReadDelay + time.Duration(rnd*float64(directReadDelay)))
 		c.act(readLog{})
 	}
+	c.askZones(now, rnd)
 	switch {
 	case c.crossZoneOffset > c.state.Offset && now.After(c.crossZoneFetchAt):
 		c.fetch(now, c.crossZonePeer, c.crossZoneOffset)
@@ -666,6 +673,23 @@
 	c.startServing(now, "peers of "+strconv.Itoa(len(c.peerOffsets))+" availability zones")
 }
 
+// askZones exchanges with a peer of each zone that has not reported its offset, if the
+// daemon needs that to serve without the log.
+func (c *core) askZones(now time.Time, rnd float64) {
+	if c.serving || c.logReachable || now.Before(c.askZonesAfter) {
+		return
+	}
+	c.askZonesAfter = now.Add(startExchangePeriod)
+	asked := make(map[string]bool)
+	for _, m := range c.table.Random(rnd, c.table.Len(), func(m membership.Member) bool { return m.State != membership.Suspect }) {
+		if _, reported := c.peerOffsets[m.Zone]; reported || asked[m.Zone] {
+			continue
+		}
+		asked[m.Zone] = true
+		c.act(sendExchange{to: m, req: c.exchangeRequest(now)})
+	}
+}
+
 func (c *core) startServing(now time.Time, source string) {
 	c.serving = true
 	clear(c.peerOffsets)
--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -505,3 +505,38 @@
 		t.Errorf("state after the forwarded snapshot: got %x, want %x", got, want)
 	}
 }
+
+// TestStartAsksEachZone guards against a daemon that starts without the log and waits
+// for its periodic exchanges until it has heard from two zones, although the first
+// peer that called it has told it of members of the other zones.
+func TestStartAsksEachZone(t *testing.T) {
+	c := testCore("d1", "a")
+	c.handle(logFailed{errors.New("outage")}, epoch, 0)
+	c.handle(exchangeReceived{&wirev1.ExchangeRequest{
+		From: toWire(testMember("d2", "a")), Members: membersToWire([]membership.Member{testMember("d3", "b"), testMember("d4", "c")}),
+	}}, epoch, 0)
+	_, actions := c.handle(tick{}, epoch.Add(tickPeriod), 0)
+	asked := make(map[string]int)
+	for _, a := range find[sendExchange](actions) {
+		if !a.update {
+			asked[a.to.Zone]++
+		}
+	}
+	if len(asked) != 3 {
+		t.Errorf("got exchanges with zones %v at the next tick, want one with each", asked)
+	}
+	c.handle(offsetReported{zone: "b", offset: 0, serving: true, asked: epoch}, epoch.Add(tickPeriod), 0)
+	_, actions = c.handle(tick{}, epoch.Add(2*tickPeriod), 0)
+	if n := len(find[sendExchange](actions)); n != 0 {
+		t.Errorf("got %d exchanges while the zones may still answer, want none", n)
+	}
+	_, actions = c.handle(tick{}, epoch.Add(tickPeriod+startExchangePeriod), 0)
+	for _, a := range find[sendExchange](actions) {
+		if a.to.Zone == "b" {
+			t.Error("got a further exchange with a zone that has answered")
+		}
+	}
+	if n := len(find[sendExchange](actions)); n != 2 {
+		t.Errorf("got %d exchanges, want one with each zone that has not answered", n)
+	}
+}
