control: reports of newer versions do not postpone a fetch from another zone

A daemon that hears of a version from another zone fetches it 0.15 s later, unless its own zone has it by then. Each further report set that time anew, so that during a series of versions a zone whose readers cannot read the log could stay behind until the series ended.

Evidence: TestCrossZoneFetchDue fails before (reports 75 ms apart, no fetch 225 ms after the first).

The fix: the time of a pending fetch stays; only its offset and peer change.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -435,7 +435,10 @@
 	if to.Zone != c.table.Self().Zone && c.serving && offset > c.crossZoneOffset {
 		// A peer in the same zone may have the records in a moment. If none does, a
 		// later tick fetches them from the other zone.
-		c.crossZoneOffset, c.crossZonePeer, c.crossZoneFetchAt = offset, to, now.Add(crossZoneDelay)
+		if c.crossZoneOffset <= c.state.Offset {
+			c.crossZoneFetchAt = now.Add(crossZoneDelay)
+		}
+		c.crossZoneOffset, c.crossZonePeer = offset, to
 		return
 	}
 	c.fetchUntil, c.fetchOffset, c.fetchPeer = now.Add(fetchTimeout), offset, to
--- a/process/control/updates_test.go
+++ b/process/control/updates_test.go
@@ -156,3 +156,22 @@
 		t.Errorf("got fetches %v after the time of the first one, want one from the other peer", got)
 	}
 }
+
+// TestCrossZoneFetchDue guards against a zone without a reader that stays behind during
+// a series of versions, because each report of a newer one from another zone postpones
+// the fetch.
+func TestCrossZoneFetchDue(t *testing.T) {
+	c := testCore("d1", "a")
+	far := testMember("d2", "b")
+	c.table.Merge(epoch, []membership.Member{far})
+	c.serving, c.lastTick, c.contactUntil = true, epoch, epoch.Add(time.Hour)
+	const pause = crossZoneDelay / 2
+	for i := range 4 {
+		now := epoch.Add(time.Duration(i) * pause)
+		c.handle(exchangeReceived{&wirev1.ExchangeRequest{From: toWire(far), Offset: int64(i + 1)}}, now, 0.9)
+	}
+	_, actions := c.handle(tick{}, epoch.Add(3*pause+time.Millisecond), 0.9)
+	if got := find[sendFetch](actions); len(got) != 1 || got[0].upTo != 4 {
+		t.Errorf("got fetches %v, want one of the newest version, %v after the first report", got, 3*pause)
+	}
+}
