control: suspensions are noticed, and setting the time of day refuses nobody

Two faults, one cause:

* A machine that was suspended went on with its old state, since the tick compared times of the monotonic clock, which does not count suspensions.
* The validity of a view was compared by the wall clock.
A time of day that was set ahead by more than 2 s had all requests of the daemon refused until the next tick (0.25 s), and one that was set back kept a view valid for longer.

Cause: the two checks used two clocks, and each the wrong one for the other's case. Now ticks carry the time since boot (CLOCK_BOOTTIME), and a view has expired by the monotonic clock, or by the time since boot if the wall clock gives a reason to read it.

The encoding of a state is let go with the state.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -216,7 +216,7 @@
 	// claimPeers carries claims, which belong to request traffic.
 	claimPeers    peer.Pool
 	view          atomic.Pointer[Snapshot]
-	valid         atomic.Int64
+	valid         atomic.Pointer[validity]
 	reader        atomic.Bool
 	readRequested chan struct{}
 	actionSem     chan struct{}
@@ -291,10 +291,10 @@
 	if due, ok := core.updatesDue(); ok {
 		c.scheduleFlush(&c.updateTimerSet, due.Sub(now))
 	}
-	if _, ok := ctx.Message().(tick); ok {
+	if t, ok := ctx.Message().(tick); ok {
 		// This follows the new view: the tick that detects a pause must not make
 		// the view from before the pause valid again.
-		c.valid.Store(now.Add(validPeriod).UnixNano())
+		c.valid.Store(&validity{until: now.Add(validPeriod), sinceBoot: t.sinceBoot + validPeriod})
 	}
 	if ctx.Sender() != nil {
 		if reply == nil {
@@ -386,7 +386,7 @@
 	// between could take its old view for valid because of a later tick.
 	valid := c.valid.Load()
 	s := c.view.Load()
-	if s.Serving && time.Now().UnixNano() > valid {
+	if now := time.Now(); s.Serving && valid.expired(now, now.Round(0), sinceBoot) {
 		// The control tick is late: the process was paused or is starved, and the
 		// view may be older than one that was already served.
 		late := *s
@@ -432,7 +432,7 @@
 		case <-c.ctx.Done():
 			return
 		case <-t.C:
-			c.send(tick{})
+			c.send(tick{sinceBoot: sinceBoot()})
 		}
 	}
 }
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -72,7 +72,9 @@
 
 // Events of the core.
 type (
-	tick struct{}
+	// tick is the control tick; sinceBoot is the time since the machine was started,
+	// which counts suspensions.
+	tick struct{ sinceBoot time.Duration }
 	// flush changes nothing itself: due updates and views are sent after every
 	// event.
 	flush          struct{}
@@ -195,7 +197,9 @@
 	upstream        announced
 	// services restricts the followed services; empty means all.
 	services []string
-	lastTick time.Time
+	// lastTick is the time of the last tick, and lastSinceBoot its time since boot.
+	lastTick      time.Time
+	lastSinceBoot time.Duration
 	// behindSince is when a higher offset than the daemon's own was first reported;
 	// zero while none is known.
 	behindSince time.Time
@@ -239,7 +243,7 @@
 	c.actions = nil
 	switch ev := ev.(type) {
 	case tick:
-		c.onTick(now, rnd)
+		c.onTick(now, rnd, ev.sinceBoot)
 	case flush:
 	case recordsArrived:
 		reply = c.onRecords(ev, now, rnd)
@@ -297,15 +301,19 @@
 	c.events.Add(now, kind, version, fmt.Sprintf(format, args...))
 }
 
-func (c *core) onTick(now time.Time, rnd float64) {
-	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > pauseThreshold {
+func (c *core) onTick(now time.Time, rnd float64, sinceBoot time.Duration) {
+	gap := time.Duration(0)
+	if !c.lastTick.IsZero() {
+		gap = max(now.Sub(c.lastTick), sinceBoot-c.lastSinceBoot)
+	}
+	if gap > pauseThreshold {
 		c.metrics.Add("control.pauses", 1)
-		c.event(now, timeline.KindPause, c.state.Offset, "process was paused for %v; catching up before new work", now.Sub(c.lastTick).Round(time.Millisecond))
+		c.event(now, timeline.KindPause, c.state.Offset, "process was paused for %v; catching up before new work", gap.Round(time.Millisecond))
 		c.serving, c.caughtUp, c.pausedUntil = false, false, now
 		clear(c.peerOffsets)
 		c.dirty = true
 	}
-	c.lastTick = now
+	c.lastTick, c.lastSinceBoot = now, sinceBoot
 	if dead := c.table.Tick(now); len(dead) > 0 {
 		for _, m := range dead {
 			c.event(now, timeline.KindMember, 0, "member %s (%s) is dead", m.Name, m.Zone)
@@ -514,6 +522,7 @@
 	}
 	c.decisions.setMoveTimes(st, now)
 	c.state = st
+	c.encoded, c.encodedOf = nil, nil
 	c.dirty = true
 	if !c.behindSince.IsZero() {
 		c.metrics.Observe("control.versionLag", now.Sub(c.behindSince), "", "")
