--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -46,6 +46,8 @@
 	rnd        *rand.Rand
 	now        time.Time
 	queue      timers
+	// timers counts the timers, which run in this order at the same time.
+	timers int
 	// records holds the records of the log from first on.
 	records []log.Entry
 	first   int64
@@ -124,7 +126,8 @@
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
-	heap.Push(&f.queue, timer{f.now.Add(d), f.queue.Len(), run})
+	f.timers++
+	heap.Push(&f.queue, timer{f.now.Add(d), f.timers, run})
 }
 
 // every runs an event of a daemon with the given pauses until the daemon restarts.
