host: log and count what an upstream says of its rate limit and of leaving

Neither a log line nor a counter told that an answer named a limit or said that its server leaves, so the hypotheses of the incident looked alike. The host reads both headers into request.Statement, logs changes (bounded) and counts the calls that it sends.

--- a/request/headers.go
+++ b/request/headers.go
@@ -23,6 +23,11 @@
 	ColdFor string
 	// NotRun marks an answer of the upstream that did not run the request.
 	NotRun string
+	// RateLimit carries the requests per second that the upstream takes from all
+	// daemons together. A limit is in force for as long as the answers carry it.
+	RateLimit string
+	// Leaving marks the answers of an upstream that is about to stop.
+	Leaving string
 	// CallerNamesID means that the caller's own id is passed on; otherwise each
 	// attempt gets a new id.
 	CallerNamesID bool
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -107,6 +107,8 @@
 	warmup    warmup
 	meanTimes meanTimes
 	origins   origins
+	// statements logs what the upstream says about itself.
+	statements statements
 	// unreachable is called when the upstream is gone.
 	unreachable func()
 	// decisions may be nil.
@@ -131,6 +133,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.metrics.Gauge("host.rateLimit", h.statements.rateLimit)
 	return h
 }
 
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -40,6 +40,7 @@
 		host: h, call: call, ticket: ticket, target: h.target.Load(), start: time.Now(), load: h.load(),
 		result: admission.Result{Route: call.Route},
 	}
+	h.metrics.Add("host.sent", 1)
 	h.observer.Started(call)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	ans, err := uc.run(ctx, cancel)
@@ -126,6 +127,7 @@
 		res.Header.Del(uc.host.headers.ID)
 	}
 	ans := &request.Answer{Status: res.StatusCode, Header: res.Header, Outcome: request.Ran, Trailer: request.TrailerOf(res)}
+	uc.observeStatement(res)
 	var err error
 	if ans.Body, err = io.ReadAll(io.LimitReader(res.Body, request.MaxBody)); err != nil {
 		_ = res.Body.Close()
@@ -153,12 +155,26 @@
 	return ans, nil
 }
 
+// observeStatement handles what the upstream says about itself in an answer.
+func (uc *upstreamCall) observeStatement(res *http.Response) {
+	if uc.isWrongInstance(res.StatusCode) {
+		return
+	}
+	st, err := uc.host.headers.Statement(res.Header)
+	uc.host.statements.observe(uc.host, uc.target.id, st, err, uc.start)
+}
+
+// isWrongInstance reports whether a status means that another instance answered.
+func (uc *upstreamCall) isWrongInstance(status int) bool {
+	return uc.host.headers.Instance != "" && status == http.StatusMisdirectedRequest
+}
+
 // notRunRefusal returns a refusal if the upstream states that it did not run the
 // request, or that it is not the instance that was addressed. Otherwise it returns nil.
 func (uc *upstreamCall) notRunRefusal(ans *request.Answer) *request.Refusal {
 	n := uc.host.headers
 	switch {
-	case n.Instance != "" && ans.Status == http.StatusMisdirectedRequest:
+	case uc.isWrongInstance(ans.Status):
 		uc.host.metrics.Add("host.wrongInstance", 1)
 		uc.host.unreachable()
 		return &request.Refusal{
