host: tests of named limits and of leaving instances, failing

TestRateLimitNamed: an instance that names 20 requests a second gets 184 in one. TestLeavingStated: an instance whose answers say that it leaves goes on getting requests.

--- /dev/null
+++ b/request/host/statements_test.go
@@ -0,0 +1,150 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
+)
+
+// statingUpstream is an upstream that names a rate limit in its answers, or says that it
+// leaves, and records when requests arrive.
+type statingUpstream struct {
+	mu       sync.Mutex
+	header   http.Header
+	arrivals []time.Time
+}
+
+// set replaces the header of later answers.
+func (u *statingUpstream) set(header http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.header = header
+}
+
+func (u *statingUpstream) serve(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, time.Now())
+	for name, values := range u.header {
+		w.Header()[name] = values
+	}
+	u.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+}
+
+// between returns the number of requests that arrived from one time to another.
+func (u *statingUpstream) between(from, to time.Time) (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, at := range u.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// mostWithin returns the largest number of requests that arrived within any span of the
+// given length after a time.
+func (u *statingUpstream) mostWithin(span time.Duration, after time.Time) (most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	first := 0
+	for i, at := range u.arrivals {
+		for !u.arrivals[first].After(at.Add(-span)) || u.arrivals[first].Before(after) && first < i {
+			first++
+		}
+		if !at.Before(after) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+func newStatingHost(t *testing.T) (*Host, *statingUpstream) {
+	t.Helper()
+	u, g := new(statingUpstream), new(admission.Gate)
+	g.SetBounds(admission.Bounds{Slots: 12})
+	h := newHost(t, g, ready, u.serve)
+	h.headers.RateLimit, h.headers.Leaving = "Server-Limit", "Server-Leaving"
+	return h, u
+}
+
+// load sends calls at the given interval until a time, and returns the refusals.
+func load(t *testing.T, h *Host, interval time.Duration, until time.Time) (refusals []*request.Refusal) {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for time.Now().Before(until) {
+		wg.Go(func() {
+			call := newCall()
+			call.Deadline = time.Now().Add(time.Second)
+			call.Objective = time.Now().Add(200 * time.Millisecond)
+			_, err := h.Do(t.Context(), call)
+			var ref *request.Refusal
+			if errors.As(err, &ref) {
+				mu.Lock()
+				defer mu.Unlock()
+				refusals = append(refusals, ref)
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	return refusals
+}
+
+// TestRateLimitNamed guards against an upstream that gets more requests per second than
+// the limit that its answers name, and against a limit that outlasts them.
+func TestRateLimitNamed(t *testing.T) {
+	const perSecond = 20.0
+	h, u := newStatingHost(t)
+	u.set(http.Header{"Server-Limit": {"20"}})
+	begin := time.Now()
+	refusals := load(t, h, 5*time.Millisecond, begin.Add(3*time.Second))
+	// The first answer, which names the limit, takes 5 ms.
+	limited := begin.Add(100 * time.Millisecond)
+	for _, span := range []time.Duration{time.Second, 2 * time.Second} {
+		if got, want := u.mostWithin(span, limited), int(1.5*perSecond*span.Seconds())+5; got > want {
+			t.Errorf("got %d requests within %v, want at most %d", got, span, want)
+		}
+	}
+	if got, want := u.between(limited, time.Now()), 46; got < want { // 0.8 of 20 a second in 2.9 s
+		t.Errorf("got %d requests, want at least %d", got, want)
+	}
+	for _, ref := range refusals {
+		if ref.Outcome != request.NotRun || !ref.RetryAt.After(begin) {
+			t.Fatalf("got refusal %+v, want outcome notRun and a retry time", ref)
+		}
+	}
+	u.set(nil)
+	time.Sleep(200 * time.Millisecond)
+	if refusals := load(t, h, 5*time.Millisecond, time.Now().Add(time.Second)); len(refusals) > 5 {
+		t.Errorf("got %d of 200 calls refused after the limit had ended, want none but the first", len(refusals))
+	}
+}
+
+// TestLeavingStated guards against requests to an upstream after an answer has said that
+// it leaves, also those that wait for a slot.
+func TestLeavingStated(t *testing.T) {
+	h, u := newStatingHost(t)
+	u.set(http.Header{"Server-Leaving": {"1"}})
+	begin := time.Now()
+	refusals := load(t, h, time.Millisecond, begin.Add(time.Second))
+	if got := u.between(begin.Add(250*time.Millisecond), time.Now()); got > 0 {
+		t.Errorf("got %d requests later than 250 ms after the first one, want none", got)
+	}
+	for _, ref := range refusals {
+		if ref.Outcome != request.NotRun || ref.Reason != request.ReasonLeaving {
+			t.Fatalf("got refusal %+v, want notRun and %s", ref, request.ReasonLeaving)
+		}
+	}
+	if _, err := h.Do(context.Background(), newCall()); err == nil {
+		t.Error("got an answer, want a refusal")
+	}
+}
