admission: the gate holds the rate limit that an instance names

Cause: no part read the limit. The gate beside the instance bounded requests in flight, and requests a second in cold start alone; the header went to the caller with the others. Ruled out: repeats (100 in 22,718 arrivals) and crowding (the rates did not rise when the limits were named).

The gate keeps the limit of the last answers and holds it with the window of grants that cold start uses; throughput, waits, refusals and load reports follow from the same rate.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -117,6 +117,8 @@
 	ready    chan Grant
 	// incarnation and generation are the limiter's at the time of the grant.
 	incarnation, generation uint64
+	// grantedAt is the time of the grant.
+	grantedAt time.Time
 	// load is the number of requests in flight at the grant, this one included.
 	load int
 }
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"time"
@@ -16,6 +17,10 @@
 	coldRateShare = 0.95
 	// coldWindow is the sliding window over which the cold start rate is counted.
 	coldWindow = time.Second
+	// limitWindow is the sliding window over which a named rate limit is counted. With
+	// a longer one, a burst would use up the limit and the next requests would wait for
+	// the rest of the window.
+	limitWindow = 200 * time.Millisecond
 	// meanWeight is the weight of a new answer in the moving average of answer
 	// times.
 	meanWeight = 1.0 / 16
@@ -24,21 +29,25 @@
 	// initialMeanSeconds is the mean answer time that is assumed before the first
 	// answer.
 	initialMeanSeconds = 0.05
-	// minColdLimit is the least limit reported during cold start.
-	minColdLimit = 1
+	// minRateBoundLimit is the least limit reported while a rate bounds the requests.
+	minRateBoundLimit = 1
 )
 
 // Gate bounds the requests of an instance that announces how many requests it
-// runs concurrently and how long it is in cold start. Unlike Limiter, it never
-// reduces the load below these bounds. Requests beyond them are refused by rank
-// and by the latest time at which a start is useful.
+// runs concurrently and how long it is in cold start, and may name a limit of
+// requests per second in its answers. Unlike Limiter, it never reduces the load
+// below these bounds. Requests beyond them are refused by rank and by the latest
+// time at which a start is useful.
 //
 // The zero value refuses all requests until SetBounds. It is safe for concurrent
 // use.
 type Gate struct {
 	mu     sync.Mutex
 	bounds Bounds
-	// grantTimes are the times of the grants within coldWindow, the oldest first.
+	// rateLimit is the limit that the instance names in its answers.
+	rateLimit rateLimit
+	// grantTimes are the times of the last grant and of those within coldWindow before
+	// it, the oldest first.
 	grantTimes []time.Time
 	inFlight   int
 	// incarnation counts the restarts. Requests of an earlier incarnation hold no
@@ -53,10 +62,18 @@
 	meanSeconds float64
 	// arrivals counts the recent requests by rank.
 	arrivals map[int]*arrivals
-	// timer dispatches the queue when cold start allows the next request.
+	// timer dispatches the queue when the bounds of the rate allow the next request.
 	timer *time.Timer
 }
 
+// rateLimit is a limit of requests per second.
+type rateLimit struct {
+	// perSecond is zero if there is no limit.
+	perSecond float64
+	// confirmedAt is when the last answer that named the limit was received.
+	confirmedAt time.Time
+}
+
 // arrivals is an exponentially decaying count of requests.
 type arrivals struct {
 	count float64
@@ -94,13 +111,61 @@
 	g.dispatch(time.Now())
 }
 
+// SetRateLimit sets the limit of requests per second that the instance named before it
+// answered a request; zero means none.
+func (g *Gate) SetRateLimit(now time.Time, perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setRateLimit(now, perSecond)
+}
+
+// ObserveRateLimit handles the limit of requests per second in the answer to the
+// request of a ticket; zero means that it names none. A lower limit takes effect at
+// once. Answers may be received in another order than they were sent, so a higher
+// limit, or none, takes effect if the request was granted after the last answer with
+// the limit in force. It returns the limit in force before and after.
+func (g *Gate) ObserveRateLimit(now time.Time, t Ticket, perSecond float64) (before, after float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before = g.rateLimit.perSecond
+	if t.req == nil || t.req.incarnation != g.incarnation {
+		return before, before
+	}
+	raises := before > 0 && (perSecond == 0 || perSecond > before)
+	if raises && !t.req.grantedAt.After(g.rateLimit.confirmedAt) {
+		return before, before
+	}
+	g.setRateLimit(now, perSecond)
+	return before, perSecond
+}
+
+// setRateLimit sets the limit. It refuses the queued requests that can no longer be
+// served in time, and grants those that the limit allows. The caller holds mu.
+func (g *Gate) setRateLimit(now time.Time, perSecond float64) {
+	lowered := perSecond > 0 && (g.rateLimit.perSecond == 0 || perSecond < g.rateLimit.perSecond)
+	g.rateLimit = rateLimit{perSecond: perSecond, confirmedAt: now}
+	g.dispatch(now)
+	if lowered {
+		g.refuseLate(now, math.MaxInt)
+	}
+}
+
+// RateLimit returns the limit of requests per second that the instance names; zero
+// means none.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rateLimit.perSecond
+}
+
 // Restarted records that the instance runs as a new incarnation, which holds none
-// of the earlier requests.
+// of the earlier requests and has named no limit.
 func (g *Gate) Restarted() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.incarnation++
 	g.inFlight = 0
+	g.rateLimit = rateLimit{}
 	g.dispatch(time.Now())
 }
 
@@ -111,11 +176,11 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	limit, cold = g.bounds.Slots, g.cold(now)
-	if cold {
-		limit = min(limit, max(minColdLimit, int(g.bounds.ColdPerSecond*g.meanOrInitial())))
-		if g.coldRateReached(now) {
-			return max(g.inFlight, limit), g.queue.len(), limit, cold
-		}
+	if rate := g.rate(now); rate > 0 {
+		limit = min(limit, max(minRateBoundLimit, int(rate*g.meanOrInitial())))
+	}
+	if now.Before(g.nextGrant(now)) {
+		return max(g.inFlight, limit), g.queue.len(), limit, cold
 	}
 	return g.inFlight, g.queue.len(), limit, cold
 }
@@ -124,15 +189,41 @@
 	return g.bounds.ColdPerSecond > 0 && now.Before(g.bounds.ColdUntil)
 }
 
-// coldRateReached reports whether the last coldWindow holds as many grants as
-// cold start allows.
-func (g *Gate) coldRateReached(now time.Time) bool {
-	n := 0
-	for n < len(g.grantTimes) && !g.grantTimes[n].After(now.Add(-coldWindow)) {
-		n++
+// rate returns the requests per second that the instance takes; zero means that only
+// its slots bound them.
+func (g *Gate) rate(now time.Time) float64 {
+	switch limit := g.rateLimit.perSecond; {
+	case !g.cold(now):
+		return limit
+	case limit > 0:
+		return min(limit, g.bounds.ColdPerSecond)
 	}
-	g.grantTimes = g.grantTimes[n:]
-	return g.cold(now) && float64(len(g.grantTimes)) >= math.Max(1, math.Floor(coldRateShare*g.bounds.ColdPerSecond))
+	return g.bounds.ColdPerSecond
+}
+
+// nextGrant returns the time from which the bounds of the rate allow the next grant.
+func (g *Gate) nextGrant(now time.Time) (at time.Time) {
+	if g.cold(now) {
+		at = g.windowEnd(math.Floor(coldRateShare*g.bounds.ColdPerSecond), coldWindow)
+	}
+	if limit := g.rateLimit.perSecond; limit > 0 {
+		// The window holds a whole number of requests, so that the limit is used in full.
+		n := max(1, math.Floor(limit*limitWindow.Seconds()))
+		if end := g.windowEnd(n, time.Duration(n/limit*float64(time.Second))); end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
+// windowEnd returns the time from which a sliding window that allows n grants, one at
+// least, allows the next one.
+func (g *Gate) windowEnd(n float64, window time.Duration) time.Time {
+	oldest := len(g.grantTimes) - int(max(1, n))
+	if oldest < 0 {
+		return time.Time{}
+	}
+	return g.grantTimes[oldest].Add(window)
 }
 
 func (g *Gate) meanOrInitial() float64 {
@@ -262,13 +353,17 @@
 }
 
 func (g *Gate) canGrant(now time.Time) bool {
-	return g.inFlight < g.bounds.Slots && !g.coldRateReached(now)
+	return g.inFlight < g.bounds.Slots && !now.Before(g.nextGrant(now))
 }
 
 func (g *Gate) grant(now time.Time, req *slotRequest) {
 	g.inFlight++
-	req.state, req.incarnation = stateRunning, g.incarnation
-	g.grantTimes = append(g.grantTimes, now)
+	req.state, req.incarnation, req.grantedAt = stateRunning, g.incarnation, now
+	expired := 0
+	for expired < len(g.grantTimes) && !g.grantTimes[expired].After(now.Add(-coldWindow)) {
+		expired++
+	}
+	g.grantTimes = append(g.grantTimes[expired:], now)
 }
 
 func (g *Gate) refuse(req *slotRequest, ref *request.Refusal) {
@@ -324,11 +419,11 @@
 		g.grant(now, best)
 		best.ready <- Grant{Granted: true}
 	}
-	if g.queue.len() == 0 || !g.coldRateReached(now) {
+	next := g.nextGrant(now).Sub(now)
+	if g.queue.len() == 0 || next <= 0 {
 		return
 	}
-	// Cold start may allow the next request before any answer arrives.
-	next := g.grantTimes[0].Add(coldWindow).Sub(now)
+	// The rate may allow the next request before any answer arrives.
 	if g.timer == nil {
 		g.timer = time.AfterFunc(next, func() {
 			g.mu.Lock()
@@ -364,11 +459,11 @@
 // throughput returns the number of requests that the instance can answer per
 // second.
 func (g *Gate) throughput(now time.Time) float64 {
-	rate := float64(g.bounds.Slots) / g.meanOrInitial()
-	if g.cold(now) {
-		rate = min(rate, g.bounds.ColdPerSecond)
+	bySlots := float64(g.bounds.Slots) / g.meanOrInitial()
+	if rate := g.rate(now); rate > 0 {
+		return min(bySlots, rate)
 	}
-	return rate
+	return bySlots
 }
 
 // estimateWait estimates how long a request waits behind n others.
@@ -384,8 +479,12 @@
 // refusals carry delays that differ by up to a factor of two.
 func (g *Gate) overloadRefusal(now time.Time) *request.Refusal {
 	after := min(max(g.estimateWait(now, g.queue.len()), minRetryAfter), maxRetryAfter)
+	reason, detail := request.ReasonOverload, "all slots of the upstream instance are taken"
+	if limit := g.rateLimit.perSecond; limit > 0 && g.inFlight < g.bounds.Slots {
+		reason, detail = request.ReasonRateLimit, fmt.Sprintf("the upstream instance takes %.4g requests per second", limit)
+	}
 	return &request.Refusal{
-		Outcome: request.NotRun, Reason: request.ReasonOverload, Detail: "all slots of the upstream instance are taken",
+		Outcome: request.NotRun, Reason: reason, Detail: detail,
 		RetryAt: now.Add(time.Duration(float64(after) * (1 + g.queue.jitter()))),
 	}
 }
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -176,16 +176,16 @@
 	in.slowness, in.slownessUntil = ratio, now.Add(slownessPeriod)
 }
 
-// report returns the current load ratio and the age of the load report on which it is
-// based; an age of zero means that there is no report.
-func (l *loads) report(name string, now time.Time) (ratio float64, age time.Duration) {
+// report returns the current load ratio, and the rate limit and the age of the load
+// report on which it is based. An age of zero means that there is no report.
+func (l *loads) report(name string, now time.Time) (ratio, rateLimit float64, age time.Duration) {
 	ratio, _ = l.Ratio(name, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if in, ok := l.instances[name]; ok && !in.reportUntil.IsZero() {
-		age = now.Sub(in.reportUntil.Add(-reportLifetime))
+		rateLimit, age = in.report.RateLimit, now.Sub(in.reportUntil.Add(-reportLifetime))
 	}
-	return ratio, age
+	return ratio, rateLimit, age
 }
 
 // answeredSince reports whether the instance has answered a call of this entry since
@@ -223,7 +223,7 @@
 	switch {
 	case err == nil:
 		in.consecutiveFailures, in.answeredAt = 0, now
-	case errors.As(err, &ref) && ref.Reason == request.ReasonOverload:
+	case errors.As(err, &ref) && ref.Reason.IsSaturation():
 		in.saturatedUntil = now.Add(saturatedPeriod)
 	case ref != nil && isInstanceFault(ref.Reason):
 		avoidFor := min(minFailingTime<<min(in.consecutiveFailures, 8), maxFailingTime)
--- a/request/entry/request_trace.go
+++ b/request/entry/request_trace.go
@@ -32,6 +32,8 @@
 	// report on which it is based.
 	loadRatio float64
 	reportAge time.Duration
+	// rateLimit is the limit in that report, in requests per second; zero means none.
+	rateLimit float64
 	took      time.Duration
 	outcome   request.Outcome
 	reason    request.Reason
@@ -39,13 +41,17 @@
 
 // String implements fmt.Stringer.
 func (t attemptTrace) String() string {
-	return fmt.Sprintf("%s (%s, %s, load %.2f, report %v old): %s %s in %v",
-		t.instance, t.zone, t.version, t.loadRatio, t.reportAge.Round(time.Millisecond), t.outcome, t.reason, t.took.Round(time.Millisecond))
+	limit := ""
+	if t.rateLimit > 0 {
+		limit = fmt.Sprintf(", limited to %.4g/s", t.rateLimit)
+	}
+	return fmt.Sprintf("%s (%s, %s, load %.2f%s, report %v old): %s %s in %v",
+		t.instance, t.zone, t.version, t.loadRatio, limit, t.reportAge.Round(time.Millisecond), t.outcome, t.reason, t.took.Round(time.Millisecond))
 }
 
 func (tr *requestTrace) startAttempt(inst route.Instance, l *loads, now time.Time) {
 	t := attemptTrace{instance: inst.Name, zone: inst.Zone, version: inst.Version}
-	t.loadRatio, t.reportAge = l.report(inst.Name, now)
+	t.loadRatio, t.rateLimit, t.reportAge = l.report(inst.Name, now)
 	tr.attempts = append(tr.attempts, t)
 }
 
--- a/request/headers.go
+++ b/request/headers.go
@@ -50,6 +50,6 @@
 // callers and upstreams.
 var meshHeaders = map[string]bool{
 	HeaderOutcome: true, HeaderRequest: true, HeaderRoute: true, HeaderUpstreamVersion: true, HeaderVersion: true,
-	HeaderReason: true, HeaderLoad: true, HeaderLimit: true, HeaderMean: true, HeaderState: true, headerClass: true, headerRunBy: true,
+	HeaderReason: true, HeaderLoad: true, HeaderLimit: true, HeaderRateLimit: true, HeaderMean: true, HeaderState: true, headerClass: true, headerRunBy: true,
 	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerTrace: true, headerUpstream: true, headerObjective: true,
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -95,7 +95,7 @@
 // Host sends calls to the upstream instance of the daemon.
 type Host struct {
 	view     View
-	limiter  Limiter
+	limiter  RateLimiter
 	metrics  *metrics.Set
 	observer Observer
 
@@ -124,16 +124,21 @@
 	pool *instance.Pool
 }
 
-// New returns a host without an upstream.
+// New returns a host without an upstream. The host obeys the rate limits that the
+// upstream names if limiter is a RateLimiter.
 func New(view View, limiter Limiter, opts ...Option) *Host {
+	rateLimiter, ok := limiter.(RateLimiter)
+	if !ok {
+		rateLimiter = noRateLimiter{limiter}
+	}
 	h := &Host{
-		view: view, limiter: limiter, metrics: new(metrics.Set), observer: noObserver{}, headers: request.DefaultHeaders,
+		view: view, limiter: rateLimiter, metrics: new(metrics.Set), observer: noObserver{}, headers: request.DefaultHeaders,
 		unreachable: func() {},
 	}
 	for _, opt := range opts {
 		opt(h)
 	}
-	h.metrics.Gauge("host.rateLimit", h.statements.rateLimit)
+	h.metrics.Gauge("host.rateLimit", h.rateLimitGauge)
 	return h
 }
 
@@ -219,6 +224,9 @@
 		"entryVersion", call.Version, "outcome", outcome, "reason", reason, "detail", detail, "inFlight", load.InFlight,
 		"limit", load.Limit, "state", load.State, "tookMs", took.Milliseconds(),
 	}
+	if load.RateLimit > 0 {
+		args = append(args, "perSecond", load.RateLimit)
+	}
 	if !granted.IsZero() {
 		args = append(args, "waitedMs", granted.Sub(began).Milliseconds())
 	}
@@ -317,9 +325,12 @@
 
 func (h *Host) load() request.Load {
 	inFlight, queued, limit, cold := h.limiter.Load()
-	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: "warm"}
-	if cold {
+	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: stateWarm, RateLimit: h.limiter.RateLimit()}
+	switch {
+	case cold:
 		l.State = stateCold
+	case l.RateLimit > 0:
+		l.State = stateLimited
 	}
 	return l
 }
--- a/request/host/statements.go
+++ b/request/host/statements.go
@@ -5,88 +5,112 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
 )
 
 // statementLogInterval is the least interval between two log lines on a changed rate
 // limit or on a malformed statement.
 const statementLogInterval = time.Second
 
-// statements logs what the upstream says about itself in its answers. The zero value
-// is ready for use.
+// RateLimiter is a Limiter that bounds the requests per second to the limit that the
+// upstream names in its answers.
+type RateLimiter interface {
+	Limiter
+	// ObserveRateLimit handles the limit in the answer to the request of a ticket and
+	// returns the limit in force before and after. Zero means no limit.
+	ObserveRateLimit(now time.Time, t admission.Ticket, perSecond float64) (before, after float64)
+	// RateLimit returns the limit in force; zero means none.
+	RateLimit() float64
+}
+
+// noRateLimiter ignores the limits that an upstream names.
+type noRateLimiter struct{ Limiter }
+
+func (noRateLimiter) ObserveRateLimit(time.Time, admission.Ticket, float64) (before, after float64) {
+	return 0, 0
+}
+func (noRateLimiter) RateLimit() float64 { return 0 }
+
+// statements logs and counts what the upstream says about itself in its answers. The
+// zero value is ready for use.
 type statements struct {
 	mu sync.Mutex
-	// id is the incarnation of the upstream that made the last statement.
-	id   string
-	last request.Statement
-	// namedAt is when the upstream first named a rate limit, and confirmedAt when it
-	// last did.
-	namedAt, confirmedAt time.Time
-	// quietUntil is the time until which further changes of a limit are not logged, and
+	// limitedFrom is when the upstream first named the present limit, and confirmedAt
+	// when it last did.
+	limitedFrom, confirmedAt time.Time
+	// changesQuietUntil is the time until which changes of a limit are not logged, and
 	// malformedQuietUntil the same for malformed statements.
-	quietUntil, malformedQuietUntil time.Time
+	changesQuietUntil, malformedQuietUntil time.Time
 }
 
-// observe handles the statement in an answer. An answer without a limit is no news if
-// its request was sent before the last answer that named one.
-func (s *statements) observe(h *Host, id string, st request.Statement, malformed error, sentAt time.Time) {
-	now := time.Now()
-	if st.RateLimit > 0 {
-		h.metrics.Add("host.answersWithRateLimit", 1)
-	}
-	if st.Leaving {
-		h.metrics.Add("host.answersOfLeaving", 1)
-	}
+// malformed handles a statement that could not be read.
+func (s *statements) malformed(h *Host, id string, err error) {
+	h.metrics.Add("host.malformedStatements", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.id != id {
-		s.id, s.last = id, request.Statement{}
-	}
-	if malformed != nil {
-		h.metrics.Add("host.malformedStatements", 1)
-		if now.After(s.malformedQuietUntil) {
-			s.malformedQuietUntil = now.Add(statementLogInterval)
-			h.decisions.Write("ignoring malformed statement of the upstream", "instance", id, "error", malformed.Error())
-		}
+	if now := time.Now(); now.After(s.malformedQuietUntil) {
+		s.malformedQuietUntil = now.Add(statementLogInterval)
+		h.decisions.Write("ignoring malformed statement of the upstream", "instance", id, "error", err.Error())
 	}
-	if st.Leaving && !s.last.Leaving {
-		s.last.Leaving = true
-		h.decisions.Write("upstream says that it leaves", "instance", id)
-	}
-	limit, known := st.RateLimit, s.last.RateLimit
+}
+
+// rateLimit handles the limit in force before and after an answer; zero means none.
+func (s *statements) rateLimit(h *Host, id string, before, after float64) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
-	case limit > 0 && known == 0:
-		s.namedAt = now
-		h.decisions.Write("upstream names a rate limit", "instance", id, "perSecond", limit)
-	case limit > 0 && limit != known && now.After(s.quietUntil):
-		h.decisions.Write("upstream changes its rate limit", "instance", id, "perSecond", limit, "before", known)
-	case limit == 0 && known > 0 && malformed == nil && sentAt.After(s.confirmedAt):
-		h.decisions.Write("upstream names no rate limit any more", "instance", id, "before", known, "limitedMs", now.Sub(s.namedAt).Milliseconds())
-		s.last.RateLimit = 0
-		return
+	case before == 0 && after > 0:
+		s.limitedFrom = now
+		h.decisions.Write("upstream names a rate limit", "instance", id, "perSecond", after)
+	case after == 0 && before > 0:
+		h.decisions.Write("upstream names no rate limit any more", "instance", id, "before", before, "limitedMs", now.Sub(s.limitedFrom).Milliseconds())
+	case after != before && now.After(s.changesQuietUntil):
+		s.changesQuietUntil = now.Add(statementLogInterval)
+		h.decisions.Write("upstream changes its rate limit", "instance", id, "perSecond", after, "before", before)
 	}
-	if limit > 0 {
-		if limit != known {
-			s.quietUntil = now.Add(statementLogInterval)
-		}
-		s.last.RateLimit, s.confirmedAt = limit, now
+	if after > 0 {
+		s.confirmedAt = now
 	}
 }
 
-// rateLimitGauge is the served form of the last named rate limit.
+// rateLimitGauge is the served form of the rate limit in force.
 type rateLimitGauge struct {
 	PerSecond float64 `json:"perSecond"`
-	// NamedMs is the time since the limit was first named, and ConfirmedMs the time since
-	// it was last named.
-	NamedMs     int64 `json:"namedMs"`
+	// LimitedMs is the time since the upstream first named a limit, and ConfirmedMs the
+	// time since it last did.
+	LimitedMs   int64 `json:"limitedMs"`
 	ConfirmedMs int64 `json:"confirmedMs"`
 }
 
-// rateLimit returns the last named rate limit, or nil if there is none.
-func (s *statements) rateLimit() any {
+// rateLimitGauge returns the rate limit in force, or nil if there is none.
+func (h *Host) rateLimitGauge() any {
+	limit := h.limiter.RateLimit()
+	if limit == 0 {
+		return nil
+	}
+	s := &h.statements
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.last.RateLimit == 0 {
-		return nil
+	return rateLimitGauge{limit, time.Since(s.limitedFrom).Milliseconds(), time.Since(s.confirmedAt).Milliseconds()}
+}
+
+// observeStatement handles what the upstream says about itself in an answer.
+func (uc *upstreamCall) observeStatement(st request.Statement, err error) {
+	h := uc.host
+	if err != nil {
+		h.statements.malformed(h, uc.target.id, err)
+	}
+	if st.RateLimit > 0 {
+		h.metrics.Add("host.answersWithRateLimit", 1)
+	}
+	if st.Leaving {
+		h.metrics.Add("host.answersOfLeaving", 1)
+	}
+	if st.RateLimit == 0 && err != nil {
+		// The limit in force may be the one that could not be read.
+		return
 	}
-	return rateLimitGauge{s.last.RateLimit, time.Since(s.namedAt).Milliseconds(), time.Since(s.confirmedAt).Milliseconds()}
+	before, after := h.limiter.ObserveRateLimit(time.Now(), uc.ticket, st.RateLimit)
+	h.statements.rateLimit(h, uc.target.id, before, after)
 }
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -127,7 +127,9 @@
 		res.Header.Del(uc.host.headers.ID)
 	}
 	ans := &request.Answer{Status: res.StatusCode, Header: res.Header, Outcome: request.Ran, Trailer: request.TrailerOf(res)}
-	uc.observeStatement(res)
+	if !uc.isWrongInstance(res.StatusCode) {
+		uc.observeStatement(uc.host.headers.Statement(res.Header))
+	}
 	var err error
 	if ans.Body, err = io.ReadAll(io.LimitReader(res.Body, request.MaxBody)); err != nil {
 		_ = res.Body.Close()
@@ -155,15 +157,6 @@
 	return ans, nil
 }
 
-// observeStatement handles what the upstream says about itself in an answer.
-func (uc *upstreamCall) observeStatement(res *http.Response) {
-	if uc.isWrongInstance(res.StatusCode) {
-		return
-	}
-	st, err := uc.host.headers.Statement(res.Header)
-	uc.host.statements.observe(uc.host, uc.target.id, st, err, uc.start)
-}
-
 // isWrongInstance reports whether a status means that another instance answered.
 func (uc *upstreamCall) isWrongInstance(status int) bool {
 	return uc.host.headers.Instance != "" && status == http.StatusMisdirectedRequest
--- a/request/host/warmup.go
+++ b/request/host/warmup.go
@@ -10,13 +10,20 @@
 
 const (
 	// startExclusion is how long after the start of an upstream its latency in
-	// cold start is not compared with that of other versions.
+	// cold start is not compared with that of other versions. It applies from the
+	// first answer with a rate limit too.
 	startExclusion = time.Minute
 	// fallbackExclusion is the same after a fallback into cold start. It is
 	// short, since a version that slows down looks like a fallback at first.
 	fallbackExclusion = 10 * time.Second
-	// stateCold is the state of a load report in cold start.
+)
+
+// States of a load report.
+const (
+	stateWarm = "warm"
 	stateCold = "cold"
+	// stateLimited is the state while the upstream names a rate limit.
+	stateLimited = "limited"
 )
 
 // warmup decides which samples say nothing about the version of an upstream.
@@ -28,6 +35,10 @@
 	mu           sync.Mutex
 	cold         bool
 	untimedUntil time.Time
+	// limited is set while the upstream names a rate limit. Until limitedUntimedUntil,
+	// its latency says that it is in need, not that its version is slow.
+	limited             bool
+	limitedUntimedUntil time.Time
 }
 
 // restarted starts the exclusion of latencies for a new incarnation of the upstream.
@@ -47,7 +58,13 @@
 		w.untimedUntil = now.Add(fallbackExclusion)
 	}
 	w.cold = cold
+	limited := load.RateLimit > 0
+	if limited && !w.limited {
+		w.limitedUntimedUntil = now.Add(startExclusion)
+	}
+	w.limited = limited
+	untimed = cold && now.Before(w.untimedUntil) || limited && now.Before(w.limitedUntimedUntil)
 	// A warm upstream sheds in overload; one that sheds within the limit of cold
 	// start has a fault.
-	return r.Shed && !cold, cold && now.Before(w.untimedUntil)
+	return r.Shed && !cold, untimed
 }
--- a/request/request.go
+++ b/request/request.go
@@ -42,11 +42,13 @@
 	HeaderVersion = "Kingcuppitch-Version"
 	// HeaderReason carries the reason of a refusal.
 	HeaderReason = "Kingcuppitch-Reason"
-	// HeaderLoad, HeaderLimit, HeaderState and HeaderMean report the instance's load.
-	HeaderLoad  = "Kingcuppitch-Load"
-	HeaderLimit = "Kingcuppitch-Limit"
-	HeaderMean  = "Kingcuppitch-Mean"
-	HeaderState = "Kingcuppitch-State"
+	// HeaderLoad, HeaderLimit, HeaderRateLimit, HeaderState and HeaderMean report the
+	// instance's load.
+	HeaderLoad      = "Kingcuppitch-Load"
+	HeaderLimit     = "Kingcuppitch-Limit"
+	HeaderRateLimit = "Kingcuppitch-Rate-Limit"
+	HeaderMean      = "Kingcuppitch-Mean"
+	HeaderState     = "Kingcuppitch-State"
 	// HeaderTimeout carries the remaining time in milliseconds.
 	HeaderTimeout = "Request-Timeout-Ms"
 	// HeaderUpstreamRequest carries the id of a request, which the upstream
@@ -78,9 +80,12 @@
 
 // The reasons of refusals.
 const (
-	ReasonNoRoute       Reason = "noRoute"
-	ReasonNoInstance    Reason = "noInstance"
-	ReasonOverload      Reason = "overload"
+	ReasonNoRoute    Reason = "noRoute"
+	ReasonNoInstance Reason = "noInstance"
+	ReasonOverload   Reason = "overload"
+	// ReasonRateLimit means that the instance gets as many requests per second as it
+	// says that it takes.
+	ReasonRateLimit     Reason = "rateLimit"
 	ReasonLeaving       Reason = "leaving"
 	ReasonZoneOut       Reason = "zoneOut"
 	ReasonDeadline      Reason = "deadline"
@@ -111,6 +116,9 @@
 	ReasonBodyNotKept Reason = "bodyNotKept"
 )
 
+// IsSaturation reports whether the reason means that the instance has no room.
+func (r Reason) IsSaturation() bool { return r == ReasonOverload || r == ReasonRateLimit }
+
 // Refusal is an error that carries the outcome that is reported to the caller.
 type Refusal struct {
 	Outcome Outcome
@@ -195,6 +203,9 @@
 	InFlight int
 	Limit    int
 	State    string
+	// RateLimit is the number of requests per second that the instance takes; zero
+	// means that it names no limit.
+	RateLimit float64
 	// Mean is the recent mean answer time of the call's route; zero means
 	// unknown.
 	Mean time.Duration
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -35,7 +35,7 @@
 
 const (
 	// overloadBackoff is the maximum backoff before the second attempt after a
-	// refusal for overload; it doubles for the third attempt.
+	// refusal by a saturated instance; it doubles for the third attempt.
 	overloadBackoff = 25 * time.Millisecond
 	// reserveDivisor divides the remaining time to give the part that is reserved
 	// for another attempt. Each level of a chain of calls takes its part from the
@@ -96,7 +96,7 @@
 		// The refusal caused no work at an upstream, so it costs no token.
 		return d
 	}
-	if last.Reason == request.ReasonOverload {
+	if last.Reason.IsSaturation() {
 		pause := overloadBackoff << (len(attempts) - 1)
 		d.NotBefore = now.Add(time.Duration(rnd * float64(pause)))
 		if !d.NotBefore.Before(call.Deadline) {
--- a/request/wire.go
+++ b/request/wire.go
@@ -222,6 +222,9 @@
 	h.Set(HeaderLoad, strconv.Itoa(l.InFlight))
 	h.Set(HeaderLimit, strconv.Itoa(l.Limit))
 	h.Set(HeaderState, l.State)
+	if l.RateLimit > 0 {
+		h.Set(HeaderRateLimit, strconv.FormatFloat(l.RateLimit, 'g', -1, 64))
+	}
 	if l.Mean > 0 {
 		h.Set(HeaderMean, strconv.FormatInt(l.Mean.Milliseconds(), 10))
 	}
@@ -239,7 +242,13 @@
 	if err != nil || mean < 0 {
 		mean = 0 // an instance that has answered nothing sends none
 	}
-	return Load{InFlight: inFlight, Limit: limit, State: h.Get(HeaderState), Mean: time.Duration(mean) * time.Millisecond}
+	rateLimit, err := parseRateLimit(h.Get(HeaderRateLimit))
+	if err != nil {
+		rateLimit = 0 // an instance without a limit sends none
+	}
+	return Load{
+		InFlight: inFlight, Limit: limit, State: h.Get(HeaderState), RateLimit: rateLimit, Mean: time.Duration(mean) * time.Millisecond,
+	}
 }
 
 // EncodeRefusal writes a refusal from host to entry.
