daemon: take the rate limit of the upstream from its health answer at the start

Callers of an instance in need whose daemon restarted: the new daemon knew no limit, and as many requests as the instance has slots were sent before the first answer named it.

Before a daemon uses an upstream that was running already it asks its health, to recall or confirm it. That answer names the limit too; it is put in force before the first request is admitted.

--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -8,6 +8,7 @@
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request"
 )
 
 const (
@@ -49,7 +50,7 @@
 	until := time.Now().Add(confirmWindow)
 	for time.Now().Before(until) && !d.leaving.Load() {
 		if ans := d.probeHealth(a); ans.conclusive {
-			d.applyConfirmation(a, ans.healthy)
+			d.applyConfirmation(a, ans)
 			return
 		}
 		time.Sleep(healthProbeInterval)
@@ -58,14 +59,15 @@
 
 // applyConfirmation applies the result of a probe, unless a later announcement has
 // changed the upstream or its state.
-func (d *Daemon) applyConfirmation(a Announcement, healthy bool) {
+func (d *Daemon) applyConfirmation(a Announcement, ans healthResult) {
 	d.announceMu.Lock()
 	defer d.announceMu.Unlock()
 	known := d.announced.Load()
 	if !known.sameStart(a) || known.State != membership.Starting {
 		return
 	}
-	if !healthy {
+	d.setRateLimit(ans)
+	if !ans.healthy {
 		// A health answer can be wrong. An upstream that still announces itself
 		// after the longest delay of an announcement has not deregistered.
 		d.unconfirmedUntil = time.Now().Add(confirmWindow)
@@ -84,7 +86,8 @@
 // from the clock at the start of an upstream, and that clock may have been set back.
 func (d *Daemon) replaceIfServing(a Announcement) {
 	defer d.probing.Store(false)
-	if ans := d.probeHealth(a); !ans.idConfirmed || !ans.healthy {
+	ans := d.probeHealth(a)
+	if !ans.idConfirmed || !ans.healthy {
 		return
 	}
 	d.announceMu.Lock()
@@ -95,6 +98,17 @@
 	}
 	d.events.Add(time.Now(), timeline.KindUpstream, 0, "upstream "+a.ID+" replaces upstream "+known.ID+" although its incarnation is older")
 	d.setUpstream(a)
+	d.setRateLimit(ans)
+}
+
+// setRateLimit puts the rate limit that the upstream named in a health answer in force.
+// Otherwise the first requests of a daemon that has restarted, as many as the upstream
+// has slots, would be sent before an answer names it.
+func (d *Daemon) setRateLimit(ans healthResult) {
+	if ans.statement.RateLimit > 0 {
+		d.logger.Info("upstream names a rate limit in a health answer", "perSecond", ans.statement.RateLimit)
+		d.limiter.setRateLimit(time.Now(), ans.statement.RateLimit)
+	}
 }
 
 // healthResult is the result of a health probe.
@@ -104,6 +118,7 @@
 	// idConfirmed reports whether the upstream answered with the announced id.
 	idConfirmed bool
 	coldUntil   time.Time
+	statement   request.Statement
 }
 
 // probeHealth sends one health probe to the upstream of an announcement.
@@ -134,6 +149,9 @@
 		return healthResult{conclusive: true}
 	}
 	ans.idConfirmed = id != ""
+	if ans.statement, err = names.Statement(res.Header); err != nil {
+		d.logger.Warn("ignoring malformed statement in a health answer", "instance", a.ID, "error", err)
+	}
 	if ms, err := strconv.ParseFloat(res.Header.Get(names.ColdFor), 64); err == nil && ms > 0 && ms < maxColdMs {
 		ans.coldUntil = time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
 	}
@@ -156,7 +174,7 @@
 			ans := d.probeHealth(a)
 			if ans.idConfirmed && ans.healthy {
 				a.ColdUntil = ans.coldUntil
-				d.applyRestored(a)
+				d.applyRestored(a, ans)
 				return
 			}
 		}
@@ -188,7 +206,7 @@
 
 // applyRestored puts an announcement from before the restart in force, unless the
 // upstream has announced itself since.
-func (d *Daemon) applyRestored(a Announcement) {
+func (d *Daemon) applyRestored(a Announcement, ans healthResult) {
 	d.announceMu.Lock()
 	defer d.announceMu.Unlock()
 	if d.announced.Load() != nil {
@@ -196,5 +214,6 @@
 	}
 	d.metrics.Add("announce.recalled", 1)
 	d.events.Add(time.Now(), timeline.KindUpstream, 0, "upstream "+a.ID+" is healthy and known to peers from before the daemon started; in use again")
+	d.setRateLimit(ans)
 	d.setUpstream(a)
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -102,6 +102,9 @@
 	setBounds(u config.Upstream, a *Announcement)
 	// restarted tells the limiter that the upstream has restarted.
 	restarted(now time.Time)
+	// setRateLimit sets the limit of requests per second that the upstream named before
+	// it answered a request.
+	setRateLimit(now time.Time, perSecond float64)
 }
 
 // configuredLimiter uses the limits of the configuration.
@@ -113,6 +116,8 @@
 
 func (c *configuredLimiter) restarted(now time.Time) { c.Restarted(now) }
 
+func (c *configuredLimiter) setRateLimit(time.Time, float64) {}
+
 // announcedLimiter uses the slots and the cold start that the upstream announces.
 type announcedLimiter struct{ admission.Gate }
 
@@ -122,6 +127,10 @@
 
 func (b *announcedLimiter) restarted(time.Time) { b.Restarted() }
 
+func (b *announcedLimiter) setRateLimit(now time.Time, perSecond float64) {
+	b.SetRateLimit(now, perSecond)
+}
+
 // Daemon is one kingcuppitchd process.
 type Daemon struct {
 	// settings are the settings at the start, currentSettings the last loaded ones.
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -45,7 +45,7 @@
 	mu     sync.Mutex
 	bounds Bounds
 	// rateLimit is the limit that the instance names in its answers.
-	rateLimit rateLimit
+	rateLimit RateLimit
 	// grantTimes are the times of the last grant and of those within coldWindow before
 	// it, the oldest first.
 	grantTimes []time.Time
@@ -66,12 +66,13 @@
 	timer *time.Timer
 }
 
-// rateLimit is a limit of requests per second.
-type rateLimit struct {
-	// perSecond is zero if there is no limit.
-	perSecond float64
-	// confirmedAt is when the last answer that named the limit was received.
-	confirmedAt time.Time
+// RateLimit is a limit that the instance names. The zero value means that it names none.
+type RateLimit struct {
+	// PerSecond is the number of requests per second; zero means no limit.
+	PerSecond float64
+	// Since is when the instance first named a limit, and ConfirmedAt is when the last
+	// answer that named this one was received.
+	Since, ConfirmedAt time.Time
 }
 
 // arrivals is an exponentially decaying count of requests.
@@ -127,12 +128,12 @@
 func (g *Gate) ObserveRateLimit(now time.Time, t Ticket, perSecond float64) (before, after float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before = g.rateLimit.perSecond
-	if t.req == nil || t.req.incarnation != g.incarnation {
+	before = g.rateLimit.PerSecond
+	if t.req == nil || t.req.incarnation != g.incarnation || before == 0 && perSecond == 0 {
 		return before, before
 	}
 	raises := before > 0 && (perSecond == 0 || perSecond > before)
-	if raises && !t.req.grantedAt.After(g.rateLimit.confirmedAt) {
+	if raises && !t.req.grantedAt.After(g.rateLimit.ConfirmedAt) {
 		return before, before
 	}
 	g.setRateLimit(now, perSecond)
@@ -142,20 +143,26 @@
 // setRateLimit sets the limit. It refuses the queued requests that can no longer be
 // served in time, and grants those that the limit allows. The caller holds mu.
 func (g *Gate) setRateLimit(now time.Time, perSecond float64) {
-	lowered := perSecond > 0 && (g.rateLimit.perSecond == 0 || perSecond < g.rateLimit.perSecond)
-	g.rateLimit = rateLimit{perSecond: perSecond, confirmedAt: now}
+	old := g.rateLimit
+	lowered := perSecond > 0 && (old.PerSecond == 0 || perSecond < old.PerSecond)
+	g.rateLimit = RateLimit{}
+	if perSecond > 0 {
+		g.rateLimit = RateLimit{PerSecond: perSecond, Since: old.Since, ConfirmedAt: now}
+		if old.PerSecond == 0 {
+			g.rateLimit.Since = now
+		}
+	}
 	g.dispatch(now)
 	if lowered {
 		g.refuseLate(now, math.MaxInt)
 	}
 }
 
-// RateLimit returns the limit of requests per second that the instance names; zero
-// means none.
-func (g *Gate) RateLimit() float64 {
+// RateLimit returns the limit in force.
+func (g *Gate) RateLimit() RateLimit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rateLimit.perSecond
+	return g.rateLimit
 }
 
 // Restarted records that the instance runs as a new incarnation, which holds none
@@ -165,7 +172,7 @@
 	defer g.mu.Unlock()
 	g.incarnation++
 	g.inFlight = 0
-	g.rateLimit = rateLimit{}
+	g.rateLimit = RateLimit{}
 	g.dispatch(time.Now())
 }
 
@@ -192,7 +199,7 @@
 // rate returns the requests per second that the instance takes; zero means that only
 // its slots bound them.
 func (g *Gate) rate(now time.Time) float64 {
-	switch limit := g.rateLimit.perSecond; {
+	switch limit := g.rateLimit.PerSecond; {
 	case !g.cold(now):
 		return limit
 	case limit > 0:
@@ -206,7 +213,7 @@
 	if g.cold(now) {
 		at = g.windowEnd(math.Floor(coldRateShare*g.bounds.ColdPerSecond), coldWindow)
 	}
-	if limit := g.rateLimit.perSecond; limit > 0 {
+	if limit := g.rateLimit.PerSecond; limit > 0 {
 		// The window holds a whole number of requests, so that the limit is used in full.
 		n := max(1, math.Floor(limit*limitWindow.Seconds()))
 		if end := g.windowEnd(n, time.Duration(n/limit*float64(time.Second))); end.After(at) {
@@ -480,7 +487,7 @@
 func (g *Gate) overloadRefusal(now time.Time) *request.Refusal {
 	after := min(max(g.estimateWait(now, g.queue.len()), minRetryAfter), maxRetryAfter)
 	reason, detail := request.ReasonOverload, "all slots of the upstream instance are taken"
-	if limit := g.rateLimit.perSecond; limit > 0 && g.inFlight < g.bounds.Slots {
+	if limit := g.rateLimit.PerSecond; limit > 0 && g.inFlight < g.bounds.Slots {
 		reason, detail = request.ReasonRateLimit, fmt.Sprintf("the upstream instance takes %.4g requests per second", limit)
 	}
 	return &request.Refusal{
--- a/request/admission/rate_limit_test.go
+++ b/request/admission/rate_limit_test.go
@@ -99,7 +99,7 @@
 		g.SetBounds(Bounds{Slots: 12})
 		check := func(what string, want float64) {
 			t.Helper()
-			if got := g.RateLimit(); got != want {
+			if got := g.RateLimit().PerSecond; got != want {
 				t.Errorf("%s: got a limit of %v, want %v", what, got, want)
 			}
 			time.Sleep(time.Second)
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -325,7 +325,7 @@
 
 func (h *Host) load() request.Load {
 	inFlight, queued, limit, cold := h.limiter.Load()
-	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: stateWarm, RateLimit: h.limiter.RateLimit()}
+	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: stateWarm, RateLimit: h.limiter.RateLimit().PerSecond}
 	switch {
 	case cold:
 		l.State = stateCold
--- a/request/host/statements.go
+++ b/request/host/statements.go
@@ -19,8 +19,8 @@
 	// ObserveRateLimit handles the limit in the answer to the request of a ticket and
 	// returns the limit in force before and after. Zero means no limit.
 	ObserveRateLimit(now time.Time, t admission.Ticket, perSecond float64) (before, after float64)
-	// RateLimit returns the limit in force; zero means none.
-	RateLimit() float64
+	// RateLimit returns the limit in force.
+	RateLimit() admission.RateLimit
 }
 
 // noRateLimiter ignores the limits that an upstream names.
@@ -29,15 +29,12 @@
 func (noRateLimiter) ObserveRateLimit(time.Time, admission.Ticket, float64) (before, after float64) {
 	return 0, 0
 }
-func (noRateLimiter) RateLimit() float64 { return 0 }
+func (noRateLimiter) RateLimit() admission.RateLimit { return admission.RateLimit{} }
 
 // statements logs and counts what the upstream says about itself in its answers. The
 // zero value is ready for use.
 type statements struct {
 	mu sync.Mutex
-	// limitedFrom is when the upstream first named the present limit, and confirmedAt
-	// when it last did.
-	limitedFrom, confirmedAt time.Time
 	// changesQuietUntil is the time until which changes of a limit are not logged, and
 	// malformedQuietUntil the same for malformed statements.
 	changesQuietUntil, malformedQuietUntil time.Time
@@ -56,22 +53,21 @@
 
 // rateLimit handles the limit in force before and after an answer; zero means none.
 func (s *statements) rateLimit(h *Host, id string, before, after float64) {
+	if before == after {
+		return
+	}
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case before == 0 && after > 0:
-		s.limitedFrom = now
+	case before == 0:
 		h.decisions.Write("upstream names a rate limit", "instance", id, "perSecond", after)
-	case after == 0 && before > 0:
-		h.decisions.Write("upstream names no rate limit any more", "instance", id, "before", before, "limitedMs", now.Sub(s.limitedFrom).Milliseconds())
-	case after != before && now.After(s.changesQuietUntil):
+	case after == 0:
+		h.decisions.Write("upstream names no rate limit any more", "instance", id, "before", before)
+	case now.After(s.changesQuietUntil):
 		s.changesQuietUntil = now.Add(statementLogInterval)
 		h.decisions.Write("upstream changes its rate limit", "instance", id, "perSecond", after, "before", before)
 	}
-	if after > 0 {
-		s.confirmedAt = now
-	}
 }
 
 // rateLimitGauge is the served form of the rate limit in force.
@@ -85,14 +81,11 @@
 
 // rateLimitGauge returns the rate limit in force, or nil if there is none.
 func (h *Host) rateLimitGauge() any {
-	limit := h.limiter.RateLimit()
-	if limit == 0 {
+	l := h.limiter.RateLimit()
+	if l.PerSecond == 0 {
 		return nil
 	}
-	s := &h.statements
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return rateLimitGauge{limit, time.Since(s.limitedFrom).Milliseconds(), time.Since(s.confirmedAt).Milliseconds()}
+	return rateLimitGauge{l.PerSecond, time.Since(l.Since).Milliseconds(), time.Since(l.ConfirmedAt).Milliseconds()}
 }
 
 // observeStatement handles what the upstream says about itself in an answer.
