host, daemon: an instance whose answers say that it leaves is not used again

Callers could be sent to an upstream instance that was about to stop, for as long as its own report was late, lost or never sent: only heartbeats and deregistrations took an instance out of use.

The host refuses calls from the first answer with the statement on, the daemon treats the instance as deregistered, so that heartbeats of the same start do not bring it back, and peers learn that it drains. A daemon that starts finds the statement in the health answer, by which it recalls or confirms an upstream that was running already.

--- a/process/daemon/announce.go
+++ b/process/daemon/announce.go
@@ -12,6 +12,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/request/host"
 )
 
 // maxAnnouncementBytes bounds the body of an announcement.
@@ -129,7 +130,8 @@
 	return nil
 }
 
-// deregistered is the state of an upstream that has deregistered itself.
+// deregistered is the state of an upstream that has deregistered itself, or has said in
+// an answer that it leaves.
 const deregistered = membership.Leaving
 
 func (a *Announcement) sameStart(b Announcement) bool {
@@ -214,6 +216,29 @@
 	d.control.Announce(a.upstream(membership.Starting))
 }
 
+// upstreamLeaving takes the upstream out of use permanently. The host calls it when an
+// answer of the upstream said that it leaves.
+func (d *Daemon) upstreamLeaving(u host.Upstream) {
+	d.announceMu.Lock()
+	defer d.announceMu.Unlock()
+	known := d.announced.Load()
+	if known == nil || known.ID != u.ID || known.Incarnation != u.Incarnation {
+		return
+	}
+	d.takeOutOfUse(*known)
+}
+
+// takeOutOfUse takes the upstream of an announcement out of use permanently, because an
+// answer said that it leaves. announceMu must be held.
+func (d *Daemon) takeOutOfUse(a Announcement) {
+	if a.State == deregistered {
+		return
+	}
+	a.State = deregistered
+	d.events.Add(time.Now(), timeline.KindUpstream, 0, "upstream "+a.ID+" says in an answer that it leaves; not used any more")
+	d.setUpstream(a)
+}
+
 // applyLimits applies the limits of the configuration to the upstream. It runs for
 // each announcement and each new snapshot. Without a configuration there are no
 // limits to apply, and the limiter refuses all calls.
@@ -225,7 +250,7 @@
 	if u, ok := snap.State.Config.Upstream(a.Service); ok {
 		u.ColdPerSecond = d.currentSettings.Load().Bounds.ColdRate(u.ColdPerSecond)
 		d.limiter.setBounds(u, d.effectiveAnnouncement(snap, a, time.Now()))
-		d.host.SetUpstream(a.Address, u.Connections, a.ID)
+		d.host.SetUpstream(host.Upstream{Address: a.Address, Connections: u.Connections, ID: a.ID, Incarnation: a.Incarnation})
 	}
 }
 
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -66,6 +66,10 @@
 	if !known.sameStart(a) || known.State != membership.Starting {
 		return
 	}
+	if ans.statement.Leaving {
+		d.takeOutOfUse(*known)
+		return
+	}
 	d.setRateLimit(ans)
 	if !ans.healthy {
 		// A health answer can be wrong. An upstream that still announces itself
@@ -87,7 +91,7 @@
 func (d *Daemon) replaceIfServing(a Announcement) {
 	defer d.probing.Store(false)
 	ans := d.probeHealth(a)
-	if !ans.idConfirmed || !ans.healthy {
+	if !ans.idConfirmed || !ans.healthy || ans.statement.Leaving {
 		return
 	}
 	d.announceMu.Lock()
@@ -172,7 +176,11 @@
 	for time.Now().Before(until) && d.announced.Load() == nil {
 		if a, ok := d.announcementFromPeers(); ok {
 			ans := d.probeHealth(a)
-			if ans.idConfirmed && ans.healthy {
+			switch {
+			case ans.idConfirmed && ans.statement.Leaving:
+				d.applyLeft(a)
+				return
+			case ans.idConfirmed && ans.healthy:
 				a.ColdUntil = ans.coldUntil
 				d.applyRestored(a, ans)
 				return
@@ -217,3 +225,13 @@
 	d.setRateLimit(ans)
 	d.setUpstream(a)
 }
+
+// applyLeft keeps an upstream from before the restart out of use, unless it has announced
+// itself since.
+func (d *Daemon) applyLeft(a Announcement) {
+	d.announceMu.Lock()
+	defer d.announceMu.Unlock()
+	if d.announced.Load() == nil {
+		d.takeOutOfUse(a)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -217,6 +217,7 @@
 	d.control = control.New(controlOpts...)
 	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
 		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamUnreachable),
+		host.WithLeaving(d.upstreamLeaving),
 		host.WithAnswerLimits(s.Answers.Limits()))
 	entryOpts := []entry.Option{
 		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
--- a/request/entry/mesh_test.go
+++ b/request/entry/mesh_test.go
@@ -195,7 +195,7 @@
 		if o.upstreamProxy != nil {
 			addr = o.upstreamProxy(addr)
 		}
-		h.SetUpstream(addr, 120, "")
+		h.SetUpstream(host.Upstream{Address: addr, Connections: 120})
 		srv := httptest.NewUnstartedServer(h)
 		srv.Config.Protocols = new(http.Protocols)
 		srv.Config.Protocols.SetUnencryptedHTTP2(true)
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	h := host.New(view, limiter, host.WithMetrics(set))
-//	h.SetUpstream(addr, connections)
+//	h.SetUpstream(host.Upstream{Address: addr, Connections: 120, ID: "i-1"})
 //	ans, err := h.Do(ctx, call)           // calls of the entry in this process
 //	mux.Handle(host.ForwardPrefix, h)     // calls of other daemons
 package host
@@ -86,6 +86,10 @@
 // or another instance has its address.
 func WithUnreachable(f func()) Option { return func(h *Host) { h.unreachable = f } }
 
+// WithLeaving sets a function that is called when an answer says that the upstream
+// leaves.
+func WithLeaving(f func(Upstream)) Option { return func(h *Host) { h.leaving = f } }
+
 // WithDecisions sets the decision log.
 func WithDecisions(l *decision.Log) Option { return func(h *Host) { h.decisions = l } }
 
@@ -111,17 +115,32 @@
 	statements statements
 	// unreachable is called when the upstream is gone.
 	unreachable func()
+	// leaving is called when an answer says that the upstream leaves.
+	leaving func(Upstream)
 	// decisions may be nil.
 	decisions *decision.Log
 }
 
+// Upstream is an incarnation of the upstream instance beside the daemon.
+type Upstream struct {
+	Address netip.AddrPort
+	// Connections is the number of connections that it accepts.
+	Connections int
+	// ID and Incarnation name the incarnation; ID may be empty.
+	ID          string
+	Incarnation uint64
+}
+
+func (u Upstream) sameIncarnation(v Upstream) bool {
+	return u.ID == v.ID && u.Incarnation == v.Incarnation
+}
+
 // target is the upstream instance and its connections.
 type target struct {
-	addr        netip.AddrPort
-	connections int
-	// id names the incarnation of the upstream; empty if it has no name.
-	id   string
+	Upstream
 	pool *instance.Pool
+	// leaving is set once an answer has said that the upstream leaves.
+	leaving atomic.Bool
 }
 
 // New returns a host without an upstream. The host obeys the rate limits that the
@@ -133,7 +152,7 @@
 	}
 	h := &Host{
 		view: view, limiter: rateLimiter, metrics: new(metrics.Set), observer: noObserver{}, headers: request.DefaultHeaders,
-		unreachable: func() {},
+		unreachable: func() {}, leaving: func(Upstream) {},
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -142,16 +161,17 @@
 	return h
 }
 
-// SetUpstream sets the address of the upstream, the number of connections that
-// it accepts and the id of its incarnation, which may be empty.
-func (h *Host) SetUpstream(addr netip.AddrPort, connections int, id string) {
-	if t := h.target.Load(); t != nil && t.addr == addr && t.connections == connections && t.id == id {
+// SetUpstream sets the upstream. An incarnation that said that it leaves gets no calls.
+func (h *Host) SetUpstream(u Upstream) {
+	old := h.target.Load()
+	if old != nil && old.Upstream == u {
 		return
 	}
 	// One connection is reserved for probes.
-	next := &target{addr: addr, connections: connections, id: id, pool: instance.New(addr,
-		instance.WithConnections(connections-1), instance.WithLimits(h.limits),
+	next := &target{Upstream: u, pool: instance.New(u.Address,
+		instance.WithConnections(u.Connections-1), instance.WithLimits(h.limits),
 		instance.WithOpened(func() { h.metrics.Add("host.connections", 1) }))}
+	next.leaving.Store(old != nil && old.leaving.Load() && old.sameIncarnation(u))
 	if old := h.target.Swap(next); old != nil {
 		old.pool.Close()
 	}
@@ -231,7 +251,7 @@
 		args = append(args, "waitedMs", granted.Sub(began).Milliseconds())
 	}
 	if t := h.target.Load(); t != nil {
-		args = append(args, "instance", t.id)
+		args = append(args, "instance", t.ID)
 	}
 	if outcome == request.NotRun {
 		h.decisions.Write("call handled", args...)
@@ -291,7 +311,7 @@
 	refuse := func(reason request.Reason, format string, args ...any) error {
 		return &request.Refusal{Outcome: request.NotRun, Reason: reason, Detail: fmt.Sprintf(format, args...), RetryAt: time.Now()}
 	}
-	self := snap.Self
+	self, tgt := snap.Self, h.target.Load()
 	switch {
 	case h.draining.Load() || self.State == "draining" || self.State == "leaving":
 		return refuse(request.ReasonLeaving, "instance %s is leaving", self.Name)
@@ -301,8 +321,10 @@
 		return refuse(request.ReasonZoneOut, "availability zone %s is out", self.Zone)
 	case self.State != "ready":
 		return refuse(request.ReasonNotReady, "upstream beside %s is %s", self.Name, self.State)
-	case h.target.Load() == nil:
+	case tgt == nil:
 		return refuse(request.ReasonNotReady, "the limits of the upstream beside %s are not known", self.Name)
+	case tgt.leaving.Load():
+		return refuse(request.ReasonLeaving, "upstream %s says that it leaves", tgt.ID)
 	case call.Upstream != "" && call.Upstream != self.Service:
 		return refuse(request.ReasonWrongVersion, "instance %s belongs to upstream %s, not %s", self.Name, self.Service, call.Upstream)
 	case call.UpstreamVersion != "" && call.UpstreamVersion != self.Version:
@@ -338,7 +360,7 @@
 // upstreamRequest returns the request to the upstream and the id that the upstream
 // echoes.
 func (h *Host) upstreamRequest(ctx context.Context, tgt *target, call *request.Call) (req *http.Request, id string, err error) {
-	if req, err = request.NewHTTPRequest(ctx, "http://"+tgt.addr.String()+call.Path, call); err != nil {
+	if req, err = request.NewHTTPRequest(ctx, "http://"+tgt.Address.String()+call.Path, call); err != nil {
 		return nil, "", err
 	}
 	n := h.headers
@@ -349,7 +371,7 @@
 	}
 	req.Header.Set(n.Timeout, strconv.FormatInt(max(1, time.Until(call.Deadline).Milliseconds()), 10))
 	if n.Instance != "" {
-		req.Header.Set(n.Instance, tgt.id)
+		req.Header.Set(n.Instance, tgt.ID)
 	}
 	return req, id, nil
 }
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -63,7 +63,7 @@
 	}))
 	t.Cleanup(srv.Close)
 	h := New(fixedView{&control.Snapshot{State: &fold.State{Zones: map[string]fold.Zone{"out": {Out: true}}}, Self: self, Serving: true}}, l)
-	h.SetUpstream(netip.MustParseAddrPort(srv.Listener.Addr().String()), 120, "")
+	h.SetUpstream(Upstream{Address: netip.MustParseAddrPort(srv.Listener.Addr().String()), Connections: 120})
 	return h
 }
 
@@ -206,7 +206,7 @@
 		arrived <- struct{}{}
 		<-release
 	})
-	h.SetUpstream(h.target.Load().addr, 2, "") // one connection in addition to that for probes
+	h.SetUpstream(Upstream{Address: h.target.Load().Address, Connections: 2}) // one connection in addition to that for probes
 	first := make(chan error, 1)
 	go func() {
 		_, err := h.Do(t.Context(), newCall())
--- a/request/host/statements.go
+++ b/request/host/statements.go
@@ -92,18 +92,22 @@
 func (uc *upstreamCall) observeStatement(st request.Statement, err error) {
 	h := uc.host
 	if err != nil {
-		h.statements.malformed(h, uc.target.id, err)
+		h.statements.malformed(h, uc.target.ID, err)
 	}
 	if st.RateLimit > 0 {
 		h.metrics.Add("host.answersWithRateLimit", 1)
 	}
 	if st.Leaving {
 		h.metrics.Add("host.answersOfLeaving", 1)
+		if uc.target.leaving.CompareAndSwap(false, true) {
+			h.decisions.Write("upstream says that it leaves", "instance", uc.target.ID)
+			go h.leaving(uc.target.Upstream)
+		}
 	}
 	if st.RateLimit == 0 && err != nil {
 		// The limit in force may be the one that could not be read.
 		return
 	}
 	before, after := h.limiter.ObserveRateLimit(time.Now(), uc.ticket, st.RateLimit)
-	h.statements.rateLimit(h, uc.target.id, before, after)
+	h.statements.rateLimit(h, uc.target.ID, before, after)
 }
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -171,7 +171,7 @@
 		uc.host.metrics.Add("host.wrongInstance", 1)
 		uc.host.unreachable()
 		return &request.Refusal{
-			Outcome: request.NotRun, Reason: request.ReasonWrongInstance, Detail: "another instance has the address of " + uc.target.id,
+			Outcome: request.NotRun, Reason: request.ReasonWrongInstance, Detail: "another instance has the address of " + uc.target.ID,
 			RetryAt: time.Now(),
 		}
 	case n.NotRun != "" && ans.Header.Get(n.NotRun) != "":
