entry: remember the instances that said in an answer that they leave

An entry learnt that an instance leaves from its host, by gossip. If the host restarts, or the entry is out of touch, the entry could send it a request after it had passed on an answer with the statement, which binds the machine where the request began.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -124,7 +124,8 @@
 	share := func(m fold.Move) float64 { return snap.Share(m, call.Route) }
 	c.UpstreamVersion = snap.Table.Version(upstream, share, mathrand.Float64())
 	query := route.Query{
-		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Now: now, AvailableOnly: call.Attempts > 0 && len(previous) > 0,
+		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Leaving: e.leavers.contains, Now: now,
+		AvailableOnly: call.Attempts > 0 && len(previous) > 0,
 	}
 	if !call.Objective.IsZero() {
 		query.WaitRatio = localZoneWaitRatio
@@ -188,6 +189,12 @@
 		err = &silent
 	}
 	e.loads.finish(inst.Name, call.Route, ans, err, time.Now())
+	if ans != nil {
+		// A malformed statement was logged by the host.
+		if st, _ := e.headers.Statement(ans.Header); st.Leaving {
+			e.leavers.add(&inst, time.Now())
+		}
+	}
 	tr.endAttempt(err, now)
 	if ans != nil && ans.Rest != nil {
 		ans.Rest = &cancelOnClose{ReadCloser: ans.Rest, cancel: cancel}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -112,6 +112,7 @@
 	service   atomic.Pointer[string]
 
 	loads    loads
+	leavers  leavers
 	peers    peer.Pool
 	budgets  sync.Map // upstream name to *retry.Budget
 	finishes sync.WaitGroup
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -44,6 +44,9 @@
 	Name, Zone, Region string
 	Upstream, Version  string
 	Peer               netip.AddrPort
+	// UpstreamID and UpstreamIncarnation name the incarnation of the upstream instance.
+	UpstreamID          string
+	UpstreamIncarnation uint64
 	// Suspect marks an instance whose daemon did not answer its peers.
 	Suspect bool
 }
@@ -79,6 +82,9 @@
 	Upstream, Version string
 	// Exclude lists instances that were already tried.
 	Exclude []string
+	// Leaving reports whether the upstream instance is about to stop and must not be
+	// chosen; nil means that none is.
+	Leaving func(*Instance) bool
 	// AvailableOnly asks for an instance that is neither saturated nor failing.
 	AvailableOnly bool
 	// WaitRatio is how long the request may wait in the daemon's own zone, as a
@@ -125,7 +131,8 @@
 		k := versionKey{m.Service, m.Version}
 		next.instances[k] = append(next.instances[k], locatedInstance{distance: next.distance(m), Instance: Instance{
 			Name: m.Name, Zone: m.Zone, Region: m.Region, Upstream: m.Service, Version: m.Version,
-			Peer: m.Peer, Suspect: m.State == membership.Suspect,
+			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation,
+			Suspect: m.State == membership.Suspect,
 		}})
 	}
 	next.numberTrialInstances()
@@ -357,6 +364,9 @@
 			if slices.Contains(q.Exclude, in.Name) || ramp && q.Rnd[0] >= t.weight(in.Zone, q.Now) {
 				continue
 			}
+			if q.Leaving != nil && q.Leaving(&in.Instance) {
+				continue
+			}
 			ratio, failing := loads.Ratio(in.Name, q.Now)
 			if failing || in.Suspect {
 				ratio += failingPenalty
