--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -26,6 +26,8 @@
 	notRecovered  = "notRecovered"
 	badVersion    = "badVersion"
 	startFailed   = "startFailed"
+	overRateLimit = "overRateLimit"
+	afterLeaving  = "afterLeaving"
 )
 
 // Violation is one violation of an invariant.
@@ -67,10 +69,12 @@
 	answered   map[int]int
 	// cuts counts connections that ended without an answer at a stable daemon.
 	cuts map[string]int
+	// statements holds what servers said in their answers, by the server's ID.
+	statements map[string]*statement
 }
 
 func newChecker(began time.Time) *checker {
-	return &checker{startedAt: began, attempts: make(map[string]*attempt), answered: make(map[int]int), cuts: make(map[string]int)}
+	return &checker{startedAt: began, attempts: make(map[string]*attempt), answered: make(map[int]int), cuts: make(map[string]int), statements: make(map[string]*statement)}
 }
 
 func (c *checker) report(invariant, format string, args ...any) {
@@ -100,6 +104,7 @@
 		return
 	}
 	a.runs = append(a.runs, run{r.Server.ID, r.At})
+	c.checkStatement(a, r)
 	switch {
 	case a.Method != r.Method || a.Path != r.Path || string(a.Body) != string(r.Body):
 		c.addLocked(unasked, "%s ran %s %s %q for %s, sent as %s %s %q", r.Server.ID, r.Method, r.Path, r.Body, r.ID, a.Method, a.Path, a.Body)
@@ -134,6 +139,7 @@
 	if err := a.Check(res, body); err != nil {
 		c.addLocked(mixedAnswer, "%s: %v", a.ID, err)
 	}
+	c.recordStatement(a.entry, res.Header, time.Now())
 	if a.unsafe() && statusMeansNotRun(a.status) && len(a.runs) > 0 {
 		c.addLocked(refusedAndRan, "%s was answered %d and had run at %v", a.ID, a.status, a.runs)
 	}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -32,6 +32,7 @@
 		p := n.process
 		n.mu.Unlock()
 		if p.Signal(syscall.SIGSTOP) == nil {
+			defer n.interrupt()
 			h.sleep(randomDuration(rng, 200*time.Millisecond, 5*time.Second))
 			_ = p.Signal(syscall.SIGCONT) // fails if the process was killed meanwhile
 		}
@@ -46,6 +47,8 @@
 	{"serverCrashed", 3, false, serverCrashed},
 	{"serverDrained", 4, true, serverDrained},
 	{"serverSick", 3, false, serverSick},
+	{"serverLimited", 3, true, serverLimited},
+	{"serverLeaves", 3, true, serverLeaves},
 	{"storeDown", 2, false, storeFault(func(*http.Request) int { return http.StatusServiceUnavailable })},
 	{"storeLosesAnswers", 2, false, storeFault(loseEveryThird())},
 	{"storeSlow", 2, false, storeFault(func(*http.Request) int {
@@ -242,13 +245,12 @@
 // serverSick makes a server slow or faulty, or makes its health check fail.
 func serverSick(h *harness, rng *rand.Rand) bool {
 	n := h.pickNode(rng)
-	if n == nil {
+	if n == nil || !n.behaviour.TryLock() {
 		return false
 	}
+	defer n.behaviour.Unlock()
 	defer n.beginDisturbance()()
-	n.mu.Lock()
-	app := n.app
-	n.mu.Unlock()
+	app := n.currentServer()
 	behaviours := []standin.Behaviour{
 		{Work: 20 * work}, {Work: work, FailOneIn: 2}, {Work: work, DropOneIn: 3}, {Work: work, Unhealthy: true},
 		{Work: work, FailOneIn: 1},
--- a/standin/soak/node.go
+++ b/standin/soak/node.go
@@ -52,6 +52,8 @@
 
 	// lifecycle is held by the fault that stops or starts the daemon or the server.
 	lifecycle sync.Mutex
+	// behaviour is held by the fault that changes what the server answers.
+	behaviour sync.Mutex
 
 	mu      sync.Mutex
 	process launcher.Process
@@ -64,6 +66,8 @@
 	// bounds apply again.
 	disturbances int
 	stableFrom   time.Time
+	// interruptedAt is when the daemon last started or continued after a pause.
+	interruptedAt time.Time
 	// stoppedAt is when SIGTERM was sent.
 	stoppedAt time.Time
 	// newestVersion is the newest version that the daemon has served since its start,
@@ -97,6 +101,27 @@
 	return n.disturbances == 0 && time.Now().After(n.stableFrom)
 }
 
+// interrupt records that the daemon has started or continued after a pause.
+func (n *node) interrupt() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.interruptedAt = time.Now()
+}
+
+// interruptedSince reports whether the daemon has started or been paused since t.
+func (n *node) interruptedSince(t time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.interruptedAt.After(t)
+}
+
+// currentServer returns the server that runs at the node, or that ran last.
+func (n *node) currentServer() *standin.Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.app
+}
+
 // version returns the version of the node's server.
 func (n *node) version() string {
 	n.mu.Lock()
@@ -168,7 +193,7 @@
 	h.processes = append(h.processes, p)
 	h.mu.Unlock()
 	n.mu.Lock()
-	n.process, n.newestVersion, n.stoppedAt = p, 0, time.Time{}
+	n.process, n.newestVersion, n.stoppedAt, n.interruptedAt = p, 0, time.Time{}, time.Now()
 	n.mu.Unlock()
 	return nil
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -123,6 +123,58 @@
 	}
 }
 
+// TestStatements guards against requests beyond a named rate limit, or after a server has
+// said that it leaves, that the checker does not detect, and against reports of requests
+// that are allowed.
+func TestStatements(t *testing.T) {
+	longAgo := time.Now().Add(-time.Minute)
+	limited := http.Header{standin.HeaderSeal: {"seal-i-1"}, standin.HeaderLimit: {"2"}}
+	leaving := http.Header{standin.HeaderSeal: {"seal-i-1"}, standin.HeaderLeaving: {"1"}}
+	for _, c := range []struct {
+		name, invariant string
+		header          http.Header
+		toldAt          time.Time
+		// interrupted means that the daemon of the entry has restarted since.
+		interrupted bool
+		runs        int
+	}{
+		{"over the limit", overRateLimit, limited, longAgo, false, 18},
+		{"within the limit", "", limited, longAgo, false, 17},
+		{"limit just named", "", limited, time.Now().Add(-2 * time.Second), false, 18},
+		{"limit of which the entry does not know", "", limited, longAgo, true, 18},
+		{"leaves since long ago", afterLeaving, leaving, longAgo, false, 1},
+		{"leaves since just now", "", leaving, time.Now(), false, 1},
+		{"leaves, restarted since", "", leaving, longAgo, true, 1},
+	} {
+		entry := &node{name: "d-1", service: serviceLook}
+		if c.interrupted {
+			entry.interruptedAt = time.Now()
+		}
+		ch := newChecker(time.Now())
+		ch.recordStatement(entry, c.header, c.toldAt)
+		for range c.runs {
+			ch.checkStatement(&attempt{entry: entry, sentAt: time.Now()}, standin.Run{Server: &standin.Server{ID: "i-1"}, At: time.Now()})
+		}
+		var got []string
+		for _, v := range ch.violations {
+			got = append(got, v.Invariant)
+		}
+		if want := strings.Fields(c.invariant); !slices.Equal(got, want) {
+			t.Errorf("%s: got violations %v, want %v", c.name, ch.violations, want)
+		}
+	}
+	ch := newChecker(time.Now())
+	entry := &node{name: "d-1"}
+	ch.recordStatement(entry, limited, longAgo)
+	ch.limitEnded("i-1")
+	for range 18 {
+		ch.checkStatement(&attempt{entry: entry}, standin.Run{Server: &standin.Server{ID: "i-1"}, At: time.Now()})
+	}
+	if len(ch.violations) > 0 {
+		t.Errorf("limit ended: got violations %v, want none", ch.violations)
+	}
+}
+
 // fakeProcess is a placeholder for a running daemon.
 type fakeProcess struct{ launcher.Process }
 
