--- a/process/control/control.go
+++ b/process/control/control.go
@@ -180,6 +180,10 @@
 // the goroutine of the actor and must not block.
 func WithViewObserver(f func(*Snapshot)) Option { return func(c *control) { c.onView = f } }
 
+// WithWarning sets a function that returns a warning for operators, which the status
+// shows; an empty one is not shown.
+func WithWarning(f func() string) Option { return func(c *control) { c.warning = f } }
+
 // WithOutcomes keeps the ends of moves in o instead of on the log.
 func WithOutcomes(o Outcomes) Option { return func(c *control) { c.outcomes = o } }
 
@@ -204,6 +208,7 @@
 	events   *timeline.Timeline
 	logger   *slog.Logger
 	onView   func(*Snapshot)
+	warning  func() string
 	// outcomes, directory and compacted adapt the control state to the platform;
 	// they may be unset.
 	outcomes  Outcomes
@@ -244,7 +249,7 @@
 	c := &control{
 		metrics: new(metrics.Set), events: new(timeline.Timeline), logger: slog.New(slog.DiscardHandler),
 		readRequested: make(chan struct{}, 1), actionSem: make(chan struct{}, maxActions), fetchSem: make(chan struct{}, maxFetches),
-		directoryListed: make(chan struct{}),
+		directoryListed: make(chan struct{}), warning: func() string { return "" },
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -94,6 +94,12 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	if text := s.warning(); text != "" {
+		if res.Warning != "" {
+			text = res.Warning + "; " + text
+		}
+		res.Warning = text
+	}
 	return connect.NewResponse(res), nil
 }
 
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -202,6 +202,7 @@
 		control.WithMetrics(d.metrics),
 		control.WithTimeline(d.events),
 		control.WithViewObserver(d.applyLimits),
+		control.WithWarning(func() string { return d.host.Warning() }),
 		control.WithLogger(newSlog(logger.Named("actor"))),
 	}
 	headers := request.DefaultHeaders
--- a/request/host/statements.go
+++ b/request/host/statements.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -88,6 +89,20 @@
 	return rateLimitGauge{l.PerSecond, time.Since(l.Since).Milliseconds(), time.Since(l.ConfirmedAt).Milliseconds()}
 }
 
+// Warning describes what the upstream says about itself that restricts its use; it is
+// empty if there is nothing.
+func (h *Host) Warning() string {
+	t := h.target.Load()
+	if t != nil && t.leaving.Load() {
+		return fmt.Sprintf("upstream %s says that it leaves and is not used", t.ID)
+	}
+	if l := h.limiter.RateLimit(); l.PerSecond > 0 {
+		return fmt.Sprintf("the upstream has named a limit for %v, now %.4g requests per second, last %v ago; %d calls refused for it since the start of the daemon",
+			time.Since(l.Since).Round(time.Second), l.PerSecond, time.Since(l.ConfirmedAt).Round(time.Millisecond), h.metrics.Get("host.refused."+string(request.ReasonRateLimit)))
+	}
+	return ""
+}
+
 // observeStatement handles what the upstream says about itself in an answer.
 func (uc *upstreamCall) observeStatement(st request.Statement, err error) {
 	h := uc.host
--- a/request/host/statements_test.go
+++ b/request/host/statements_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -117,6 +118,9 @@
 	if got, want := u.between(limited, time.Now()), 46; got < want { // 0.8 of 20 a second in 2.9 s
 		t.Errorf("got %d requests, want at least %d", got, want)
 	}
+	if got, want := h.Warning(), "now 20 requests per second"; !strings.Contains(got, want) {
+		t.Errorf("got warning %q, want it to contain %q", got, want)
+	}
 	for _, ref := range refusals {
 		if ref.Outcome != request.NotRun || !ref.RetryAt.After(begin) {
 			t.Fatalf("got refusal %+v, want outcome notRun and a retry time", ref)
@@ -127,6 +131,9 @@
 	if refusals := load(t, h, 5*time.Millisecond, time.Now().Add(time.Second)); len(refusals) > 5 {
 		t.Errorf("got %d of 200 calls refused after the limit had ended, want none but the first", len(refusals))
 	}
+	if got := h.Warning(); got != "" {
+		t.Errorf("got warning %q after the limit had ended, want none", got)
+	}
 }
 
 // TestLeavingStated guards against requests to an upstream after an answer has said that
@@ -148,3 +155,30 @@
 		t.Error("got an answer, want a refusal")
 	}
 }
+
+// TestLimitedNotJudged guards against a version that is taken back because its instances
+// are in need and name rate limits, and against one that such a limit hides for good.
+func TestLimitedNotJudged(t *testing.T) {
+	var w warmup
+	now := time.Now()
+	limited, warm := request.Load{State: stateLimited, RateLimit: 20}, request.Load{State: stateWarm}
+	for _, c := range []struct {
+		name                  string
+		at                    time.Time
+		load                  request.Load
+		result                admission.Result
+		wantExcluded, wantUntimed bool
+	}{
+		{"warm", now, warm, admission.Result{}, false, false},
+		{"limited", now, limited, admission.Result{}, false, true},
+		{"limited, failed", now, limited, admission.Result{Failed: true}, false, true},
+		{"limited, shed", now, limited, admission.Result{Shed: true}, true, true},
+		{"limited for long", now.Add(startExclusion), limited, admission.Result{}, false, false},
+		{"limit ended", now.Add(startExclusion), warm, admission.Result{}, false, false},
+		{"limited again", now.Add(startExclusion), limited, admission.Result{}, false, true},
+	} {
+		if excluded, untimed := w.classify(c.at, c.load, c.result); excluded != c.wantExcluded || untimed != c.wantUntimed {
+			t.Errorf("%s: got excluded %v and untimed %v, want %v and %v", c.name, excluded, untimed, c.wantExcluded, c.wantUntimed)
+		}
+	}
+}
