--- a/request/host/statements_test.go
+++ b/request/host/statements_test.go
@@ -163,10 +163,10 @@
 	now := time.Now()
 	limited, warm := request.Load{State: stateLimited, RateLimit: 20}, request.Load{State: stateWarm}
 	for _, c := range []struct {
-		name                  string
-		at                    time.Time
-		load                  request.Load
-		result                admission.Result
+		name                      string
+		at                        time.Time
+		load                      request.Load
+		result                    admission.Result
 		wantExcluded, wantUntimed bool
 	}{
 		{"warm", now, warm, admission.Result{}, false, false},
