host: an answer that refuses or fails a request does not clear it of a crash

A request that crashes each instance that runs it could go on doing so for seconds: any complete answer counted as its completion, also one by which an instance refused it unrun (503, 429, a mark of not run, 421) or failed it (5xx).

Only an answer below 500 that is no refusal counts now. TestCompletion failed before for 429, 503, 500, 504, 400 marked as not run, and 421.

--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -85,7 +85,7 @@
 		r.count(snap, call.Route, now, s)
 	}
 	r.mu.Unlock()
-	if s.Answered {
+	if s.Completed {
 		snap.crashes.Completed(fp, now)
 	}
 	if checkCrash {
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -255,3 +255,43 @@
 	}
 	_ = ans.Rest.Close()
 }
+
+// sampleObserver records the samples of finished calls.
+type sampleObserver struct{ samples []request.Sample }
+
+func (*sampleObserver) Started(*request.Call) {}
+func (o *sampleObserver) Finished(_ *request.Call, s request.Sample) {
+	o.samples = append(o.samples, s)
+}
+
+// TestCompletion guards against an answer that counts as the completion of a request,
+// which clears it of earlier crashes, although the upstream refused or failed it.
+func TestCompletion(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		notRun bool
+		want   bool
+	}{
+		{http.StatusOK, false, true},
+		{http.StatusNotFound, false, true},
+		{http.StatusTooManyRequests, false, false},
+		{http.StatusServiceUnavailable, false, false},
+		{http.StatusInternalServerError, false, false},
+		{http.StatusGatewayTimeout, false, false},
+		{http.StatusBadRequest, true, false},
+		{http.StatusMisdirectedRequest, true, false},
+	} {
+		o := new(sampleObserver)
+		h := newHost(t, new(openLimiter), ready, func(w http.ResponseWriter, _ *http.Request) {
+			if c.notRun {
+				w.Header().Set("Not-Run", "1")
+			}
+			w.WriteHeader(c.status)
+		})
+		h.observer, h.headers.NotRun = o, "Not-Run"
+		_, _ = h.Do(t.Context(), newCall()) // a refusal for some answers
+		if len(o.samples) != 1 || o.samples[0].Completed != c.want {
+			t.Errorf("status %d, not run %v: got samples %+v, want completed %v", c.status, c.notRun, o.samples, c.want)
+		}
+	}
+}
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -32,6 +32,8 @@
 	result    admission.Result
 	// lost means that the connection broke; cancelled means that the caller gave up.
 	lost, cancelled, answered bool
+	// completed means that the upstream ran the call and did not fail it.
+	completed bool
 }
 
 // exchange sends the call to the upstream and reads the answer.
@@ -75,7 +77,7 @@
 	}
 	excluded, untimed := uc.host.warmup.classify(now, uc.load, uc.result)
 	uc.host.observer.Finished(uc.call, request.Sample{
-		Took: uc.result.Took, Failed: uc.result.Failed || uc.result.Expired, Lost: uc.lost, Answered: uc.answered,
+		Took: uc.result.Took, Failed: uc.result.Failed || uc.result.Expired, Lost: uc.lost, Completed: uc.completed,
 		Excluded: uc.cancelled || excluded, Untimed: untimed,
 	})
 }
@@ -147,6 +149,7 @@
 	if uc.result.Shed {
 		ans.Outcome = request.Unknown
 	}
+	uc.completed = !uc.result.Failed && !uc.result.Shed
 	ans.Load = uc.host.load()
 	ans.Load.Mean = uc.host.meanTimes.of(uc.call.Route)
 	if len(ans.Body) < request.MaxBody {
--- a/request/request.go
+++ b/request/request.go
@@ -218,8 +218,8 @@
 	Failed bool
 	// Lost means that the connection broke before the answer was complete.
 	Lost bool
-	// Answered means that the upstream gave a complete answer.
-	Answered bool
+	// Completed means that the upstream ran the call and did not fail it.
+	Completed bool
 	// Excluded means that the sample is no evidence about the upstream's version.
 	Excluded bool
 	// Untimed means that Took is no evidence about the version, as in cold start.
