standin/upstream: an instance that has crashed answers nothing more

The stand-in marked itself as crashed, but its connections were closed by another goroutine; a request whose work of a few milliseconds ended before that got a 504. To the daemon that request had completed: its crash report did not hold it, and the two reports after it took effect 3 s later, since a completion came before them.

--- a/standin/upstream/handler.go
+++ b/standin/upstream/handler.go
@@ -83,6 +83,10 @@
 	if rf.late > 0 {
 		sleep(r.Context(), rf.late)
 	}
+	if in.crashedSince(c) {
+		// The connections are not closed yet, but a process that is gone answers nothing.
+		panic(http.ErrAbortHandler)
+	}
 	if rf.crossed {
 		rep = in.swap(rep)
 	}
@@ -200,11 +204,22 @@
 	return rf
 }
 
+// crashedSince reports whether the incarnation that admitted a request has crashed.
+func (in *instance) crashedSince(c *call) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.crashedSinceLocked(c)
+}
+
+func (in *instance) crashedSinceLocked(c *call) bool {
+	return in.stats.Incarnation != c.incarnation || in.stats.State == ""
+}
+
 // completeRun counts the end of a run unless its incarnation has crashed.
 func (in *instance) completeRun(c *call) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.stats.Incarnation != c.incarnation || in.stats.State == "" {
+	if in.crashedSinceLocked(c) {
 		return false
 	}
 	in.stats.Completed++
