--- a/process/control/core.go
+++ b/process/control/core.go
@@ -215,9 +215,8 @@
 	crossZonePeer    membership.Member
 	crossZoneFetchAt time.Time
 	preset           string
-	// encoded is the encoding of the state encodedOf.
-	encoded   []byte
-	encodedOf *fold.State
+	// encoded is the encoding of state; nil if it has not been encoded.
+	encoded []byte
 
 	updates updateQueue
 	// routes is the route table of the last view.
@@ -250,9 +249,7 @@
 	case logFailed:
 		c.onLogFailed(now, ev)
 	case stateArrived:
-		if c.adopt(now, ev.state, ev.name) && c.serving {
-			c.reportOffset(now, rnd, ev.name)
-		}
+		c.adopt(now, rnd, ev.state, ev.name)
 	case offsetReported:
 		c.onOffsetReported(now, ev)
 	case gossipDue:
@@ -364,9 +361,7 @@
 			c.setLogUnreachable(false)
 		}
 	}
-	if c.adoptSnapshot(ev.entries, now) {
-		c.reportOffset(now, rnd, ev.source)
-	}
+	c.adoptSnapshot(ev.entries, now, rnd)
 	st := c.state.Clone()
 	var fresh []log.Entry
 	for _, e := range ev.entries {
@@ -482,10 +477,10 @@
 }
 
 // adoptSnapshot adopts the newest snapshot among the entries if the records before
-// them have expired. It reports whether the state has changed.
-func (c *core) adoptSnapshot(entries []log.Entry, now time.Time) bool {
+// them have expired.
+func (c *core) adoptSnapshot(entries []log.Entry, now time.Time, rnd float64) {
 	if len(entries) == 0 || entries[0].Offset <= c.state.Offset+1 && !c.compacted {
-		return false
+		return
 	}
 	for i := len(entries) - 1; i >= 0; i-- {
 		rec, err := record.Decode(entries[i].Data)
@@ -498,21 +493,24 @@
 			continue
 		}
 		c.reportsDue = c.hasOutcomes && len(st.Moves) > 0 && !c.serving
-		return c.adopt(now, st, "a snapshot on the log")
+		c.adopt(now, rnd, st, "")
+		return
 	}
-	return false
 }
 
-// adopt replaces the state by one from a snapshot or a peer if that is newer, and
-// reports whether it is.
-func (c *core) adopt(now time.Time, st *fold.State, source string) bool {
+// adopt replaces the state by one from a peer, or from a snapshot on the log if peer is
+// empty, if that is newer, and tells peers. A daemon that does not serve yet tells only
+// of what comes from the log, because its peers have the state that it gets from them.
+func (c *core) adopt(now time.Time, rnd float64, st *fold.State, peer string) {
 	if st.Offset <= c.state.Offset {
-		return false
+		return
 	}
 	c.raw, c.rawBytes = nil, 0
-	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, source, c.lag(now))
+	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, cmp.Or(peer, "a snapshot on the log"), c.lag(now))
 	c.setState(now, st)
-	return true
+	if peer == "" || c.serving {
+		c.reportOffset(now, rnd, peer)
+	}
 }
 
 // setState puts a state in force. The offset never decreases.
@@ -521,9 +519,7 @@
 		return
 	}
 	c.decisions.setMoveTimes(st, now)
-	c.state = st
-	c.encoded, c.encodedOf = nil, nil
-	c.dirty = true
+	c.replaceState(st)
 	if !c.behindSince.IsZero() {
 		c.metrics.Observe("control.versionLag", now.Sub(c.behindSince), "", "")
 		c.behindSince = time.Time{}
@@ -537,6 +533,11 @@
 	c.table.Follow(follow...)
 }
 
+// replaceState replaces the state without checking its offset.
+func (c *core) replaceState(st *fold.State) {
+	c.state, c.encoded, c.dirty = st, nil, true
+}
+
 // lag describes for the timeline how long the daemon has known of a newer version.
 func (c *core) lag(now time.Time) string {
 	if c.behindSince.IsZero() {
@@ -622,7 +623,7 @@
 	zone := c.table.Self().Zone
 	near = c.table.Random(rnd, recordFanout, func(m membership.Member) bool { return m.Zone == zone && m.Name != source })
 	if source == "" {
-		far = c.onePeerPerZone(rnd)
+		far = c.onePeerPerZone(rnd, c.isOtherZone)
 	}
 	return near, far
 }
@@ -632,10 +633,15 @@
 	return &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset}
 }
 
-func (c *core) onePeerPerZone(rnd float64) []membership.Member {
-	seen := map[string]bool{c.table.Self().Zone: true}
+// isOtherZone reports whether a member is in another zone than this daemon.
+func (c *core) isOtherZone(m membership.Member) bool { return m.Zone != c.table.Self().Zone }
+
+// onePeerPerZone returns a random member of each zone among those for which accept
+// returns true.
+func (c *core) onePeerPerZone(rnd float64, accept func(membership.Member) bool) []membership.Member {
+	seen := make(map[string]bool)
 	var out []membership.Member
-	for _, m := range c.table.Random(rnd, len(c.table.All()), func(membership.Member) bool { return true }) {
+	for _, m := range c.table.Random(rnd, c.table.Len(), accept) {
 		if !seen[m.Zone] {
 			seen[m.Zone] = true
 			out = append(out, m)
@@ -692,12 +698,10 @@
 		return
 	}
 	c.askZonesAfter = now.Add(startExchangePeriod)
-	asked := make(map[string]bool)
-	for _, m := range c.table.Random(rnd, c.table.Len(), func(m membership.Member) bool { return m.State != membership.Suspect }) {
-		if _, reported := c.peerOffsets[m.Zone]; reported || asked[m.Zone] {
-			continue
-		}
-		asked[m.Zone] = true
+	for _, m := range c.onePeerPerZone(rnd, func(m membership.Member) bool {
+		_, reported := c.peerOffsets[m.Zone]
+		return !reported && m.State != membership.Suspect
+	}) {
 		c.act(sendExchange{to: m, req: c.exchangeRequest(now)})
 	}
 }
@@ -744,13 +748,13 @@
 // encodedState returns the encoded state, which is kept for the peers that fetch it,
 // or nil if it cannot be encoded.
 func (c *core) encodedState() []byte {
-	if c.encodedOf != c.state {
+	if c.encoded == nil {
 		data, err := c.state.Encode()
 		if err != nil {
 			c.metrics.Add("control.snapshotFailures", 1)
 			return nil
 		}
-		c.encoded, c.encodedOf = data, c.state
+		c.encoded = data
 	}
 	return c.encoded
 }
--- a/process/control/core_test.go
+++ b/process/control/core_test.go
@@ -466,7 +466,8 @@
 	a.table.Merge(epoch, []membership.Member{other.table.Self()})
 	count = 0
 	for _, c := range []*core{a, other} {
-		c.lastSnapshot, c.raw, c.state = 0, nil, &fold.State{}
+		c.lastSnapshot, c.raw = 0, nil
+		c.replaceState(&fold.State{})
 		_, actions := c.handle(recordsArrived{entries: records[:few], first: 1, next: few + 1}, epoch, 0)
 		count += len(find[appendRecord](actions))
 	}
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -171,8 +171,7 @@
 func (c *core) refreshMoveTimes(now time.Time) {
 	st := c.state.Clone()
 	c.decisions.setMoveTimes(st, now)
-	c.state = st
-	c.dirty = true
+	c.replaceState(st)
 }
 
 // pruneProgress drops the progress of moves that are no longer in the state.
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -126,7 +126,7 @@
 	if withoutState {
 		return res
 	}
-	if data, err := c.state.Encode(); err == nil {
+	if data := c.encodedState(); data != nil {
 		res.State, res.StateHash = data, strconv.FormatUint(fold.HashOf(data), 16)
 	}
 	return res
--- a/process/control/updates.go
+++ b/process/control/updates.go
@@ -76,7 +76,7 @@
 	_, own := about[self.Name]
 	switch {
 	case own || len(to) == 0:
-		to = append(to, c.onePeerPerZone(rnd)...)
+		to = append(to, c.onePeerPerZone(rnd, c.isOtherZone)...)
 	case rnd < crossZoneCopies/float64(c.table.ZoneSize(self.Zone)):
 		to = append(to, c.table.Random(rnd, 1, func(m membership.Member) bool { return m.Zone != self.Zone && !onlySubject(m) })...)
 	}
