daemon: health probes stay within the rate limit that the upstream names

A daemon that starts probes the upstream 10 to 20 times a second until it is healthy, for up to 4 s; one in need may have named a limit far below that.

--- a/process/daemon/announce_test.go
+++ b/process/daemon/announce_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
@@ -54,3 +55,17 @@
 		}
 	}
 }
+
+// TestProbePause guards against health probes of an upstream in need that are more
+// frequent than the rate limit that it names.
+func TestProbePause(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		want  time.Duration
+	}{{0, 50 * time.Millisecond}, {100, 50 * time.Millisecond}, {2, 500 * time.Millisecond}} {
+		ans := healthResult{statement: request.Statement{RateLimit: c.limit}}
+		if got := ans.pause(50 * time.Millisecond); got != c.want {
+			t.Errorf("limit %v: got %v, want %v", c.limit, got, c.want)
+		}
+	}
+}
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -49,11 +49,12 @@
 func (d *Daemon) confirm(a Announcement) {
 	until := time.Now().Add(confirmWindow)
 	for time.Now().Before(until) && !d.leaving.Load() {
-		if ans := d.probeHealth(a); ans.conclusive {
+		ans := d.probeHealth(a)
+		if ans.conclusive {
 			d.applyConfirmation(a, ans)
 			return
 		}
-		time.Sleep(healthProbeInterval)
+		time.Sleep(ans.pause(healthProbeInterval))
 	}
 }
 
@@ -125,6 +126,15 @@
 	statement   request.Statement
 }
 
+// pause returns the pause until the next probe, which is usually the given one. The
+// probes of an upstream in need stay within the rate limit that it names.
+func (ans healthResult) pause(usual time.Duration) time.Duration {
+	if limit := ans.statement.RateLimit; limit > 0 {
+		return max(usual, time.Duration(float64(time.Second)/limit))
+	}
+	return usual
+}
+
 // probeHealth sends one health probe to the upstream of an announcement.
 func (d *Daemon) probeHealth(a Announcement) (ans healthResult) {
 	snap := d.control.Snapshot()
@@ -174,8 +184,9 @@
 func (d *Daemon) restoreFromPeers(ctx context.Context) {
 	until := time.Now().Add(confirmWindow)
 	for time.Now().Before(until) && d.announced.Load() == nil {
+		var ans healthResult
 		if a, ok := d.announcementFromPeers(); ok {
-			ans := d.probeHealth(a)
+			ans = d.probeHealth(a)
 			switch {
 			case ans.idConfirmed && ans.statement.Leaving:
 				d.applyLeft(a)
@@ -189,7 +200,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(restoreProbeInterval):
+		case <-time.After(ans.pause(restoreProbeInterval)):
 		}
 	}
 }
