--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -17,9 +17,10 @@
 	"github.com/kingcuppitch/kingcuppitch/standin/launcher"
 )
 
-// seeds are the seeds that run with the tests: a regular one, and each one that has
-// ever failed, with its cause.
-var seeds = []uint64{1}
+// seeds are the seeds that run with the tests: a regular one, one with servers that name
+// rate limits and leave while daemons stop and are killed, and each one that has ever
+// failed, with its cause.
+var seeds = []uint64{1, 61}
 
 // soakDuration is how long disturbances are injected for each seed in the tests.
 const soakDuration = 10 * time.Second
