--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -424,3 +424,22 @@
 		}
 	}
 }
+
+// TestLimitedInstanceCostsNoBudget guards against retries that are used up by the refusals
+// of instances that are full or name a rate limit, and against a call that may not be
+// repeated and is not tried elsewhere after such a refusal.
+func TestLimitedInstanceCostsNoBudget(t *testing.T) {
+	for _, reason := range []request.Reason{request.ReasonOverload, request.ReasonRateLimit} {
+		var b Budget
+		b.Request(epoch, percent, 0)
+		for i := range 200 {
+			call := &request.Call{Attempts: 2, Deadline: epoch.Add(time.Second)}
+			if d := Next(call, []Attempt{{Outcome: request.NotRun, Reason: reason, Instance: "a"}}, &b, epoch, 0.5); !d.Retry {
+				t.Fatalf("%s: call %d is not tried elsewhere", reason, i)
+			}
+		}
+		if !b.Take(epoch) {
+			t.Errorf("%s: the budget is used up", reason)
+		}
+	}
+}
