admission: a lone request that waits for the rate is granted its turn

A request that found the rate of cold start, or a named rate limit, used up was queued, but nothing dispatched the queue at the end of the window unless another request arrived or ended in the meantime: with little traffic callers waited for their whole time and got a refusal, though the instance was idle. Found by TestRateLimitNamed, when it sent one call after its load had ended: refused after 5 s at 20 requests a second.

Cause: the timer was set by dispatch, which runs before the request is queued. It is set after queueing now. TestGateGrantsLoneRequest failed before for both rates.

--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -290,6 +290,7 @@
 	}
 	req.ready = make(chan Grant, 1)
 	g.queue.push(req)
+	g.scheduleDispatch(now)
 	// Refuse immediately the requests behind it that can no longer be served in
 	// time.
 	g.refuseLate(now, req.rank)
@@ -426,11 +427,16 @@
 		g.grant(now, best)
 		best.ready <- Grant{Granted: true}
 	}
+	g.scheduleDispatch(now)
+}
+
+// scheduleDispatch dispatches the queue when the rate allows the next grant, which may
+// be before any other request arrives or ends.
+func (g *Gate) scheduleDispatch(now time.Time) {
 	next := g.nextGrant(now).Sub(now)
 	if g.queue.len() == 0 || next <= 0 {
 		return
 	}
-	// The rate may allow the next request before any answer arrives.
 	if g.timer == nil {
 		g.timer = time.AfterFunc(next, func() {
 			g.mu.Lock()
--- a/request/admission/rate_limit_test.go
+++ b/request/admission/rate_limit_test.go
@@ -166,3 +166,33 @@
 		}
 	})
 }
+
+// TestGateGrantsLoneRequest guards against a request that waits for its turn by the rate
+// and is not granted it, because no other request arrives or ends meanwhile.
+func TestGateGrantsLoneRequest(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		bounds func(now time.Time) (b Bounds, limit float64)
+		want   time.Duration
+	}{
+		{"rate limit", func(time.Time) (Bounds, float64) { return Bounds{Slots: 12}, 2 }, 500 * time.Millisecond},
+		{"cold start", func(now time.Time) (Bounds, float64) {
+			return Bounds{Slots: 12, ColdPerSecond: 1, ColdUntil: now.Add(time.Minute)}, 0
+		}, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var g Gate
+				began := time.Now()
+				b, limit := c.bounds(began)
+				g.SetBounds(b)
+				g.SetRateLimit(began, limit)
+				g.Done(began, acquire(t, &g), Result{Took: time.Millisecond})
+				acquire(t, &g)
+				if got := time.Since(began); got != c.want {
+					t.Errorf("got the second grant after %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
