--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -93,3 +93,28 @@
 		}
 	}
 }
+
+// TestLoadReport guards against a load report that changes between host and entry, and
+// against malformed values that are taken for a report.
+func TestLoadReport(t *testing.T) {
+	for _, want := range []Load{
+		{InFlight: 3, Limit: 12, State: "warm"},
+		{InFlight: 1, Limit: 2, State: "limited", RateLimit: 43.4, Mean: 60 * time.Millisecond},
+	} {
+		h := make(http.Header)
+		EncodeLoad(want, h)
+		if got := DecodeLoad(h); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+		for name := range h {
+			if !meshHeaders[name] {
+				t.Errorf("header %s of a load report is passed on to callers", name)
+			}
+		}
+		h.Set(HeaderRateLimit, "many")
+		want.RateLimit = 0
+		if got := DecodeLoad(h); got != want {
+			t.Errorf("malformed rate limit: got %+v, want %+v", got, want)
+		}
+	}
+}
