internal/loopback: free addresses stay free during the first start of a process

Before the first start of a process, package os checks for pidfd support by forking a child, without holding syscall.ForkLock; the child inherits the listener by which isFree probes, and keeps the address in use until it exits. The check is made before any probe now.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -31,6 +32,7 @@
 // number depends on the process id, so that processes that run at the same
 // time get different addresses.
 func FreeAddresses(n int) (addrs []netip.AddrPort, err error) {
+	checkPidfd()
 	pid := os.Getpid()
 	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(pid)})
 	for tries := 0; len(addrs) < n; tries++ {
@@ -50,6 +52,11 @@
 	return addrs, nil
 }
 
+// checkPidfd makes package os do the check that precedes its first start of a process. It
+// forks a child without holding syscall.ForkLock, which may inherit the listener of
+// isFree.
+var checkPidfd = sync.OnceFunc(func() { _, _ = os.FindProcess(os.Getpid()) })
+
 // isFree reports whether nothing listens on an address. It holds syscall.ForkLock,
 // because a process forked while the listener is open would inherit it and keep the
 // address in use for a moment after the close.
