--- a/request/entry/leavers_test.go
+++ b/request/entry/leavers_test.go
@@ -15,8 +15,8 @@
 // host does not know of it and peers do not tell.
 func TestLeaverNotUsedAgain(t *testing.T) {
 	names := request.DefaultHeaders
-	names.Leaving = "Server-Leaving"
-	leaving := newUpstream(t, raw("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"))
+	names.Leaving = "Upstream-Leaving"
+	leaving := newUpstream(t, raw("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nUpstream-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"))
 	staying := newUpstream(t, raw("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nok"))
 	m := newMesh(t, meshOptions{entry: []Option{WithHeaders(names)}}, leaving.addr(), staying.addr())
 	passed := 0
@@ -25,7 +25,7 @@
 		if res.status != http.StatusOK {
 			t.Fatalf("got status %d, want 200", res.status)
 		}
-		if res.header.Get("Server-Leaving") == "1" {
+		if res.header.Get("Upstream-Leaving") == "1" {
 			passed++
 		}
 	}
--- a/request/host/statements_test.go
+++ b/request/host/statements_test.go
@@ -72,7 +72,7 @@
 	u, g := new(statingUpstream), new(admission.Gate)
 	g.SetBounds(admission.Bounds{Slots: 12})
 	h := newHost(t, g, ready, u.serve)
-	h.headers.RateLimit, h.headers.Leaving = "Server-Limit", "Server-Leaving"
+	h.headers.RateLimit, h.headers.Leaving = "Upstream-Limit", "Upstream-Leaving"
 	return h, u
 }
 
@@ -105,7 +105,7 @@
 func TestRateLimitNamed(t *testing.T) {
 	const perSecond = 20.0
 	h, u := newStatingHost(t)
-	u.set(http.Header{"Server-Limit": {"20"}})
+	u.set(http.Header{"Upstream-Limit": {"20"}})
 	if _, err := h.Do(t.Context(), newCall()); err != nil {
 		t.Fatal(err)
 	}
@@ -143,7 +143,7 @@
 // it leaves. TestRefusesBeforeHandOver covers those that wait for a slot.
 func TestLeavingStated(t *testing.T) {
 	h, u := newStatingHost(t)
-	u.set(http.Header{"Server-Leaving": {"1"}})
+	u.set(http.Header{"Upstream-Leaving": {"1"}})
 	if _, err := h.Do(t.Context(), newCall()); err != nil {
 		t.Fatal(err)
 	}
--- a/request/statement_test.go
+++ b/request/statement_test.go
@@ -8,7 +8,7 @@
 // TestStatement guards against a statement of an upstream that is misread, or whose
 // malformed values pass unnoticed.
 func TestStatement(t *testing.T) {
-	names := Headers{RateLimit: "Server-Limit", Leaving: "Server-Leaving"}
+	names := Headers{RateLimit: "Upstream-Limit", Leaving: "Upstream-Leaving"}
 	for _, c := range []struct {
 		limits, leaving []string
 		want            Statement
@@ -36,12 +36,12 @@
 		{nil, []string{"soon"}, Statement{}, true},
 		{[]string{"5"}, []string{"1"}, Statement{RateLimit: 5, Leaving: true}, false},
 	} {
-		got, err := names.Statement(http.Header{"Server-Limit": c.limits, "Server-Leaving": c.leaving})
+		got, err := names.Statement(http.Header{"Upstream-Limit": c.limits, "Upstream-Leaving": c.leaving})
 		if got != c.want || (err != nil) != c.malformed {
 			t.Errorf("limits %q, leaving %q: got %+v and error %v, want %+v and malformed %v", c.limits, c.leaving, got, err, c.want, c.malformed)
 		}
 	}
-	if got, err := DefaultHeaders.Statement(http.Header{"Server-Limit": {"5"}}); got != (Statement{}) || err != nil {
+	if got, err := DefaultHeaders.Statement(http.Header{"Upstream-Limit": {"5"}}); got != (Statement{}) || err != nil {
 		t.Errorf("without header names: got %+v and %v, want nothing", got, err)
 	}
 }
