--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -54,6 +54,29 @@
 	})
 }
 
+// flood sends a request at each interval until span has passed, each of which may wait
+// 100 ms and takes work. It returns when the granted ones started.
+func flood(t *testing.T, g *Gate, span, interval, work time.Duration) (starts []time.Time) {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for begin := time.Now(); time.Since(begin) < span; time.Sleep(interval) {
+		wg.Go(func() {
+			tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(100*time.Millisecond))
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			starts = append(starts, time.Now())
+			mu.Unlock()
+			time.Sleep(work)
+			g.Done(time.Now(), tk, Result{Took: work})
+		})
+	}
+	wg.Wait()
+	return starts
+}
+
 // TestGateCold guards against a cold instance that gets more requests in any
 // second than it can handle, and against one that gets too few.
 func TestGateCold(t *testing.T) {
@@ -62,24 +85,7 @@
 		var g Gate
 		begin := time.Now()
 		g.SetBounds(Bounds{Slots: 50, ColdUntil: begin.Add(span), ColdPerSecond: perSecond})
-		var starts []time.Time
-		var mu sync.Mutex
-		var wg sync.WaitGroup
-		for time.Since(begin) < span {
-			wg.Go(func() {
-				tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(100*time.Millisecond))
-				if err != nil {
-					return
-				}
-				mu.Lock()
-				starts = append(starts, time.Now())
-				mu.Unlock()
-				time.Sleep(10 * time.Millisecond)
-				g.Done(time.Now(), tk, Result{Took: 10 * time.Millisecond})
-			})
-			time.Sleep(2 * time.Millisecond)
-		}
-		wg.Wait()
+		starts := flood(t, &g, span, 2*time.Millisecond, 10*time.Millisecond)
 		for i, s := range starts {
 			if j := i + perSecond; j < len(starts) && starts[j].Sub(s) < time.Second && starts[j].Before(begin.Add(span)) {
 				t.Fatalf("%d requests within %v", perSecond+1, starts[j].Sub(s))
--- a/request/admission/rate_limit_test.go
+++ b/request/admission/rate_limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,24 +35,7 @@
 				begin := time.Now()
 				g.SetBounds(Bounds{Slots: 12, ColdPerSecond: c.coldPerSecond, ColdUntil: begin.Add(span)})
 				g.SetRateLimit(begin, c.limit)
-				var mu sync.Mutex
-				var wg sync.WaitGroup
-				var starts []time.Time
-				for time.Since(begin) < span {
-					wg.Go(func() {
-						tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(100*time.Millisecond))
-						if err != nil {
-							return
-						}
-						mu.Lock()
-						starts = append(starts, time.Now())
-						mu.Unlock()
-						time.Sleep(50 * time.Millisecond)
-						g.Done(time.Now(), tk, Result{Took: 50 * time.Millisecond})
-					})
-					time.Sleep(3 * time.Millisecond)
-				}
-				wg.Wait()
+				starts := flood(t, &g, span, 3*time.Millisecond, 50*time.Millisecond)
 				for _, window := range []time.Duration{time.Second, 4 * time.Second} {
 					most := c.limit*window.Seconds() + max(1, c.limit*limitWindow.Seconds())
 					for i := range starts {
