control: say when a daemon last heard a peer, and count its direct reads

A line on a late version said from whom it came. It could not tell a daemon that had been out of contact for seconds from one that had contact with peers that had no news themselves. The line now names the last contact, and control.directReads counts reads of the log for want of contact.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -190,6 +190,9 @@
 	// again.
 	askZonesAfter time.Time
 	contactUntil  time.Time
+	// contactAt is when a peer was last heard and contactPeer is its name.
+	contactAt   time.Time
+	contactPeer string
 	// readAfter is the earliest time at which a daemon without contact reads the
 	// log again.
 	readAfter       time.Time
@@ -331,6 +334,7 @@
 	}
 	if !c.serving && !c.awaitsFirstRecord(now) || now.After(c.contactUntil) && now.After(c.readAfter) {
 		c.readAfter = now.Add(directReadDelay + time.Duration(rnd*float64(directReadDelay)))
+		c.metrics.Add("control.directReads", 1)
 		c.act(readLog{})
 	}
 	c.askZones(now, rnd)
@@ -538,12 +542,22 @@
 	c.state, c.encoded, c.dirty = st, nil, true
 }
 
-// lag describes for the timeline how long the daemon has known of a newer version.
+// lag describes for the timeline how long the daemon has known of a newer version and
+// when it last heard a peer. Readers hear of a version from the log alone.
 func (c *core) lag(now time.Time) string {
-	if c.behindSince.IsZero() {
-		return ""
+	text := ""
+	if !c.behindSince.IsZero() {
+		text = fmt.Sprintf(", %v after a newer version was reported", now.Sub(c.behindSince).Round(time.Millisecond))
+	}
+	if !c.isReader() && !c.contactAt.IsZero() {
+		text += fmt.Sprintf(", %v after the last contact to a peer (%s)", now.Sub(c.contactAt).Round(time.Millisecond), c.contactPeer)
 	}
-	return fmt.Sprintf(", %v after a newer version was reported", now.Sub(c.behindSince).Round(time.Millisecond))
+	return text
+}
+
+// noteContact records that a peer was heard.
+func (c *core) noteContact(now time.Time, peer string) {
+	c.contactUntil, c.contactAt, c.contactPeer = now.Add(contactTimeout), now, peer
 }
 
 // observeOutcome counts a folded record and adds it to the timeline. source is the
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -46,7 +46,7 @@
 // onExchange responds to a peer's exchange with the entries that the peer may lack.
 func (c *core) onExchange(now time.Time, rnd float64, req *wirev1.ExchangeRequest) *wirev1.ExchangeResponse {
 	from := fromWire(req.GetFrom())
-	c.contactUntil = now.Add(contactTimeout)
+	c.noteContact(now, from.Name)
 	c.merge(now, append(membersFromWire(req.GetMembers()), from))
 	c.mergeDecisions(now, rnd, req)
 	c.fetch(now, from, req.GetOffset())
@@ -70,7 +70,7 @@
 // lacks.
 func (c *core) onExchangeDone(now time.Time, rnd float64, ev exchangeDone) {
 	from := fromWire(ev.res.GetFrom())
-	c.contactUntil = now.Add(contactTimeout)
+	c.noteContact(now, from.Name)
 	c.merge(now, append(membersFromWire(ev.res.GetMembers()), from))
 	c.mergeDecisions(now, rnd, ev.res)
 	c.onOffsetReported(now, offsetReported{zone: from.Zone, offset: ev.res.GetOffset(), serving: ev.res.GetServing(), asked: ev.asked})
