--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -53,6 +53,13 @@
 	first   int64
 	// deafUntil is until when reads that wait are not told of new records.
 	deafUntil time.Time
+	// cut says which messages are lost; nil means none. All daemons reach the log.
+	cut func(from, to string) bool
+	// frozenUntil is until when a daemon stands still. Daemons that ever did are not
+	// judged.
+	frozenUntil map[string]time.Time
+	// reads counts the reads of the log.
+	reads int
 	// written is when each offset was acknowledged, and heldAt when each daemon
 	// held it.
 	written map[int64]time.Time
@@ -90,7 +97,7 @@
 	t.Helper()
 	f := &fleet{
 		cores: make(map[string]*core), busyUntil: make(map[string]time.Time), fetches: make(map[string]int),
-		generation: make(map[string]int), startedAt: make(map[string]time.Time), rnd: rand.New(rand.NewPCG(seed, 21)), now: epoch,
+		generation: make(map[string]int), startedAt: make(map[string]time.Time), frozenUntil: make(map[string]time.Time), rnd: rand.New(rand.NewPCG(seed, 21)), now: epoch,
 		first: 1, written: make(map[int64]time.Time), heldAt: make(map[int64]map[string]time.Time),
 	}
 	f.write(t)
@@ -174,9 +181,10 @@
 	f.first, f.deafUntil = int64(len(f.records))+1, f.now.Add(time.Second)
 }
 
-// follow reads the log while the daemon is a reader.
+// follow reads the log while the daemon is a reader. A read waits for a record.
 func (f *fleet) follow(name string) {
 	generation := f.generation[name]
+	var waitUntil time.Time
 	var poll func()
 	poll = func() {
 		c := f.cores[name]
@@ -184,9 +192,15 @@
 		switch {
 		case f.generation[name] != generation:
 			return
-		case !c.isReader() && c.state.Offset > 0:
+		case f.now.Before(f.frozenUntil[name]):
+			f.after(f.frozenUntil[name].Sub(f.now), poll)
+		case waitUntil.IsZero() && !c.isReader() && c.state.Offset > 0:
 			f.after(tickPeriod, poll)
-		case c.state.Offset < end && !f.now.Before(f.deafUntil):
+		case waitUntil.IsZero() && c.state.Offset > 0:
+			waitUntil = f.now.Add(compactedPollPeriod)
+			poll()
+		case !f.now.Before(f.deafUntil) && (c.state.Offset < end || f.now.After(waitUntil)):
+			waitUntil = time.Time{}
 			f.read(name, poll)
 		default:
 			f.after(10*time.Millisecond, poll)
@@ -198,9 +212,12 @@
 // read reads the log to its end once, as a snapshot if records have been deleted.
 func (f *fleet) read(name string, then func()) {
 	c, asked := f.cores[name], f.now
+	f.reads++
 	from, end := c.state.Offset+1, int64(len(f.records))
 	ev := recordsArrived{first: f.first, next: end + 1, asked: asked}
-	if from < f.first || from == 1 {
+	if from > end {
+		ev.entries = nil
+	} else if from < f.first || from == 1 {
 		ev.first, ev.entries = 1, []log.Entry{f.snapshot(end)}
 	} else {
 		ev.entries = slices.Clone(f.records[from-1 : end])
@@ -231,10 +248,7 @@
 // time on it.
 func (f *fleet) deliver(name string, ev any, cost time.Duration, then func(reply any)) {
 	generation := f.generation[name]
-	if f.busyUntil[name].Before(f.now) {
-		f.busyUntil[name] = f.now
-	}
-	f.busyUntil[name] = f.busyUntil[name].Add(cost)
+	f.busyUntil[name] = latest(f.busyUntil[name], f.now, f.frozenUntil[name]).Add(cost)
 	f.after(f.busyUntil[name].Sub(f.now), func() {
 		c := f.cores[name]
 		if f.generation[name] != generation {
@@ -251,6 +265,19 @@
 	})
 }
 
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
+
+// index returns the number of a daemon.
+func (f *fleet) index(name string) int { return slices.Index(f.names, name) }
+
+// freeze stops a daemon for a time. What arrives meanwhile is handled after it.
+func (f *fleet) freeze(name string, d time.Duration) { f.frozenUntil[name] = f.now.Add(d) }
+
+// lost reports whether a message between two daemons is lost.
+func (f *fleet) lost(from, to string) bool { return f.cut != nil && f.cut(from, to) }
+
 func (f *fleet) noteHeld(name string, offset int64) {
 	for ; offset > 0 && f.heldAt[offset][name].IsZero(); offset-- {
 		if f.heldAt[offset] == nil {
@@ -279,18 +306,23 @@
 	case sendPush:
 		for _, m := range a.to {
 			ev := recordsArrived{entries: entriesFromWire(a.req.GetRecords()), source: a.req.GetFrom()}
-			f.after(f.delay(name, m.Name), func() { f.deliver(m.Name, ev, messageTime, nil) })
+			if !f.lost(name, m.Name) {
+				f.after(f.delay(name, m.Name), func() { f.deliver(m.Name, ev, messageTime, nil) })
+			}
 		}
 	case sendExchange:
-		asked, delay := f.now, f.delay(name, a.to.Name)
-		f.after(max(0, a.notBefore.Sub(f.now))+delay, func() {
-			f.deliver(a.to.Name, exchangeReceived{a.req}, messageTime, func(reply any) {
-				res := reply.(*wirev1.ExchangeResponse)
-				f.after(delay, func() { back(exchangeDone{to: a.to, res: res, asked: asked}, messageTime) })
-			})
-		})
+		f.after(max(0, a.notBefore.Sub(f.now)), func() { f.exchange(name, a, back) })
 	case sendFetch:
-		f.fetch(a, f.delay(name, a.to.Name), back)
+		f.fetch(a, name, back)
+	case sendProbe:
+		alive := slices.ContainsFunc(a.via, func(m membership.Member) bool {
+			return !f.lost(name, m.Name) && !f.lost(m.Name, name) && f.reaches(m.Name, a.target.Name)
+		})
+		delay := 2 * crossZoneHop
+		if !alive {
+			delay = rpcTimeout
+		}
+		f.after(delay, func() { back(probeDone{to: a.target, alive: alive}, messageTime) })
 	case readLog:
 		f.after(time.Duration(f.rnd.Int64N(int64(logRetryMin))), func() {
 			if f.generation[name] == generation {
@@ -300,9 +332,41 @@
 	}
 }
 
+// reaches reports whether a daemon gets an answer of another one.
+func (f *fleet) reaches(from, to string) bool {
+	return !f.lost(from, to) && !f.lost(to, from) && !f.now.Before(f.frozenUntil[to])
+}
+
+// exchange sends a message and hands the response back, or a failure if there is none
+// in time.
+func (f *fleet) exchange(name string, a sendExchange, back func(ev any, cost time.Duration)) {
+	asked, delay, answered := f.now, f.delay(name, a.to.Name), false
+	if !f.lost(name, a.to.Name) {
+		f.after(delay, func() {
+			f.deliver(a.to.Name, exchangeReceived{a.req}, messageTime, func(reply any) {
+				if f.lost(a.to.Name, name) || f.now.After(asked.Add(rpcTimeout)) {
+					return
+				}
+				answered = true
+				res := reply.(*wirev1.ExchangeResponse)
+				f.after(delay, func() { back(exchangeDone{to: a.to, res: res, asked: asked}, messageTime) })
+			})
+		})
+	}
+	f.after(rpcTimeout, func() {
+		if !answered && !a.update {
+			back(exchangeFailed{to: a.to}, messageTime)
+		}
+	})
+}
+
 // fetch transfers records or a state from a peer, which serves maxFetches at once.
-func (f *fleet) fetch(a sendFetch, delay time.Duration, back func(ev any, cost time.Duration)) {
-	asked := f.now
+func (f *fleet) fetch(a sendFetch, name string, back func(ev any, cost time.Duration)) {
+	asked, delay := f.now, f.delay(name, a.to.Name)
+	if !f.reaches(name, a.to.Name) {
+		f.after(rpcTimeout, func() { back(fetchFailed{to: a.to, offset: a.upTo}, messageTime) })
+		return
+	}
 	f.after(delay, func() {
 		if f.fetches[a.to.Name] == maxFetches {
 			f.after(delay+f.jitter(fetchRetryDelay), func() { back(fetchFailed{to: a.to, offset: a.upTo}, messageTime) })
@@ -359,7 +423,7 @@
 	}
 }
 
-// late returns, for the daemons that ran all the time, the longest time until one
+// late returns, for the daemons that ran all the time and never stood still, the longest time until one
 // of them held a version, and the number of those that held one too late.
 func (f *fleet) late(within time.Duration) (longest time.Duration, late int) {
 	for offset, at := range f.written {
@@ -367,7 +431,7 @@
 			continue
 		}
 		for _, name := range f.names {
-			if !f.startedAt[name].IsZero() {
+			if !f.startedAt[name].IsZero() || !f.frozenUntil[name].IsZero() {
 				continue
 			}
 			took := f.now.Sub(at)
