control: a daemon without peers reads the ends of moves too

A daemon that was cut off from its peers and not from the store went on sending requests of a move to the version that had been taken back: the end of a move is told by peers, and the stored reports were read at the start alone.

While a daemon reads the log itself and a timed move runs, each read is followed by one of the reports. TestIsolatedDaemonReadsReports failed before.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -384,6 +384,10 @@
 	}
 	fromLog := ev.next > 0 && !ev.asked.Before(c.pausedUntil)
 	if fromLog {
+		if c.logEnds.overdue && c.hasOutcomes && slices.ContainsFunc(c.state.Moves, isTimed) {
+			// Peers tell the ends of moves, too.
+			c.act(readReports{})
+		}
 		c.caughtUp = c.state.Offset >= ev.next-1
 		if c.caughtUp {
 			c.noteRead(latest(ev.asked, ev.endAt), ev.next-1)
--- a/process/control/logend_test.go
+++ b/process/control/logend_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 )
 
@@ -164,3 +165,28 @@
 		}
 	}
 }
+
+// TestIsolatedDaemonReadsReports guards against a daemon that is cut off from its peers
+// and goes on sending requests to a version that has been taken back, because the end of a
+// move is told by peers alone.
+func TestIsolatedDaemonReadsReports(t *testing.T) {
+	c := servingCore(t, 4)
+	now := epoch.Add(3 * time.Second)
+	_, actions := c.handle(recordsArrived{first: 1, next: 3, asked: now}, now, 0)
+	if n := len(find[readReports](actions)); n != 0 {
+		t.Errorf("with peers that read the log: got %d reads of the reports, want none", n)
+	}
+	c.handle(flush{}, now, 0)
+	_, actions = c.handle(recordsArrived{first: 1, next: 3, asked: now}, now, 0)
+	if n := len(find[readReports](actions)); n != 1 {
+		t.Errorf("without peers, while a move runs: got %d reads of the reports, want 1", n)
+	}
+	c.handle(reportsRead{[]Report{{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveTakenBack, Reason: "errors"}}}, now, 0)
+	if got := c.state.TakenBackVersion("booking"); got != "v2" {
+		t.Errorf("got version %q taken back, want v2", got)
+	}
+	_, actions = c.handle(recordsArrived{first: 1, next: 3, asked: now}, now, 0)
+	if n := len(find[readReports](actions)); n != 0 {
+		t.Errorf("after the end of the move: got %d reads of the reports, want none", n)
+	}
+}
