--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -148,6 +148,12 @@
 
 // onReport handles the report of a move that is in force in Outcomes.
 func (c *core) onReport(now time.Time, r Report) {
+	if r.Move > c.state.Offset {
+		// The move is not known yet, or the report is of another writer. Peers tell
+		// the end of a move.
+		c.metrics.Add("control.reportsOfUnknownMoves", 1)
+		return
+	}
 	p := c.decisions.progressOf(r.Move, now)
 	p.reported = r.State
 	if r.State != fold.MoveRunning {
--- a/process/control/moves_test.go
+++ b/process/control/moves_test.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// TestReportOfUnknownMove guards against a stored report of another writer that ends a
+// move which is ordered later.
+func TestReportOfUnknownMove(t *testing.T) {
+	c := platformCore("d1", "a")
+	records := timedRecords(t)
+	c.handle(recordsArrived{entries: records[:1], first: 1, next: 2, asked: epoch}, epoch, 0)
+	c.handle(reportsRead{[]Report{{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveDone}}}, epoch, 0)
+	c.handle(recordsArrived{entries: records[1:], first: 1, next: 3, asked: epoch}, epoch, 0)
+	if _, ok := c.state.RunningMove(2); !ok {
+		t.Error("the move has ended, want running")
+	}
+}
+
 // TestReportOnce guards against every daemon writing the same report, and against a
 // report that no daemon writes because the one due to write it cannot reach the
 // log.
