--- a/request/entry/mesh_test.go
+++ b/request/entry/mesh_test.go
@@ -150,6 +150,18 @@
 	metrics *metrics.Set
 	limiter *admission.Limiter
 	hosts   []*httptest.Server
+	server  *httptest.Server
+}
+
+// close stops all servers before the end of the test.
+func (m *mesh) close() {
+	callerTransport.CloseIdleConnections()
+	m.server.CloseClientConnections()
+	m.server.Close()
+	for _, h := range m.hosts {
+		h.CloseClientConnections()
+		h.Close()
+	}
 }
 
 const answerWithin = 3 * time.Second
@@ -223,7 +235,7 @@
 	m.entry = New(fixedView{&control.Snapshot{State: st, Table: route.NewTable(st, members, "a", "r"), Serving: true}}, local, opts...)
 	srv := httptest.NewServer(m.entry)
 	t.Cleanup(srv.Close)
-	m.url = srv.URL
+	m.url, m.server = srv.URL, srv
 	return m
 }
 
