instance: a connection carries no second request with the same id

Repeated refusals of the request before, of an earlier one, of one that runs elsewhere and without an id were skipped or ended the connection with an unknown outcome, also while the body is still being written. But if a caller sent a request again under its id and it went over the same kept connection, the repeated refusal matched it: not run, though it ran.

A connection remembers the ids of its last 32 requests and carries none of them again; another connection cannot hold a response to them. TestRepeatedRefusal failed before in its three cases of the same id. Requests of an entry go to each instance once, so only a caller that repeats an id gets there.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -37,6 +37,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -52,6 +54,8 @@
 	// idleFraction is the fraction of the keep-alive timeout announced by the
 	// instance for which an idle connection is reused.
 	idleFraction = 0.7
+	// maxCarried bounds the requests of a connection whose ids are remembered.
+	maxCarried = 32
 	// bufferSize is the size of the read buffer of a connection.
 	bufferSize = 4 << 10
 )
@@ -141,6 +145,24 @@
 	// lastID is the id of the previous request; a further response to it is a
 	// duplicate.
 	lastID string
+	// carried holds the hashes of the ids of the last requests.
+	carried []uint64
+}
+
+// hasCarried reports whether one of the last requests had the id. A response to it that
+// the instance repeats would match another request with that id.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
+func (c *conn) noteCarried(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, xxhash.Sum64String(id))
 }
 
 func newConn(nc net.Conn) *conn {
@@ -152,7 +174,7 @@
 // exchange ends, even while the body is being read.
 func (p *Pool) Do(ctx context.Context, req *http.Request, x Exchange) (res Result, err error) {
 	for {
-		c, reused, err := p.get(ctx, x.UsedSince)
+		c, reused, err := p.get(ctx, x)
 		if err != nil {
 			return Result{}, err
 		}
@@ -188,40 +210,56 @@
 	}
 }
 
-// get returns an idle connection, or a new one.
-func (p *Pool) get(ctx context.Context, usedSince time.Time) (c *conn, reused bool, err error) {
-	p.mu.Lock()
-	for len(p.idle) > 0 {
-		n := len(p.idle)
-		c, p.idle = p.idle[n-1], p.idle[:n-1]
-		p.mu.Unlock()
+// get returns an idle connection that may carry the exchange, or a new one.
+func (p *Pool) get(ctx context.Context, x Exchange) (c *conn, reused bool, err error) {
+	for {
+		p.mu.Lock()
 		// The most recently used connection is tried first.
-		if c.usable(time.Now(), usedSince) {
-			return c, true, nil
+		for i := len(p.idle) - 1; i >= 0; i-- {
+			if c = p.idle[i]; c.hasCarried(x.ID) {
+				continue
+			}
+			p.idle = slices.Delete(p.idle, i, i+1)
+			p.mu.Unlock()
+			if c.usable(time.Now(), x.UsedSince) {
+				return c, true, nil
+			}
+			p.drop(c)
+			p.mu.Lock()
+			i = len(p.idle)
 		}
-		p.drop(c)
-		p.mu.Lock()
-	}
-	if p.open < p.limit {
-		p.open++
+		if p.open < p.limit {
+			p.open++
+			p.mu.Unlock()
+			c, err = p.dial(ctx)
+			return c, false, err
+		}
+		if len(p.idle) > 0 {
+			// All idle connections have carried the id.
+			c, p.idle = p.idle[0], p.idle[1:]
+			p.mu.Unlock()
+			p.drop(c)
+			continue
+		}
+		w := make(chan *conn, 1)
+		p.waiters = append(p.waiters, w)
 		p.mu.Unlock()
-		c, err = p.dial(ctx)
-		return c, false, err
-	}
-	w := make(chan *conn, 1)
-	p.waiters = append(p.waiters, w)
-	p.mu.Unlock()
-	select {
-	case c = <-w:
-	case <-ctx.Done():
-		p.abandon(w)
-		return nil, false, ctx.Err()
-	}
-	if c != nil {
-		return c, true, nil
+		select {
+		case c = <-w:
+		case <-ctx.Done():
+			p.abandon(w)
+			return nil, false, ctx.Err()
+		}
+		switch {
+		case c == nil:
+			c, err = p.dial(ctx)
+			return c, false, err
+		case c.hasCarried(x.ID):
+			p.drop(c)
+		default:
+			return c, true, nil
+		}
 	}
-	c, err = p.dial(ctx)
-	return c, false, err
 }
 
 // dial opens a connection that is already counted as open.
@@ -330,6 +368,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	written := make(chan error, 1)
 	w := &countingWriter{Writer: c}
+	c.noteCarried(x.ID)
 	if req.ContentLength >= 0 && req.ContentLength <= maxInlineBody {
 		var buf bytes.Buffer
 		if err = req.Write(&buf); err != nil {
--- a/connection/instance/instance_test.go
+++ b/connection/instance/instance_test.go
@@ -181,6 +181,81 @@
 	})
 }
 
+// TestRepeatedRefusal guards against an earlier refusal that the instance writes once
+// more and that is taken for the answer to a request which runs: the caller would be told
+// that it has not run.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(c net.Conn, id string) {
+		if id != "" {
+			id = "Id: " + id + "\r\n"
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 4\r\n\r\nbusy", id)
+	}
+	long := strings.Repeat("x", 8<<20)
+	for _, tt := range []struct {
+		name string
+		// ids are the requests on the connection; the instance refuses all but the
+		// last, and writes stray before it answers that.
+		ids  []string
+		body string
+		// stray returns the id of the repeated refusal.
+		stray func(ids []string) string
+	}{
+		{"of the request before", []string{"1", "2"}, "", func([]string) string { return "1" }},
+		{"of an earlier request", []string{"1", "2", "3"}, "", func([]string) string { return "1" }},
+		{"without an id", []string{"1", "2"}, "", func([]string) string { return "" }},
+		{"of a request elsewhere", []string{"1", "2"}, "", func([]string) string { return "9" }},
+		{"of the same request", []string{"1", "1"}, "", func([]string) string { return "1" }},
+		{"of the same request earlier", []string{"1", "2", "1"}, "", func([]string) string { return "1" }},
+		{"while the body is written", []string{"1", "2"}, long, func([]string) string { return "1" }},
+		{"of the same request while the body is written", []string{"1", "1"}, long, func([]string) string { return "1" }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var served atomic.Int32
+			addr := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				first := true
+				for {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if n := int(served.Add(1)); n < len(tt.ids) {
+						_, _ = io.Copy(io.Discard, req.Body)
+						refusal(c, req.Header.Get("Id"))
+						first = false
+						continue
+					}
+					if !first {
+						// The refusal was written on this connection before.
+						refusal(c, tt.stray(tt.ids))
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					writeResponse(c, req.Header.Get("Id"), "own")
+				}
+			})
+			p := New(addr, WithConnections(2))
+			defer p.Close()
+			for i, id := range tt.ids {
+				body := ""
+				if i == len(tt.ids)-1 {
+					body = tt.body
+				}
+				got, res, err := do(t, p, id, "/", body)
+				switch {
+				case i < len(tt.ids)-1:
+					if err != nil || got != "busy" {
+						t.Fatalf("request %d: got %q, %v, want the refusal", i, got, err)
+					}
+				case err == nil && got != "own":
+					t.Errorf("got %q, want the own answer or none", got)
+				case err != nil && !res.Sent:
+					t.Errorf("got not sent, %v, want sent", err)
+				}
+			}
+		})
+	}
+}
+
 // TestSent guards against a request that counts as not run although bytes of it
 // were sent, and against one that counts as run although none were.
 func TestSent(t *testing.T) {
@@ -337,7 +412,7 @@
 	p := New(addr)
 	defer p.Close()
 	for range 2000 {
-		c, _, err := p.get(t.Context(), time.Time{})
+		c, _, err := p.get(t.Context(), Exchange{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -345,7 +420,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			if c, _, err := p.get(ctx, time.Time{}); err == nil {
+			if c, _, err := p.get(ctx, Exchange{}); err == nil {
 				p.put(c)
 			}
 		}()
