soak: daemons that reach the store and no peer must have each version in time

It now passes over other disturbances alone, and the fault peersCut cuts half of the daemons, or all, off from the others at once.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -55,8 +56,9 @@
 		time.Sleep(slowStoreDelay)
 		return 0
 	})},
-	{"storeLink", 3, false, onLink(func(n *node) *link { return n.store })},
-	{"peerLink", 4, false, onLink(func(n *node) *link { return n.peer })},
+	{"storeLink", 3, false, onLink((*node).beginDisturbance, func(n *node) *link { return n.store })},
+	{"peerLink", 4, false, onLink((*node).beginPeerDisturbance, func(n *node) *link { return n.peer })},
+	{"peersCut", 2, false, peersCut},
 	{"serverLink", 2, false, serverLink},
 	{"configChanged", 5, true, configChanged},
 	{"zoneOut", 2, true, zoneOut},
@@ -287,13 +289,13 @@
 }
 
 // onLink disturbs a link of one node.
-func onLink(selectLink func(*node) *link) func(*harness, *rand.Rand) bool {
+func onLink(begin func(*node) func(), selectLink func(*node) *link) func(*harness, *rand.Rand) bool {
 	return func(h *harness, rng *rand.Rand) bool {
 		n := h.pickNode(rng)
 		if n == nil {
 			return false
 		}
-		defer n.beginDisturbance()()
+		defer begin(n)()
 		l := selectLink(n)
 		if rng.IntN(4) == 0 {
 			l.reset()
@@ -307,6 +309,25 @@
 	}
 }
 
+// peersCut cuts a part of the daemons off from all others, none of them from the store. The
+// others cannot call them, and a daemon whose peers are all cut off hears of nobody.
+func peersCut(h *harness, rng *rand.Rand) bool {
+	h.mu.Lock()
+	nodes := slices.Clone(h.nodes)
+	h.mu.Unlock()
+	if rng.IntN(2) == 0 {
+		nodes = nodes[:len(nodes)/2]
+	}
+	m := []mode{modeSilent, modeSilentForward, modeSilentReverse, modeRefusing}[rng.IntN(4)]
+	for _, n := range nodes {
+		defer n.beginPeerDisturbance()()
+		n.peer.set(m, 0)
+		defer n.peer.set(modeOpen, 0)
+	}
+	h.sleep(randomDuration(rng, 2*time.Second, 6*time.Second))
+	return true
+}
+
 // serverLink disturbs the link between a daemon and its server. Delayed bytes reach
 // the server late, even if the daemon has learned meanwhile that the server drains.
 func serverLink(h *harness, rng *rand.Rand) bool {
--- a/standin/soak/node.go
+++ b/standin/soak/node.go
@@ -66,6 +66,10 @@
 	// bounds apply again.
 	disturbances int
 	stableFrom   time.Time
+	// peerDisturbances counts those among them that only keep other daemons from the
+	// node, and reachesStoreFrom is when the last other one ended, by a stableWindow.
+	peerDisturbances int
+	reachesStoreFrom time.Time
 	// interruptedAt is when the daemon last started or continued after a pause.
 	interruptedAt time.Time
 	// stoppedAt is when SIGTERM was sent.
@@ -91,9 +95,33 @@
 		defer n.mu.Unlock()
 		n.disturbances--
 		n.stableFrom = time.Now().Add(stableWindow)
+		n.reachesStoreFrom = n.stableFrom
 	}
 }
 
+// beginPeerDisturbance is like beginDisturbance for a node that the store still reaches.
+func (n *node) beginPeerDisturbance() (end func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disturbances++
+	n.peerDisturbances++
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.disturbances--
+		n.peerDisturbances--
+		n.stableFrom = time.Now().Add(stableWindow)
+	}
+}
+
+// reachesStore reports whether the daemon runs and reaches the store undisturbed, so that
+// it must have each version in time, whether or not it reaches other daemons.
+func (n *node) reachesStore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.disturbances == n.peerDisturbances && time.Now().After(n.reachesStoreFrom)
+}
+
 // stable reports whether time bounds apply to the node.
 func (n *node) stable() bool {
 	n.mu.Lock()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -251,6 +251,15 @@
 			return func(h *harness) { run(h, n, n) }
 		}},
 		{"new version unknown", lateVersion, func(_ *harness, n *node) func(*harness) { return probe(n, 2) }},
+		{"new version unknown, cut off from peers", lateVersion, func(_ *harness, n *node) func(*harness) {
+			n.beginPeerDisturbance()
+			return probe(n, 2)
+		}},
+		{"new version unknown, disturbed otherwise too", "", func(_ *harness, n *node) func(*harness) {
+			n.beginPeerDisturbance()
+			n.beginDisturbance()
+			return probe(n, 2)
+		}},
 		{"old version served", lateVersion, func(_ *harness, n *node) func(*harness) {
 			status = http.StatusNoContent
 			return probe(n, 1)
--- a/standin/soak/traffic.go
+++ b/standin/soak/traffic.go
@@ -78,7 +78,7 @@
 	n, h := c.n, c.h
 	now, _ := h.publishedVersion()
 	stable := n.stable() && h.storeStable()
-	late := stable && sent.After(since.Add(applyWithin)) && now == current
+	late := n.reachesStore() && h.storeStable() && sent.After(since.Add(applyWithin)) && now == current
 	switch {
 	case status < 300:
 		if late && requested < current {
