--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -154,7 +154,7 @@
 	// ApplyMs is the time in milliseconds in which a confirmed change must be in
 	// force on all daemons; zero means the default of control.WithApplyWithin. It
 	// takes effect at startup.
-	ApplyMs int64 `toml:"applyMs"`
+	ApplyMs int64 `toml:"applyMs,omitempty"`
 }
 
 // Answers limits what the daemon reads from the upstream, in bytes; zero means the
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -324,7 +324,9 @@
 		n.peer.set(m, 0)
 		defer n.peer.set(modeOpen, 0)
 	}
-	h.sleep(randomDuration(rng, 2*time.Second, 6*time.Second))
+	h.sleep(randomDuration(rng, 0, time.Second))
+	configChanged(h, rng)
+	h.sleep(randomDuration(rng, 2*time.Second, 5*time.Second))
 	return true
 }
 
