--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -311,7 +311,12 @@
 
 // peersCut cuts a part of the daemons off from all others, none of them from the store. The
 // others cannot call them, and a daemon whose peers are all cut off hears of nobody.
+// Only one such cut is in progress, because its end opens the links.
 func peersCut(h *harness, rng *rand.Rand) bool {
+	if !h.peersCut.CompareAndSwap(false, true) {
+		return false
+	}
+	defer h.peersCut.Store(false)
 	h.mu.Lock()
 	nodes := slices.Clone(h.nodes)
 	h.mu.Unlock()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -135,6 +135,8 @@
 	lastUnplannedEnd time.Time
 	storeDisturbed   bool
 	storeStableAt    time.Time
+	// peersCut is set while daemons are cut off from each other.
+	peersCut atomic.Bool
 }
 
 // Run runs a soak. It returns an error if the soak could not be run to its end.
