control: the first read of a new reader does not wait

A daemon that became the reader of its zone, or began to read for want of peers, told of its first read only when the wait for a record was over, 0.8 s later. By then the other members of its zone had missed the reader for as long and read the log too. TestFirstReadDoesNotWait failed before (799 ms).

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -591,8 +591,10 @@
 // whenever the core requests it.
 func (c *control) tailLoop() {
 	pause := logRetryMin
+	following := false
 	for c.ctx.Err() == nil {
 		if !c.readsLog() {
+			following = false
 			select {
 			case <-c.ctx.Done():
 				return
@@ -606,7 +608,10 @@
 				continue
 			}
 		}
-		if err := c.readOnce(true); err != nil {
+		// The first read does not wait for a record: the peers hear of it at once, and
+		// those that miss the reader before need not read the log themselves.
+		if err := c.readOnce(following); err != nil {
+			following = false
 			c.send(logFailed{err: err})
 			if !c.pause(jitter(pause)) {
 				return
@@ -614,7 +619,8 @@
 			pause = min(2*pause, logRetryMax)
 			continue
 		}
-		if c.readsLog() && !c.view.Load().Serving {
+		following = c.readsLog()
+		if following && !c.view.Load().Serving {
 			// The log does not hold what this daemon waits for. Without a pause,
 			// reads that do not wait would follow each other at once.
 			if !c.pause(jitter(pause)) {
--- a/process/control/logend_test.go
+++ b/process/control/logend_test.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"testing"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
@@ -190,3 +192,36 @@
 		t.Errorf("after the end of the move: got %d reads of the reports, want none", n)
 	}
 }
+
+// waitingLog is a log without new records that notes how long its reads wait.
+type waitingLog struct {
+	log.Log
+	waits chan time.Duration
+}
+
+func (l *waitingLog) Read(ctx context.Context, _ string, _ int64, until time.Time) (log.Page, error) {
+	wait := time.Until(until)
+	select {
+	case l.waits <- wait:
+	case <-ctx.Done():
+	}
+	return log.Page{First: 1, Next: 3}, nil
+}
+
+// TestFirstReadDoesNotWait guards against a whole zone that reads the log because its new
+// reader tells of no read until the wait of its first one is over.
+func TestFirstReadDoesNotWait(t *testing.T) {
+	l := &waitingLog{waits: make(chan time.Duration)}
+	c := New(WithSelf(testMember("d1", "a")), WithLog(l), WithCompactedLog()).(*control)
+	defer c.Stop()
+	if _, err := ask[int64](c, recordsArrived{entries: timedRecords(t), first: 1, next: 3, asked: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+	c.loop(c.tailLoop)
+	if got := <-l.waits; got > 0 {
+		t.Errorf("the first read waits %v, want none", got)
+	}
+	if got, want := <-l.waits, pollPeriod(compactedApplyWithin); got <= 0 || got > want {
+		t.Errorf("the second read waits %v, want up to %v", got, want)
+	}
+}
