--- a/process/control/logend.go
+++ b/process/control/logend.go
@@ -41,8 +41,8 @@
 type readID struct{ incarnation, number uint64 }
 
 // logEnds holds the newest known end of the log. Daemons that are not readers rely on
-// their peers to tell them of new records for as long as they hear of recent reads. Any
-// other contact to a peer says nothing about the log: the peer may be behind itself.
+// their peers to send them new records for as long as they hear of recent reads. Any
+// other contact with a peer says nothing about the log: the peer may be behind itself.
 type logEnds struct {
 	newest logEnd
 	// known holds the newest known read of each reader. The same read heard again
@@ -82,13 +82,13 @@
 	}
 }
 
-// hearLogEnd notes the end of the log that a peer told. sent is the earliest time at
+// hearLogEnd notes the end of the log that a peer reported. sent is the earliest time at
 // which the peer can have sent it.
 func (c *core) hearLogEnd(sent time.Time, w *wirev1.LogEnd) {
-	age := time.Duration(max(0, w.GetAgeMs())) * time.Millisecond
 	if w == nil || w.GetReader() == c.table.Self().Name || w.GetAgeMs() > maxLogEndAge.Milliseconds() {
 		return
 	}
+	age := time.Duration(max(0, w.GetAgeMs())) * time.Millisecond
 	l, read := &c.logEnds, readID{w.GetIncarnation(), w.GetRead()}
 	if old, ok := l.known[w.GetReader()]; ok && old.incarnation == read.incarnation && read.number <= old.number {
 		return
@@ -130,11 +130,11 @@
 	}
 	l.overdue = overdue
 	if !overdue {
-		c.event(now, timeline.KindLog, c.state.Offset, "peers tell the end of the log again")
+		c.event(now, timeline.KindLog, c.state.Offset, "peers report the end of the log again")
 		return
 	}
 	c.metrics.Add("control.directReads", 1)
-	c.event(now, timeline.KindLog, c.state.Offset, "no peer has told the end of the log in time%s; reading the log", c.lastHeard(now))
+	c.event(now, timeline.KindLog, c.state.Offset, "no peer has reported the end of the log in time%s; reading the log", c.lastHeard(now))
 	c.act(readLog{})
 }
 
@@ -169,9 +169,9 @@
 	return &wirev1.LogEnd{Offset: e.offset, AgeMs: age, Reader: e.reader, Incarnation: e.read.incarnation, Read: e.read.number}
 }
 
-// tellLogEnd tells the members of the zone of a read without new records. Each member
-// relays it to a part of them; which one depends on the read, so that a member that
-// does not answer cuts off others each time.
+// tellLogEnd reports a read without new records to the members of the zone. Each of them
+// relays it to a few others. The tree differs with each read, so that a member that does
+// not answer keeps the report from others each time.
 func (c *core) tellLogEnd(now time.Time, rnd float64) {
 	c.relayLogEnd(now, &wirev1.Relay{Salt: math.Float64bits(rnd), Last: math.MaxUint64})
 }
