instance: the choice of an idle connection in a function of its own

Pool.get looped over the idle connections inside its outer loop and restarted the inner one by its index. takeIdle picks one, and the outer loop alone tries again. The table of TestRepeatedRefusal holds the id in place of a function that returns it.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -214,19 +214,13 @@
 func (p *Pool) get(ctx context.Context, x Exchange) (c *conn, reused bool, err error) {
 	for {
 		p.mu.Lock()
-		// The most recently used connection is tried first.
-		for i := len(p.idle) - 1; i >= 0; i-- {
-			if c = p.idle[i]; c.hasCarried(x.ID) {
-				continue
-			}
-			p.idle = slices.Delete(p.idle, i, i+1)
+		if c = p.takeIdle(x.ID); c != nil {
 			p.mu.Unlock()
 			if c.usable(time.Now(), x.UsedSince) {
 				return c, true, nil
 			}
 			p.drop(c)
-			p.mu.Lock()
-			i = len(p.idle)
+			continue
 		}
 		if p.open < p.limit {
 			p.open++
@@ -262,6 +256,18 @@
 	}
 }
 
+// takeIdle removes and returns the most recently used idle connection that has not carried
+// the id, or nil if there is none. The caller holds mu.
+func (p *Pool) takeIdle(id string) *conn {
+	for i, c := range slices.Backward(p.idle) {
+		if !c.hasCarried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // dial opens a connection that is already counted as open.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
--- a/connection/instance/instance_test.go
+++ b/connection/instance/instance_test.go
@@ -198,17 +198,17 @@
 		// last, and writes stray before it answers that.
 		ids  []string
 		body string
-		// stray returns the id of the repeated refusal.
-		stray func(ids []string) string
+		// stray is the id of the repeated refusal.
+		stray string
 	}{
-		{"of the request before", []string{"1", "2"}, "", func([]string) string { return "1" }},
-		{"of an earlier request", []string{"1", "2", "3"}, "", func([]string) string { return "1" }},
-		{"without an id", []string{"1", "2"}, "", func([]string) string { return "" }},
-		{"of a request elsewhere", []string{"1", "2"}, "", func([]string) string { return "9" }},
-		{"of the same request", []string{"1", "1"}, "", func([]string) string { return "1" }},
-		{"of the same request earlier", []string{"1", "2", "1"}, "", func([]string) string { return "1" }},
-		{"while the body is written", []string{"1", "2"}, long, func([]string) string { return "1" }},
-		{"of the same request while the body is written", []string{"1", "1"}, long, func([]string) string { return "1" }},
+		{"of the request before", []string{"1", "2"}, "", "1"},
+		{"of an earlier request", []string{"1", "2", "3"}, "", "1"},
+		{"without an id", []string{"1", "2"}, "", ""},
+		{"of a request elsewhere", []string{"1", "2"}, "", "9"},
+		{"of the same request", []string{"1", "1"}, "", "1"},
+		{"of the same request earlier", []string{"1", "2", "1"}, "", "1"},
+		{"while the body is written", []string{"1", "2"}, long, "1"},
+		{"of the same request while the body is written", []string{"1", "1"}, long, "1"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var served atomic.Int32
@@ -227,7 +227,7 @@
 					}
 					if !first {
 						// The refusal was written on this connection before.
-						refusal(c, tt.stray(tt.ids))
+						refusal(c, tt.stray)
 					}
 					_, _ = io.Copy(io.Discard, req.Body)
 					writeResponse(c, req.Header.Get("Id"), "own")
