--- a/process/control/core.go
+++ b/process/control/core.go
@@ -182,8 +182,10 @@
 	// logFirst is the oldest offset that the log retains and logNext the next one
 	// to be appended.
 	logFirst, logNext int64
-	lastSnapshot      int64
-	peerOffsets       map[string]int64
+	// shorterEnd is the end of the log that was last found before the own offset.
+	shorterEnd   int64
+	lastSnapshot int64
+	peerOffsets  map[string]int64
 	// askZonesAfter is when the zones that have not reported their offset are asked
 	// again.
 	askZonesAfter time.Time
@@ -363,6 +365,7 @@
 			c.setLogUnreachable(false)
 		}
 	}
+	c.noteShorterLog(now, ev)
 	c.adoptSnapshot(ev.entries, now, rnd)
 	st := c.state.Clone()
 	var fresh []log.Entry
@@ -410,6 +413,18 @@
 	return c.state.Offset
 }
 
+// noteShorterLog adds to the timeline that the log ends before the daemon's offset, when
+// a read finds another such end.
+func (c *core) noteShorterLog(now time.Time, ev recordsArrived) {
+	end := ev.next - 1
+	if ev.next == 0 || end >= c.state.Offset || end == c.shorterEnd {
+		return
+	}
+	c.shorterEnd = end
+	c.metrics.Add("control.shorterLogs", 1)
+	c.event(now, timeline.KindLog, c.state.Offset, "the log ends at offset %d, before offset %d of this daemon; the read returned %d records", end, c.state.Offset, len(ev.entries))
+}
+
 // serveIfCurrent starts to serve once the daemon has caught up with the log. On a
 // log without any configuration there is nothing to serve.
 func (c *core) serveIfCurrent(now time.Time) {
