--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -310,6 +310,11 @@
 	return requestJSON(ctx, http.MethodPut, f.LogAddress, "/faults", faults, nil)
 }
 
+// RestoreLog restores the log from a copy of the given age.
+func (f *Fleet) RestoreLog(ctx context.Context, age time.Duration) error {
+	return requestJSON(ctx, http.MethodPost, f.LogAddress, "/restore?lostMs="+strconv.FormatInt(age.Milliseconds(), 10), nil, nil)
+}
+
 // LogStats returns the counters of the log.
 func (f *Fleet) LogStats(ctx context.Context) (s logservice.Stats, err error) {
 	err = requestJSON(ctx, http.MethodGet, f.LogAddress, "/stats", nil, &s)
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -8,13 +8,18 @@
 //	  201 {"offset":n}                              offsets start at 1 in each stream
 //	  429                                           the rate limit is exceeded; not appended
 //	  503                                           outage; not appended
-//	GET /streams/{stream}?from=&max=&waitUntil=     waitUntil in Unix milliseconds
+//	GET /streams/{stream}?from=&max=&waitUntil=&era=  waitUntil in Unix milliseconds
 //	  200 {"first":n,"next":n,"records":[{"offset":n,"at":"RFC3339","data":"base64"}]}
-//	  410 {"first":n,"next":n,"records":[]}         records at from have expired
+//	  410 {"first":n,"next":n,"records":[]}         records at from have expired, or the era is over
 //	GET /faults, PUT /faults                        see Faults; a PUT replaces all faults
 //	GET /stats                                      see Stats
+//	POST /restore?lostMs=                           restores all streams from a copy of that age
 //
-// An outage does not affect the paths /faults and /stats.
+// The era is 0 at first and rises with each restore, after which the offsets of lost
+// records are given out again. The responses to appends and reads name it as "era" unless
+// it is 0.
+//
+// An outage does not affect the paths /faults, /stats and /restore.
 //
 // # Usage
 //
@@ -29,6 +34,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -63,6 +69,8 @@
 	SetFaults(f Faults)
 	// Stats returns the counts since the service was created.
 	Stats() Stats
+	// Restore restores all streams from a copy of the given age.
+	Restore(age time.Duration)
 }
 
 // Faults are the faults in force; the zero value means none.
@@ -146,6 +154,7 @@
 }
 
 type page struct {
+	Era     int64          `json:"era,omitempty"`
 	First   int64          `json:"first"`
 	Next    int64          `json:"next"`
 	Records []storedRecord `json:"records"`
@@ -180,7 +189,9 @@
 	rand    *rand.Rand
 	faults  Faults
 	streams map[string]*stream
-	stats   Stats
+	// era counts the restores.
+	era   int64
+	stats Stats
 	// changed is closed and replaced at each append and change of faults.
 	changed chan struct{}
 }
@@ -210,9 +221,29 @@
 	})
 	s.mux.HandleFunc("PUT /faults", s.putFaults)
 	s.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Stats()) })
+	s.mux.HandleFunc("POST /restore", func(w http.ResponseWriter, r *http.Request) {
+		lost, err := queryInt(r, "lostMs", 0)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Restore(time.Duration(lost) * time.Millisecond)
+	})
 	return s
 }
 
+// Restore implements Service.
+func (s *service) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	copied := time.Now().Add(-age)
+	for _, st := range s.streams {
+		st.records = slices.DeleteFunc(st.records, func(r storedRecord) bool { return r.At.After(copied) })
+	}
+	s.notifyWaiters()
+}
+
 // ServeHTTP implements http.Handler.
 func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
@@ -344,6 +375,7 @@
 	st.records = append(st.records, storedRecord{Offset: offset, At: now, Data: data})
 	s.stats.Appends++
 	s.stats.AppendedBytes += int64(len(data))
+	era := s.era
 	lost := s.faults.LoseAnswers > 0 && s.rand.Float64() < float64(s.faults.LoseAnswers)
 	if lost {
 		s.stats.LostAnswers++
@@ -353,7 +385,11 @@
 	if lost {
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	}
-	writeJSON(w, http.StatusCreated, map[string]int64{"offset": offset})
+	res := map[string]int64{"offset": offset}
+	if era > 0 {
+		res["era"] = era
+	}
+	writeJSON(w, http.StatusCreated, res)
 }
 
 func (s *service) read(w http.ResponseWriter, r *http.Request) {
@@ -363,7 +399,8 @@
 	}
 	limit, err1 := queryInt(r, "max", maxPageRecords)
 	until, err2 := queryInt(r, "waitUntil", 0)
-	if err = errors.Join(err, err1, err2); err != nil {
+	era, err3 := queryInt(r, "era", 0)
+	if err = errors.Join(err, err1, err2, err3); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -381,7 +418,8 @@
 				return
 			}
 			continue
-		case from < p.First:
+		case from < p.First || p.Era != era:
+			p.Records = p.Records[:0]
 			writeJSON(w, http.StatusGone, p)
 			return
 		case len(p.Records) > 0 || !waiting:
@@ -408,7 +446,7 @@
 		return page{}, s.changed, true
 	}
 	st := s.openStream(name, time.Now())
-	p = page{First: st.first, Next: st.next(), Records: []storedRecord{}}
+	p = page{Era: s.era, First: st.first, Next: st.next(), Records: []storedRecord{}}
 	if from < p.First {
 		s.stats.Expired++
 		return p, s.changed, false
