control: follow a log that has been restored from an older copy

Two forms were found. Once it had outgrown it, records of the new history were folded onto a state of the old one: what had been written at offsets that were held from before had no effect.

Cause: everything that a daemon knows of the log was ordered by one number, the offset, which names a record only as long as the log never loses one.

Fix: offsets name a record for good. They include the era of the log (package version/era), which the platform's store tells in a header and the project's own log in its answers, and which is translated where they are read. All comparisons of offsets, between daemons too, are right with that alone, and a read of an era that is over finds its records expired. The first read of a new era compares the log with what has been folded (State.Resume): the copied records are skipped, the new ones are folded onto the state that is held, so that what the log has lost stays in force until a new record changes it. A configuration with an earlier revision than the one in force is refused. Of two states of an era, the one that includes more of earlier eras is the newer one (State.Carried), so that a daemon which began with the log's word takes over what the others hold. An order of a move that is written again continues the move; its report and the directory's entries are written again if they are lost.

--- a/connection/log/log.go
+++ b/connection/log/log.go
@@ -1,6 +1,9 @@
 // Package log is a client of the append-only log to which operators publish. The
 // log has its own protocol over HTTP.
 //
+// Offsets never decrease, also if the log is restored from an older copy: they include
+// the era of the log (see package version/era).
+//
 // # Usage
 //
 //	lg := log.NewHTTPLog(netip.MustParseAddrPort("127.0.0.1:7400"))
@@ -24,6 +27,7 @@
 	"strconv"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/version/era"
 	"github.com/rotisserie/eris"
 )
 
@@ -33,7 +37,8 @@
 	ErrUnavailable = errors.New("log is unavailable")
 	// ErrUnknown means that an append may or may not have taken effect.
 	ErrUnknown = errors.New("result of the append is unknown")
-	// ErrExpired means that records at the offset are no longer retained.
+	// ErrExpired means that records at the offset are no longer retained, because they
+	// were deleted or because the log has been restored since the era of the offset.
 	ErrExpired = errors.New("records have expired")
 )
 
@@ -47,12 +52,14 @@
 	waitMargin = 2 * time.Second
 )
 
-// Log is an append-only log with streams; offsets start at 1.
+// Log is an append-only log with streams; numbers of records start at 1 in each era.
 type Log interface {
 	// Append adds one record and returns its offset.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns the records from an offset on. If there are none, it waits until
-	// the given time for the first one. With ErrExpired, First of the page is set.
+	// the given time for the first one. With ErrExpired, First of the page is set to the
+	// oldest retained offset, which is in another era than the offset asked for if the
+	// log has been restored.
 	Read(ctx context.Context, stream string, from int64, until time.Time) (Page, error)
 }
 
@@ -112,6 +119,7 @@
 		return 0, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnknown)
 	}
 	var result struct {
+		Era    int64 `json:"era"`
 		Offset int64 `json:"offset"`
 	}
 	if err = json.Unmarshal(body, &result); err != nil {
@@ -120,7 +128,10 @@
 	if result.Offset < 1 {
 		return 0, fmt.Errorf("offset %d: %w", result.Offset, ErrUnknown)
 	}
-	return result.Offset, nil
+	if offset, err = era.Offset(result.Era, result.Offset); err != nil {
+		return 0, errors.Join(ErrUnknown, err)
+	}
+	return offset, nil
 }
 
 // do sends a request. If there is no response in time, it closes all idle
@@ -140,11 +151,15 @@
 	ctx, cancel := context.WithDeadline(ctx, until.Add(waitMargin))
 	defer cancel()
 	u := l.base.JoinPath("streams", stream)
-	u.RawQuery = url.Values{
-		"from":      {strconv.FormatInt(from, 10)},
+	query := url.Values{
+		"from":      {strconv.FormatInt(era.Number(from), 10)},
 		"max":       {strconv.Itoa(pageRecords)},
 		"waitUntil": {strconv.FormatInt(until.UnixMilli(), 10)},
-	}.Encode()
+	}
+	if e := era.Of(from); e > 0 {
+		query.Set("era", strconv.FormatInt(e, 10))
+	}
+	u.RawQuery = query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return Page{}, err
@@ -157,10 +172,22 @@
 	if res.StatusCode != http.StatusOK && res.StatusCode != http.StatusGone {
 		return Page{}, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnavailable)
 	}
-	if err = json.NewDecoder(io.LimitReader(res.Body, maxPage)).Decode(&page); err != nil {
+	var stored struct {
+		Page
+		Era int64 `json:"era"`
+	}
+	if err = json.NewDecoder(io.LimitReader(res.Body, maxPage)).Decode(&stored); err != nil {
+		return Page{}, errors.Join(ErrUnavailable, err)
+	}
+	if page, err = inEra(stored.Page, stored.Era); err != nil {
 		return Page{}, errors.Join(ErrUnavailable, err)
 	}
-	if res.StatusCode == http.StatusGone {
+	switch read := era.Of(page.Next); {
+	case read < era.Of(from):
+		// The answer is older than one that named the era of the offset.
+		return Page{}, fmt.Errorf("answer of era %d, which is over: %w", read, ErrUnavailable)
+	case read > era.Of(from), res.StatusCode == http.StatusGone:
+		page.Records = nil
 		return page, ErrExpired
 	}
 	for i, e := range page.Records {
@@ -170,3 +197,19 @@
 	}
 	return page, nil
 }
+
+// inEra returns a page whose offsets include an era.
+func inEra(page Page, e int64) (Page, error) {
+	offsets := []*int64{&page.First, &page.Next}
+	for i := range page.Records {
+		offsets = append(offsets, &page.Records[i].Offset)
+	}
+	for _, o := range offsets {
+		offset, err := era.Offset(e, *o)
+		if err != nil {
+			return Page{}, err
+		}
+		*o = offset
+	}
+	return page, nil
+}
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -38,6 +38,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
+	"github.com/kingcuppitch/kingcuppitch/version/era"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
@@ -228,8 +229,10 @@
 	// of the log.
 	overdue       atomic.Bool
 	readRequested chan struct{}
-	actionSem     chan struct{}
-	fetchSem      chan struct{}
+	// fromStart is set to have the next read return the newest state of the log.
+	fromStart atomic.Bool
+	actionSem chan struct{}
+	fetchSem  chan struct{}
 	// directoryListed is closed once the directory has been listed and its daemons
 	// contacted.
 	directoryListed chan struct{}
@@ -501,7 +504,7 @@
 	}
 	v := c.view.Load()
 	req := &wirev1.ExchangeRequest{
-		From: toWire(v.Self), Offset: v.State.Offset,
+		From: toWire(v.Self), Offset: v.State.Offset, Carried: v.State.Carried,
 		Digests: []*wirev1.Digest{{Scope: membership.ZoneScope(v.Self.Zone)}},
 	}
 	for _, u := range v.State.Config.Upstreams {
@@ -526,7 +529,7 @@
 // zone.
 func (c *control) followLog() {
 	if c.directory != nil {
-		if err := c.readOnce(false); err != nil {
+		if _, err := c.readOnce(false); err != nil {
 			c.send(logFailed{err: err})
 		}
 		select {
@@ -581,6 +584,29 @@
 	}
 }
 
+// runRepairDirectory enters the members that the directory lacks.
+func (c *control) runRepairDirectory(ctx context.Context, a repairDirectory) {
+	if c.directory == nil {
+		return
+	}
+	list, err := c.directory.List(ctx)
+	if err != nil {
+		c.logPlatformFailure("list the directory", err)
+		return
+	}
+	for _, m := range a.members {
+		if slices.ContainsFunc(list, func(e membership.Member) bool { return e.Name == m.Name && e.Peer == m.Peer }) {
+			continue
+		}
+		if err := c.directory.Enter(ctx, m); err != nil {
+			c.logPlatformFailure("enter a member in the directory again", err)
+			return
+		}
+		c.metrics.Add("control.directoryRepairs", 1)
+	}
+	c.send(directoryRepaired{era: a.era})
+}
+
 func shuffled(list []membership.Member) []membership.Member {
 	list = slices.Clone(list)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -610,7 +636,8 @@
 		}
 		// The first read does not wait for a record: the peers hear of it at once, and
 		// those that miss the reader before need not read the log themselves.
-		if err := c.readOnce(following); err != nil {
+		current, err := c.readOnce(following)
+		if err != nil {
 			following = false
 			c.send(logFailed{err: err})
 			if !c.pause(jitter(pause)) {
@@ -620,9 +647,10 @@
 			continue
 		}
 		following = c.readsLog()
-		if following && !c.view.Load().Serving {
-			// The log does not hold what this daemon waits for. Without a pause,
-			// reads that do not wait would follow each other at once.
+		if following && (!current || !c.view.Load().Serving) {
+			// The log does not hold what this daemon waits for, or the daemon could
+			// not use it. Without a pause, reads that do not wait would follow each
+			// other at once.
 			if !c.pause(jitter(pause)) {
 				return
 			}
@@ -633,24 +661,32 @@
 	}
 }
 
-// readOnce reads from the folded offset to the end of the log. With wait, a reader
-// waits there for the next record.
-func (c *control) readOnce(wait bool) error {
+// readOnce reads from the folded offset to the end of the log, and reports whether the
+// daemon's state includes all records since. With wait, a reader waits there for the next
+// record.
+func (c *control) readOnce(wait bool) (current bool, err error) {
 	from := c.view.Load().State.Offset + 1
+	if c.fromStart.Swap(false) {
+		from = 1
+	}
 	var got recordsArrived
 	for {
 		got.asked = time.Now()
 		until := got.asked
-		if wait && len(got.entries) == 0 && c.readsLog() && (c.view.Load().Serving || c.compacted && from == 1) {
+		if wait && len(got.entries) == 0 && c.readsLog() && (c.view.Load().Serving || c.compacted && era.Number(from) == 1) {
 			until = until.Add(pollPeriod(c.applyWithin))
 		}
 		page, err := c.log.Read(c.ctx, record.Stream, from, until)
 		if errors.Is(err, log.ErrExpired) && page.First > from {
+			if era.Of(page.First) > era.Of(from) {
+				// What has been read is of an era that is over.
+				got.entries, wait = nil, false
+			}
 			from = page.First
 			continue
 		}
 		if err != nil {
-			return err
+			return false, err
 		}
 		// A read that waits is answered when a record arrives or the wait is over.
 		got.endAt = earliest(time.Now(), until)
@@ -663,8 +699,8 @@
 			break
 		}
 	}
-	_, err := ask[int64](c, got)
-	return err
+	folded, err := ask[int64](c, got)
+	return folded >= got.next-1, err
 }
 
 // readsLog reports whether this daemon reads the log continuously.
@@ -705,7 +741,10 @@
 
 // run carries out an action of the core.
 func (c *control) run(action any) {
-	if _, ok := action.(readLog); ok {
+	if a, ok := action.(readLog); ok {
+		if a.fromStart {
+			c.fromStart.Store(true)
+		}
 		select {
 		case c.readRequested <- struct{}{}:
 		default:
@@ -743,6 +782,8 @@
 			c.runReport(ctx, a)
 		case readReports:
 			c.runReadReports(ctx)
+		case repairDirectory:
+			c.runRepairDirectory(ctx, a)
 		}
 	}()
 }
@@ -814,11 +855,11 @@
 
 func (c *control) runFetch(ctx context.Context, a sendFetch) {
 	asked := time.Now()
-	res, err := c.client(a.to.Peer).Fetch(ctx, connect.NewRequest(&wirev1.FetchRequest{From: a.offset}))
+	res, err := c.client(a.to.Peer).Fetch(ctx, connect.NewRequest(&wirev1.FetchRequest{From: a.offset, Carried: a.carried}))
 	if err != nil {
 		c.metrics.Add("control.fetchFailures", 1)
 		if c.pause(jitter(fetchRetryDelay)) {
-			c.send(fetchFailed{to: a.to, offset: a.upTo})
+			c.send(fetchFailed{to: a.to, upTo: a.upTo})
 		}
 		return
 	}
@@ -833,7 +874,7 @@
 	} else if len(res.Msg.GetRecords()) > 0 {
 		c.send(recordsArrived{entries: entriesFromWire(res.Msg.GetRecords()), source: a.to.Name})
 	}
-	c.send(offsetReported{zone: res.Msg.GetZone(), offset: res.Msg.GetOffset(), serving: res.Msg.GetServing(), asked: asked})
+	c.send(offsetReported{zone: res.Msg.GetZone(), at: reportedPosition(res.Msg), serving: res.Msg.GetServing(), asked: asked})
 }
 
 func (c *control) runProbe(ctx context.Context, a sendProbe) {
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/version/era"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
@@ -91,8 +92,8 @@
 		zone, name string
 	}
 	offsetReported struct {
-		zone   string
-		offset int64
+		zone string
+		at   position
 		// serving is false if the peer has no current state.
 		serving bool
 		// asked is when the peer was asked.
@@ -114,11 +115,13 @@
 	leaving   struct{}
 	// fetchFailed reports a failed fetch from a peer that holds more records.
 	fetchFailed struct {
-		to     membership.Member
-		offset int64
+		to   membership.Member
+		upTo position
 	}
-	fetchReceived   struct{ req *wirev1.FetchRequest }
-	statusRequested struct{ withoutState bool }
+	fetchReceived struct{ req *wirev1.FetchRequest }
+	// directoryRepaired says that the directory lists the members of the zone in an era.
+	directoryRepaired struct{ era int64 }
+	statusRequested   struct{ withoutState bool }
 )
 
 // Actions of the core, carried out by control.
@@ -136,19 +139,51 @@
 		notBefore time.Time
 	}
 	sendFetch struct {
-		to     membership.Member
-		offset int64
-		// upTo is the offset that the peer holds.
-		upTo int64
+		to membership.Member
+		// offset is that of the first record asked for, and carried that of the
+		// daemon's own state.
+		offset, carried int64
+		// upTo is the position of the peer.
+		upTo position
 	}
 	sendProbe struct {
 		target membership.Member
 		via    []membership.Member
 	}
-	readLog      struct{}
-	appendRecord struct{ rec record.Record }
+	// readLog requests a read of the log from the daemon's offset on, or of its newest
+	// state if fromStart is set.
+	readLog         struct{ fromStart bool }
+	appendRecord    struct{ rec record.Record }
+	repairDirectory struct {
+		// members are those that the directory must list.
+		members []membership.Member
+		era     int64
+	}
 )
 
+// position tells which of two states of the log is the newer one.
+type position struct {
+	// offset is that of the last folded record, and carried the offset up to which the
+	// state includes the records of earlier eras.
+	offset, carried int64
+}
+
+// after reports whether p is newer than q. In one era, a state that includes more of
+// earlier eras is the newer one, because the records that follow can be read again.
+func (p position) after(q position) bool {
+	return cmp.Or(cmp.Compare(era.Of(p.offset), era.Of(q.offset)), cmp.Compare(p.carried, q.carried), cmp.Compare(p.offset, q.offset)) > 0
+}
+
+func positionOf(st *fold.State) position { return position{st.Offset, st.Carried} }
+
+// reportedPosition returns the position in a message of a peer.
+func reportedPosition(m interface {
+	GetOffset() int64
+	GetCarried() int64
+}) position {
+	return position{m.GetOffset(), m.GetCarried()}
+}
+
 // core is the state machine of the control state; handle is its only entry point.
 type core struct {
 	state     *fold.State
@@ -182,10 +217,16 @@
 	// logFirst is the oldest offset that the log retains and logNext the next one
 	// to be appended.
 	logFirst, logNext int64
-	// shorterEnd is the end of the log that was last found before the own offset.
-	shorterEnd   int64
-	lastSnapshot int64
-	peerOffsets  map[string]int64
+	// lastSnapshot is the offset of the newest snapshot on the log, savedCarried what the
+	// newest one of all records before it includes of earlier eras, and saveAfter when a
+	// snapshot of that may be appended again.
+	lastSnapshot, savedCarried int64
+	saveAfter                  time.Time
+	// directoryEra is the era in which the directory is known to list the members, and
+	// repairAfter when that may be checked again.
+	directoryEra int64
+	repairAfter  time.Time
+	peerOffsets  map[string]position
 	// askZonesAfter is when the zones that have not reported their offset are asked
 	// again.
 	askZonesAfter time.Time
@@ -202,18 +243,18 @@
 	// lastTick is the time of the last tick, and lastSinceBoot its time since boot.
 	lastTick      time.Time
 	lastSinceBoot time.Duration
-	// behindSince is when a higher offset than the daemon's own was first reported;
+	// behindSince is when a newer position than the daemon's own was first reported;
 	// zero while none is known.
 	behindSince time.Time
 	// fetchUntil is the deadline for the response to a fetch of the records up to
-	// fetchOffset from fetchPeer.
-	fetchUntil  time.Time
-	fetchOffset int64
-	fetchPeer   membership.Member
-	// crossZoneOffset is the newest offset that crossZonePeer, a peer in another
+	// fetchUpTo from fetchPeer.
+	fetchUntil time.Time
+	fetchUpTo  position
+	fetchPeer  membership.Member
+	// crossZoneUpTo is the newest position that crossZonePeer, a peer in another
 	// zone, has reported. Its records are fetched from there after
 	// crossZoneFetchAt.
-	crossZoneOffset  int64
+	crossZoneUpTo    position
 	crossZonePeer    membership.Member
 	crossZoneFetchAt time.Time
 	preset           string
@@ -233,7 +274,7 @@
 	st := &fold.State{}
 	return &core{
 		state: st, routes: route.NewTable(st, nil, self.Zone, self.Region), table: membership.NewTable(self), metrics: set, events: events,
-		peerOffsets: make(map[string]int64), decisions: newDecisions(), dirty: true,
+		peerOffsets: make(map[string]position), decisions: newDecisions(), dirty: true,
 		readers: readersPerZone, announceTimeout: defaultAnnounceTimeout, applyWithin: defaultApplyWithin,
 	}
 }
@@ -285,6 +326,8 @@
 		c.fetchElsewhere(now, rnd, ev)
 	case fetchReceived:
 		reply = c.onFetch(ev.req)
+	case directoryRepaired:
+		c.directoryEra = max(c.directoryEra, ev.era)
 	case statusRequested:
 		reply = c.status(now, ev.withoutState)
 	default:
@@ -338,18 +381,19 @@
 	}
 	c.askZones(now, rnd)
 	switch {
-	case c.crossZoneOffset > c.state.Offset && now.After(c.crossZoneFetchAt):
-		c.fetch(now, c.crossZonePeer, c.crossZoneOffset)
-	case c.fetchOffset > c.state.Offset && now.After(c.fetchUntil):
-		c.fetchElsewhere(now, rnd, fetchFailed{to: c.fetchPeer, offset: c.fetchOffset})
+	case c.crossZoneUpTo.after(c.at()) && now.After(c.crossZoneFetchAt):
+		c.fetch(now, c.crossZonePeer, c.crossZoneUpTo)
+	case c.fetchUpTo.after(c.at()) && now.After(c.fetchUntil):
+		c.fetchElsewhere(now, rnd, fetchFailed{to: c.fetchPeer, upTo: c.fetchUpTo})
 	}
+	c.repairDirectory(now)
 	c.decide(now, rnd)
 }
 
 // awaitsFirstRecord reports whether the log is still empty and the zone's reader
 // will forward the first record.
 func (c *core) awaitsFirstRecord(now time.Time) bool {
-	return c.compacted && c.logReachable && c.state.Offset == 0 && now.Before(c.logEnds.relyUntil)
+	return c.compacted && c.logReachable && era.Number(c.state.Offset) == 0 && now.Before(c.logEnds.relyUntil)
 }
 
 // onRecords folds records that arrived from the log or a peer and forwards the new
@@ -365,7 +409,9 @@
 			c.setLogUnreachable(false)
 		}
 	}
-	c.noteShorterLog(now, ev)
+	if ev.next > 0 && era.Of(ev.next) > era.Of(c.state.Offset) {
+		c.onNewEra(ev, now, rnd)
+	}
 	c.adoptSnapshot(ev.entries, now, rnd)
 	st := c.state.Clone()
 	var fresh []log.Entry
@@ -376,7 +422,7 @@
 		out := st.Apply(e.Offset, e.Data)
 		c.observeOutcome(now, out, ev.source)
 		if out.Kind == record.KindSnapshot {
-			c.lastSnapshot = e.Offset
+			c.noteSnapshot(e)
 			e = stub(e)
 		}
 		c.keepRaw(e)
@@ -385,7 +431,7 @@
 	if len(fresh) > 0 {
 		c.setState(now, st)
 	}
-	fromLog := ev.next > 0 && !ev.asked.Before(c.pausedUntil)
+	fromLog := ev.next > 0 && era.Of(ev.next) == era.Of(c.state.Offset) && !ev.asked.Before(c.pausedUntil)
 	if fromLog {
 		if c.logEnds.overdue && c.hasOutcomes && slices.ContainsFunc(c.state.Moves, isTimed) {
 			// Peers tell the ends of moves, too.
@@ -404,7 +450,7 @@
 	}
 	if n := len(ev.entries); n > 0 && ev.entries[n-1].Offset > c.state.Offset {
 		c.metrics.Add("control.gaps", 1)
-		c.catchUp(now, ev.source)
+		c.catchUp(now, ev.source, ev.entries[n-1].Offset)
 	}
 	if fromLog {
 		c.serveIfCurrent(now)
@@ -413,18 +459,6 @@
 	return c.state.Offset
 }
 
-// noteShorterLog adds to the timeline that the log ends before the daemon's offset, when
-// a read finds another such end.
-func (c *core) noteShorterLog(now time.Time, ev recordsArrived) {
-	end := ev.next - 1
-	if ev.next == 0 || end >= c.state.Offset || end == c.shorterEnd {
-		return
-	}
-	c.shorterEnd = end
-	c.metrics.Add("control.shorterLogs", 1)
-	c.event(now, timeline.KindLog, c.state.Offset, "the log ends at offset %d, before offset %d of this daemon; the read returned %d records", end, c.state.Offset, len(ev.entries))
-}
-
 // serveIfCurrent starts to serve once the daemon has caught up with the log. On a
 // log without any configuration there is nothing to serve.
 func (c *core) serveIfCurrent(now time.Time) {
@@ -455,10 +489,13 @@
 	return e
 }
 
-// fetch asks a peer for the records up to an offset, unless a request for them is
+// at returns the position of the daemon's state.
+func (c *core) at() position { return positionOf(c.state) }
+
+// fetch asks a peer for the records up to a position, unless a request for them is
 // already pending.
-func (c *core) fetch(now time.Time, to membership.Member, offset int64) {
-	if offset <= c.state.Offset || to.Name == "" || to.Name == c.table.Self().Name {
+func (c *core) fetch(now time.Time, to membership.Member, upTo position) {
+	if !upTo.after(c.at()) || to.Name == "" || to.Name == c.table.Self().Name {
 		return
 	}
 	if c.behindSince.IsZero() {
@@ -467,20 +504,20 @@
 		// from the log.
 		c.rely(now.Add(2 * fetchTimeout))
 	}
-	if now.Before(c.fetchUntil) && offset <= c.fetchOffset {
+	if now.Before(c.fetchUntil) && !upTo.after(c.fetchUpTo) {
 		return
 	}
-	if to.Zone != c.table.Self().Zone && c.serving && offset > c.crossZoneOffset {
+	if to.Zone != c.table.Self().Zone && c.serving && upTo.after(c.crossZoneUpTo) {
 		// A peer in the same zone may have the records in a moment. If none does, a
 		// later tick fetches them from the other zone.
-		if c.crossZoneOffset <= c.state.Offset {
+		if !c.crossZoneUpTo.after(c.at()) {
 			c.crossZoneFetchAt = now.Add(crossZoneDelay)
 		}
-		c.crossZoneOffset, c.crossZonePeer = offset, to
+		c.crossZoneUpTo, c.crossZonePeer = upTo, to
 		return
 	}
-	c.fetchUntil, c.fetchOffset, c.fetchPeer = now.Add(fetchTimeout), offset, to
-	c.act(sendFetch{to: to, offset: c.state.Offset + 1, upTo: offset})
+	c.fetchUntil, c.fetchUpTo, c.fetchPeer = now.Add(fetchTimeout), upTo, to
+	c.act(sendFetch{to: to, offset: c.state.Offset + 1, carried: c.state.Carried, upTo: upTo})
 }
 
 // fetchElsewhere asks another peer after a failed fetch; the first one may be
@@ -498,14 +535,14 @@
 		c.act(readLog{})
 		return
 	}
-	c.fetch(now, others[0], ev.offset)
+	c.fetch(now, others[0], ev.upTo)
 }
 
-// catchUp fetches the missing records from the peer that is ahead, or reads the
-// log.
-func (c *core) catchUp(now time.Time, source string) {
+// catchUp fetches the missing records up to an offset from the peer that is ahead, or
+// reads the log.
+func (c *core) catchUp(now time.Time, source string, offset int64) {
 	if m, ok := c.table.Get(source); ok && source != c.table.Self().Name {
-		c.fetch(now, m, c.state.Offset+1)
+		c.fetch(now, m, position{offset, c.state.Carried})
 		return
 	}
 	c.act(readLog{})
@@ -537,10 +574,13 @@
 // empty, if that is newer, and tells peers. A daemon that does not serve yet tells only
 // of what comes from the log, because its peers have the state that it gets from them.
 func (c *core) adopt(now time.Time, rnd float64, st *fold.State, peer string) {
-	if st.Offset <= c.state.Offset {
+	if !positionOf(st).after(c.at()) {
 		return
 	}
-	c.raw, c.rawBytes = nil, 0
+	if era.Of(st.Offset) > era.Of(c.state.Offset) && !c.enterEra(now, st, peer) {
+		return
+	}
+	c.keepOwn(st)
 	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, cmp.Or(peer, "a snapshot on the log"), c.lag(now))
 	c.setState(now, st)
 	if peer == "" || c.serving {
@@ -548,9 +588,9 @@
 	}
 }
 
-// setState puts a state in force. The offset never decreases.
+// setState puts a state in force. The position never decreases.
 func (c *core) setState(now time.Time, st *fold.State) {
-	if st.Offset < c.state.Offset {
+	if c.at().after(positionOf(st)) {
 		return
 	}
 	c.decisions.setMoveTimes(st, now)
@@ -675,10 +715,17 @@
 	return near, far
 }
 
-// offsetNotice returns an exchange that only reports this daemon's offset and the end
+// newExchange returns an exchange that only reports this daemon's position.
+func (c *core) newExchange() *wirev1.ExchangeRequest {
+	return &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset, Carried: c.state.Carried}
+}
+
+// offsetNotice returns an exchange that only reports this daemon's position and the end
 // of the log.
 func (c *core) offsetNotice(now time.Time) *wirev1.ExchangeRequest {
-	return &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset, LogEnd: c.wireLogEnd(now)}
+	req := c.newExchange()
+	req.LogEnd = c.wireLogEnd(now)
+	return req
 }
 
 // isOtherZone reports whether a member is in another zone than this daemon.
@@ -718,21 +765,21 @@
 	}
 }
 
-// onOffsetReported records the highest offset reported from each zone. Without the
+// onOffsetReported records the newest position reported from each zone. Without the
 // log, a daemon serves once peers in two zones have reported theirs and it has
-// folded up to the highest.
+// folded up to the newest.
 func (c *core) onOffsetReported(now time.Time, ev offsetReported) {
 	if c.serving || !ev.serving || ev.asked.Before(c.pausedUntil) {
 		return
 	}
-	if old, ok := c.peerOffsets[ev.zone]; !ok || ev.offset > old {
-		c.peerOffsets[ev.zone] = ev.offset
+	if old, ok := c.peerOffsets[ev.zone]; !ok || ev.at.after(old) {
+		c.peerOffsets[ev.zone] = ev.at
 	}
 	if c.logReachable || len(c.peerOffsets) < minOffsetZones {
 		return
 	}
-	for _, offset := range c.peerOffsets {
-		if offset > c.state.Offset {
+	for _, at := range c.peerOffsets {
+		if at.after(c.at()) {
 			return
 		}
 	}
@@ -766,11 +813,12 @@
 // longer kept or are larger than the state. That is so for several whole
 // configurations, of which only the newest is of use.
 func (c *core) onFetch(req *wirev1.FetchRequest) *wirev1.FetchResponse {
-	res := &wirev1.FetchResponse{Offset: c.state.Offset, Zone: c.table.Self().Zone, Serving: c.serving}
-	if req.GetFrom() > c.state.Offset {
+	res := &wirev1.FetchResponse{Offset: c.state.Offset, Carried: c.state.Carried, Zone: c.table.Self().Zone, Serving: c.serving}
+	lacks := position{req.GetFrom() - 1, req.GetCarried()}
+	if !c.at().after(lacks) {
 		return res
 	}
-	if len(c.raw) == 0 || c.raw[0].Offset > req.GetFrom() {
+	if len(c.raw) == 0 || c.raw[0].Offset > req.GetFrom() || req.GetCarried() != c.state.Carried {
 		res.Snapshot = c.encodedState()
 		return res
 	}
@@ -824,14 +872,14 @@
 		return
 	}
 	since := c.state.Offset - c.lastSnapshot
-	if c.lastSnapshot == 0 {
+	if era.Of(c.lastSnapshot) != era.Of(c.state.Offset) || c.lastSnapshot == 0 {
 		since = c.state.Offset - c.logFirst + 1
 	}
 	retained := c.logNext - c.logFirst
 	// One zone appends. Each further zone waits longer, in case the zones before it
 	// cannot.
 	turn := int64(1 + c.table.ZoneOrder("snapshot"))
-	due := since >= turn*snapshotRecords || since >= turn*snapshotMinRecords && since > retained/2
+	due := since >= turn*snapshotRecords || since >= turn*snapshotMinRecords && since > retained/2 || c.saveDue(now, turn)
 	if !due || !c.serving || !c.logReachable || c.table.ZoneRank("snapshot") != 0 {
 		return
 	}
--- a/process/control/gossip.go
+++ b/process/control/gossip.go
@@ -36,9 +36,8 @@
 }
 
 func (c *core) exchangeRequest(now time.Time) *wirev1.ExchangeRequest {
-	req := &wirev1.ExchangeRequest{
-		From: toWire(c.table.Self()), Offset: c.state.Offset, Digests: digestsToWire(c.table.Digests()), LogEnd: c.wireLogEnd(now),
-	}
+	req := c.offsetNotice(now)
+	req.Digests = digestsToWire(c.table.Digests())
 	c.decisions.fillExchange(c.state, now, req)
 	return req
 }
@@ -51,11 +50,13 @@
 	c.hearLogUnreachable(from, rnd)
 	c.merge(now, rnd, append(membersFromWire(req.GetMembers()), from))
 	c.mergeDecisions(now, rnd, req)
-	c.fetch(now, from, req.GetOffset())
+	c.fetch(now, from, reportedPosition(req))
 	if r := req.GetRelay(); r != nil {
 		c.relayLogEnd(now, r)
 	}
-	res := &wirev1.ExchangeResponse{From: toWire(c.table.Self()), Offset: c.state.Offset, Serving: c.serving, LogEnd: c.wireLogEnd(now)}
+	res := &wirev1.ExchangeResponse{
+		From: toWire(c.table.Self()), Offset: c.state.Offset, Carried: c.state.Carried, Serving: c.serving, LogEnd: c.wireLogEnd(now),
+	}
 	if before, ok := c.table.BeforeRestart(from.Name); ok && from.Service == "" {
 		// The peer has restarted, but its upstream may still be running.
 		res.Members = append(res.Members, toWire(before))
@@ -80,15 +81,16 @@
 	c.hearLogUnreachable(from, rnd)
 	c.merge(now, rnd, append(membersFromWire(ev.res.GetMembers()), from))
 	c.mergeDecisions(now, rnd, ev.res)
-	c.onOffsetReported(now, offsetReported{zone: from.Zone, offset: ev.res.GetOffset(), serving: ev.res.GetServing(), asked: ev.asked})
-	c.fetch(now, from, ev.res.GetOffset())
+	c.onOffsetReported(now, offsetReported{zone: from.Zone, at: reportedPosition(ev.res), serving: ev.res.GetServing(), asked: ev.asked})
+	c.fetch(now, from, reportedPosition(ev.res))
 	if len(ev.res.GetDigests()) == 0 {
 		return
 	}
 	// By now the response has been merged, so the entries that the partner lacks
 	// are exactly those of scopes whose digests still differ.
 	if lacks := c.table.Delta(digestsFromWire(ev.res.GetDigests())); len(lacks) > 1 {
-		req := &wirev1.ExchangeRequest{From: toWire(c.table.Self()), Offset: c.state.Offset, Members: membersToWire(lacks)}
+		req := c.newExchange()
+		req.Members = membersToWire(lacks)
 		c.act(sendExchange{to: from, req: req, update: true})
 	}
 }
@@ -115,9 +117,9 @@
 	c.dirty = true
 	// The suspect is notified too, so that it can refute.
 	c.queueUpdates(m)
-	c.act(sendExchange{to: m, update: true, req: &wirev1.ExchangeRequest{
-		From: toWire(c.table.Self()), Offset: c.state.Offset, Members: membersToWire([]membership.Member{m}),
-	}})
+	req := c.newExchange()
+	req.Members = membersToWire([]membership.Member{m})
+	c.act(sendExchange{to: m, update: true, req: req})
 }
 
 // merge merges the members received from a peer and forwards the new ones.
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -42,7 +42,7 @@
 
 // Report is the state of a move as reported to operators.
 type Report struct {
-	// Move is the offset of the record that started the move.
+	// Move is the offset of the newest record that ordered the move.
 	Move     int64
 	Upstream string
 	// To is the target version of the move.
@@ -154,10 +154,16 @@
 		c.metrics.Add("control.reportsOfUnknownMoves", 1)
 		return
 	}
-	p := c.decisions.progressOf(r.Move, now)
+	id := r.Move
+	for _, m := range c.state.Moves {
+		if m.OrderedAt() == r.Move {
+			id = m.ID
+		}
+	}
+	p := c.decisions.progressOf(id, now)
 	p.reported = r.State
 	if r.State != fold.MoveRunning {
-		c.endMove(now, r.Move, r.State, r.Reason)
+		c.endMove(now, id, r.State, r.Reason)
 	}
 }
 
@@ -190,6 +196,19 @@
 	}
 }
 
+// forgetReports lets the newest move of each upstream be reported again, because the
+// report may have been lost.
+func (d *decisions) forgetReports(st *fold.State) {
+	seen := make(map[string]bool)
+	for _, m := range slices.Backward(st.Moves) {
+		if p := d.progress[m.ID]; p != nil && !seen[m.Upstream] {
+			p.reported = ""
+			delete(d.reportAfter, m.ID)
+		}
+		seen[m.Upstream] = true
+	}
+}
+
 // reportMoves reports the states of moves to operators. The judges report first,
 // then one daemon of each further zone, each after a longer delay.
 func (c *core) reportMoves(now time.Time) {
@@ -232,7 +251,7 @@
 			continue
 		}
 		c.decisions.reportAfter[m.ID] = reportDue{state: want, at: now.Add(reportRetryDelay + stagger)}
-		c.act(reportMove{Report{Move: m.ID, Upstream: m.Upstream, To: m.To, State: want, Reason: reason}})
+		c.act(reportMove{Report{Move: m.OrderedAt(), Upstream: m.Upstream, To: m.To, State: want, Reason: reason}})
 	}
 }
 
@@ -264,9 +283,9 @@
 		if m.Name == c.table.Self().Name {
 			continue
 		}
-		c.act(sendExchange{to: m, update: true, req: &wirev1.ExchangeRequest{
-			From: toWire(c.table.Self()), Offset: c.state.Offset, Judge: true, Counters: slices.Concat(undelivered[m.Name], counters),
-		}})
+		req := c.newExchange()
+		req.Judge, req.Counters = true, slices.Concat(undelivered[m.Name], counters)
+		c.act(sendExchange{to: m, update: true, req: req})
 	}
 }
 
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Unix(0, req.Msg.GetDeadlineUnixNano()))
 	defer cancel()
 	v := s.view.Load()
-	_, err = s.client(addr).Exchange(ctx, connect.NewRequest(&wirev1.ExchangeRequest{From: toWire(v.Self), Offset: v.State.Offset}))
+	_, err = s.client(addr).Exchange(ctx, connect.NewRequest(&wirev1.ExchangeRequest{From: toWire(v.Self), Offset: v.State.Offset, Carried: v.State.Carried}))
 	return connect.NewResponse(&wirev1.ProbeResponse{Alive: err == nil}), nil
 }
 
--- a/process/control/updates.go
+++ b/process/control/updates.go
@@ -67,7 +67,7 @@
 // sent to that member.
 func (c *core) gossip(rnd float64, req *wirev1.ExchangeRequest, about map[string]membership.Member) {
 	self := c.table.Self()
-	req.From, req.Offset = toWire(self), c.state.Offset
+	req.From, req.Offset, req.Carried = toWire(self), c.state.Offset, c.state.Carried
 	onlySubject := func(m membership.Member) bool {
 		_, ok := about[m.Name]
 		return ok && len(about) == 1
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -29,6 +29,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/kingcuppitch/kingcuppitch/version/era"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 	"github.com/rotisserie/eris"
 )
@@ -69,6 +70,9 @@
 	Winner int64 `json:"winner,omitempty"`
 	// Newer marks a record that a newer release wrote.
 	Newer bool `json:"newer,omitempty"`
+	// Sum is that of the record. Lost marks a record that the log has lost in a restore.
+	Sum  uint64 `json:"sum,omitempty"`
+	Lost bool   `json:"lost,omitempty"`
 }
 
 // MoveState is the state of a move.
@@ -85,6 +89,9 @@
 type Move struct {
 	// ID is the offset of the record that started the move.
 	ID int64 `json:"id"`
+	// Order is the offset of the record that ordered the move again after the log had
+	// been restored; zero if there is none.
+	Order int64 `json:"order,omitempty"`
 	record.Move
 	State    MoveState `json:"state"`
 	Reason   string    `json:"reason,omitempty"`
@@ -111,7 +118,13 @@
 	// Offset is the offset of the last folded record.
 	Offset int64 `json:"offset"`
 	// Version is the offset of the last accepted record.
-	Version int64         `json:"version"`
+	Version int64 `json:"version"`
+	// Revision is that of the configuration; zero if it has none. It never decreases.
+	Revision int64 `json:"revision,omitempty"`
+	// Carried is the offset up to which the state includes the records of earlier eras
+	// of the log, also those that the log has lost; zero if it includes none of them. Of
+	// two states of an era, the one with the larger offset is the more complete one.
+	Carried int64         `json:"carried,omitempty"`
 	Config  config.Config `json:"config"`
 	// Touched holds the last change of each resource, by its key.
 	Touched  map[string]LastChange `json:"touched"`
@@ -164,7 +177,7 @@
 		}
 		return Outcome{Offset: offset, Result: Skipped, Reason: eris.Cause(err).Error(), Newer: newer}
 	}
-	out := Outcome{Offset: offset, ID: rec.ID, Kind: rec.Kind, Result: Accepted}
+	out := Outcome{Offset: offset, ID: rec.ID, Kind: rec.Kind, Result: Accepted, Sum: rec.Sum}
 	if prev, ok := s.Outcome(rec.ID); ok {
 		out.Result = Duplicate
 		out.Reason = fmt.Sprintf("already applied at offset %d", prev.Offset)
@@ -172,7 +185,9 @@
 	}
 	if rec.Kind == record.KindSnapshot {
 		// The state of a snapshot equals the fold of the records before it, so
-		// a daemon that has folded them has nothing to apply.
+		// a daemon that has folded them has nothing to apply, unless the snapshot
+		// includes records that the log has lost.
+		s.applyCarried(offset, rec.Snapshot)
 		return out
 	}
 	if err := s.apply(offset, rec); err != nil {
@@ -192,6 +207,18 @@
 	return out
 }
 
+// applyCarried replaces the state by that of a snapshot of all records before it, if that
+// includes more of earlier eras.
+func (s *State) applyCarried(offset int64, snapshot *record.Snapshot) {
+	if snapshot.UpTo != offset-1 || len(snapshot.State) == 0 {
+		return
+	}
+	if st, err := DecodeState(snapshot.State); err == nil && st.Offset == snapshot.UpTo && st.Carried > s.Carried {
+		*s = *st
+		s.Offset = offset
+	}
+}
+
 func truncateReason(reason string) string {
 	if len(reason) <= maxReasonBytes {
 		return reason
@@ -214,7 +241,7 @@
 	case record.KindPublish:
 		return s.applyPublish(offset, rec)
 	case record.KindReplace:
-		return s.applyReplace(*rec.Replace)
+		return s.applyReplace(*rec.Replace, rec.Revision)
 	case record.KindNone:
 		return nil
 	case record.KindPreset:
@@ -267,8 +294,12 @@
 // applyReplace puts a whole configuration in force. If the instances of an
 // upstream announce their versions, the version that a move made active stays
 // active. The schedule stays if the new configuration defines all its presets;
-// otherwise the first preset is in force.
-func (s *State) applyReplace(next config.Config) error {
+// otherwise the first preset is in force. A configuration of an earlier revision is
+// refused: it comes from a log that has lost the later one.
+func (s *State) applyReplace(next config.Config, revision int64) error {
+	if revision > 0 && revision < s.Revision {
+		return fmt.Errorf("revision %d is older than revision %d, which is in force", revision, s.Revision)
+	}
 	if err := next.Validate(); err != nil {
 		return err
 	}
@@ -279,7 +310,7 @@
 			u.Active = old.Active
 		}
 	}
-	s.Config = next
+	s.Config, s.Revision = next, max(s.Revision, revision)
 	for _, a := range s.Schedule {
 		if _, ok := next.Preset(a.Name); !ok {
 			s.Schedule = nil
@@ -375,6 +406,10 @@
 	if !ok {
 		return fmt.Errorf("upstream %q is not defined", m.Upstream)
 	}
+	if i := s.orderedBefore(m, offset); i >= 0 {
+		s.Moves[i].Order = offset
+		return nil
+	}
 	for _, other := range s.Moves {
 		if other.Upstream == m.Upstream && other.State == MoveRunning && !m.Replaces {
 			return &refusal{fmt.Sprintf("upstream %q already has the running move %d", m.Upstream, other.ID), other.ID}
@@ -405,6 +440,24 @@
 	return nil
 }
 
+// orderedBefore returns the index of the newest move of an upstream if the given one, with
+// an order at offset, repeats its order after the log has been restored, and -1 otherwise.
+func (s *State) orderedBefore(m record.Move, offset int64) int {
+	for i, old := range slices.Backward(s.Moves) {
+		if old.Upstream != m.Upstream {
+			continue
+		}
+		if m.Within > 0 && old.To == m.To && old.Within == m.Within && era.Of(old.OrderedAt()) < era.Of(offset) {
+			return i
+		}
+		break
+	}
+	return -1
+}
+
+// OrderedAt returns the offset of the newest record that ordered the move.
+func (m Move) OrderedAt() int64 { return cmp.Or(m.Order, m.ID) }
+
 func (s *State) pruneMoves() {
 	ended := 0
 	for _, m := range s.Moves {
@@ -564,9 +617,14 @@
 	})
 	s := &State{Offset: end}
 	for _, k := range records {
-		if s.apply(k.Offset, k.Record) == nil {
+		out := Outcome{Offset: k.Offset, ID: k.Record.ID, Kind: k.Record.Kind, Result: Accepted, Sum: k.Record.Sum}
+		if err := s.apply(k.Offset, k.Record); err != nil {
+			out.Result, out.Reason = Refused, truncateReason(err.Error())
+		} else {
 			s.Version = max(s.Version, k.Offset)
 		}
+		s.Outcomes = append(s.Outcomes, out)
 	}
+	slices.SortFunc(s.Outcomes, func(a, b Outcome) int { return cmp.Compare(a.Offset, b.Offset) })
 	return s
 }
--- /dev/null
+++ b/version/fold/resume.go
@@ -0,0 +1,104 @@
+package fold
+
+import (
+	"encoding/json"
+
+	"github.com/kingcuppitch/kingcuppitch/version/era"
+)
+
+// StoredRecord is an encoded record with its offset.
+type StoredRecord struct {
+	Offset int64
+	Data   []byte
+}
+
+// Resume returns the state after the retained records of a log that has been restored
+// from an older copy, where s is the state before. Up to some record the log is a copy of
+// what s has folded; the records after it are new and are folded onto s. What the log has
+// lost stays in force until a new record changes it. end is the offset of the last record.
+//
+// Resume returns false if the records do not show where the copy ends.
+func (s *State) Resume(records []StoredRecord, end int64) (next *State, outcomes []Outcome, ok bool) {
+	copied, ok := s.copied(records)
+	if !ok {
+		return nil, nil, false
+	}
+	next = s.Clone()
+	next.Carried = s.Offset
+	next.lose(era.Number(end) + 1 - int64(len(records)-copied))
+	for _, r := range records[copied:] {
+		outcomes = append(outcomes, next.Apply(r.Offset, r.Data))
+	}
+	next.Offset = end
+	return next, outcomes, true
+}
+
+// copied returns the number of records that s has folded in an earlier era, and whether
+// that is known.
+func (s *State) copied(records []StoredRecord) (n int, ok bool) {
+	known := make(map[int64]Outcome, len(s.Outcomes))
+	for _, out := range s.Outcomes {
+		if !out.Lost {
+			known[era.Number(out.Offset)] = out
+		}
+	}
+	for i, r := range records {
+		out, folded := known[era.Number(r.Offset)]
+		switch {
+		case !folded:
+			// The outcome has not been kept; a later record may tell.
+		case !out.isOf(r.Data):
+			return n, true
+		default:
+			n = i + 1
+		}
+	}
+	return n, n > 0 || len(records) == 0
+}
+
+// isOf reports whether out is the outcome of a record or of a copy of it.
+func (out Outcome) isOf(data []byte) bool {
+	var rec struct {
+		ID  string `json:"id"`
+		Sum uint64 `json:"sum"`
+	}
+	if json.Unmarshal(data, &rec) != nil {
+		return false
+	}
+	if rec.Sum != 0 || out.Sum != 0 {
+		return rec.Sum == out.Sum
+	}
+	return rec.ID == out.ID
+}
+
+// lose marks the outcomes of records that the log has lost: those with a number from the
+// given one on.
+func (s *State) lose(from int64) {
+	for i := range s.Outcomes {
+		if era.Number(s.Outcomes[i].Offset) >= from {
+			s.Outcomes[i].Lost = true
+		}
+	}
+}
+
+// Keep adds to s, a state of a later era, what an earlier state holds and s can only lack
+// because the log has lost it: a newer configuration, and what is known of moves that have
+// been ordered again. It reports whether the configuration was kept.
+func (s *State) Keep(earlier *State) bool {
+	for i, m := range s.Moves {
+		if j := earlier.orderedBefore(m.Move, m.ID); j >= 0 && m.State == MoveRunning {
+			s.Moves[i] = earlier.Moves[j]
+			s.Moves[i].Order = m.ID
+		}
+	}
+	if earlier.Revision > s.Revision {
+		s.Config, s.Schedule, s.Revision = earlier.Config, earlier.Schedule, earlier.Revision
+		return true
+	}
+	for i, u := range s.Config.Upstreams {
+		if old, ok := earlier.Config.Upstream(u.Name); ok && u.Announced && u.Active == "" {
+			s.Config.Upstreams[i].Active = old.Active
+		}
+	}
+	return false
+}
--- a/version/record/record.go
+++ b/version/record/record.go
@@ -63,6 +63,12 @@
 	Base   int64     `json:"base,omitempty"`
 	Author string    `json:"author,omitempty"`
 	At     time.Time `json:"at"`
+	// Sum identifies the record by what the log stores, on a log whose records have no
+	// ids. A restored log holds the same record with the same sum at the same number.
+	Sum uint64 `json:"sum,omitempty"`
+	// Revision is the author's own count of whole configurations, which only rises; zero
+	// means that there is none.
+	Revision int64 `json:"revision,omitempty"`
 
 	Publish  *config.Change `json:"publish,omitempty"`
 	Preset   *Preset        `json:"preset,omitempty"`
