control: read a restored log from near the daemon's offset on

A daemon read all retained records of a restored log to find where the copy ends. The copy is some seconds old, so its end is near the daemon's own offset: the first read begins 8 records before it, and further back only if the state does not include the first record read.

--- a/connection/log/log.go
+++ b/connection/log/log.go
@@ -37,8 +37,9 @@
 	ErrUnavailable = errors.New("log is unavailable")
 	// ErrUnknown means that an append may or may not have taken effect.
 	ErrUnknown = errors.New("result of the append is unknown")
-	// ErrExpired means that records at the offset are no longer retained, because they
-	// were deleted or because the log has been restored since the era of the offset.
+	// ErrExpired means that the log does not have the offset: because records were
+	// deleted, because the log has been restored since the era of the offset, or because
+	// the log ends before it.
 	ErrExpired = errors.New("records have expired")
 )
 
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -663,9 +663,10 @@
 
 // readOnce reads from the folded offset to the end of the log, and reports whether the
 // daemon's state includes all records since. With wait, a reader waits there for the next
-// record.
+// record. If the log has been restored, it reads from a record on that the state includes.
 func (c *control) readOnce(wait bool) (current bool, err error) {
-	from := c.view.Load().State.Offset + 1
+	st := c.view.Load().State
+	from, back := st.Offset+1, int64(0)
 	if c.fromStart.Swap(false) {
 		from = 1
 	}
@@ -677,15 +678,21 @@
 			until = until.Add(pollPeriod(c.applyWithin))
 		}
 		page, err := c.log.Read(c.ctx, record.Stream, from, until)
-		if errors.Is(err, log.ErrExpired) && page.First > from {
-			if era.Of(page.First) > era.Of(from) {
-				// What has been read is of an era that is over.
-				got.entries, wait = nil, false
-			}
+		switch expired := errors.Is(err, log.ErrExpired); {
+		case expired && era.Of(page.First) > era.Of(from):
+			// What has been read is of an era that is over.
+			got.entries, wait, back = nil, false, resumeStep
+			from = resumeFrom(st, page.First, back)
+			continue
+		case expired && page.First > from:
 			from = page.First
 			continue
-		}
-		if err != nil {
+		case expired && back > 0, err == nil && back > 0 && len(got.entries) == 0 && from > page.First && !begins(page.Records, st):
+			// The copy ends further back.
+			back *= resumeStep
+			from = resumeFrom(st, page.First, back)
+			continue
+		case err != nil:
 			return false, err
 		}
 		// A read that waits is answered when a record arrives or the wait is over.
--- a/process/control/era.go
+++ b/process/control/era.go
@@ -19,8 +19,23 @@
 	// failure, and saveRetryDelay the same for a snapshot.
 	repairRetryDelay = 2 * time.Second
 	saveRetryDelay   = 2 * time.Second
+	// resumeStep is the number of records before the daemon's own offset from which a
+	// restored log is read first, and the factor by which the next read begins further
+	// back.
+	resumeStep = 8
 )
 
+// resumeFrom returns the offset from which a restored log is read, whose oldest retained
+// offset is first: the number of the daemon's own offset, less some records.
+func resumeFrom(st *fold.State, first, back int64) int64 {
+	return max(first, era.Start(first)+era.Number(st.Offset)+1-back)
+}
+
+// begins reports whether the first of the records is one that a state includes.
+func begins(entries []log.Entry, st *fold.State) bool {
+	return len(entries) > 0 && st.Folded(stored(entries[:1])[0])
+}
+
 // onNewEra handles the first read of a log that has been restored since the era of the
 // daemon's state. The records that the log has lost stay in force; those written since
 // the restore follow them.
--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -297,7 +297,14 @@
 			ev.entries = []log.Entry{f.snapshot(end)}
 		}
 	case newEra:
-		ev.entries = slices.Clone(f.records[f.first-1:])
+		start := f.offset(f.first)
+		for back := int64(resumeStep); ; back *= resumeStep {
+			from = resumeFrom(c.state, start, back)
+			if from == start || from <= end && begins(f.records[era.Number(from)-1:], c.state) {
+				break
+			}
+		}
+		ev.entries = slices.Clone(f.records[min(len(f.records), int(era.Number(from))-1):])
 	case from <= end:
 		ev.entries = slices.Clone(f.records[era.Number(from)-1:])
 	}
--- a/version/fold/resume.go
+++ b/version/fold/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/kingcuppitch/kingcuppitch/version/era"
 )
@@ -12,8 +13,8 @@
 	Data   []byte
 }
 
-// Resume returns the state after the retained records of a log that has been restored
-// from an older copy, where s is the state before. Up to some record the log is a copy of
+// Resume returns the state after the last records of a log that has been restored from an
+// older copy, where s is the state before. Up to some record the log is a copy of
 // what s has folded; the records after it are new and are folded onto s. What the log has
 // lost stays in force until a new record changes it. end is the offset of the last record.
 //
@@ -33,6 +34,17 @@
 	return next, outcomes, true
 }
 
+// Folded reports whether a record of a restored log is known to be a copy of one that s
+// has folded.
+func (s *State) Folded(r StoredRecord) bool {
+	for _, out := range slices.Backward(s.Outcomes) {
+		if !out.Lost && era.Number(out.Offset) == era.Number(r.Offset) {
+			return out.isOf(r.Data)
+		}
+	}
+	return false
+}
+
 // copied returns the number of records that s has folded in an earlier era, and whether
 // that is known.
 func (s *State) copied(records []StoredRecord) (n int, ok bool) {
