control: find out that the log is reachable again

Cause: a daemon whose read failed in an outage of the log counts it as unreachable until a read of its own succeeds, and makes none once peers tell it of theirs.

Now such a daemon reads the log once more, a second after the failure or later in larger zones, as soon as it hears that others have read it since, and then with doubled pauses up to 16 s, so that a log that refuses some daemons is not called often.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -290,7 +290,7 @@
 	case recordsArrived:
 		reply = c.onRecords(ev, now, rnd)
 	case logFailed:
-		c.onLogFailed(now, ev)
+		c.onLogFailed(now, rnd, ev)
 	case stateArrived:
 		c.adopt(now, rnd, ev.state, ev.name)
 	case offsetReported:
@@ -386,6 +386,7 @@
 	case c.fetchUpTo.after(c.at()) && now.After(c.fetchUntil):
 		c.fetchElsewhere(now, rnd, fetchFailed{to: c.fetchPeer, upTo: c.fetchUpTo})
 	}
+	c.recheckLog(now, rnd)
 	c.repairDirectory(now)
 	c.decide(now, rnd)
 }
@@ -403,7 +404,7 @@
 	if ev.next > 0 {
 		c.logNext, c.logFirst = ev.next, ev.first
 		if !c.logReachable {
-			c.logReachable = true
+			c.logReachable, c.logEnds.failures = true, 0
 			c.event(now, timeline.KindLog, c.state.Offset, "log is reachable")
 			c.dirty = true
 			c.setLogUnreachable(false)
@@ -755,8 +756,9 @@
 	c.dirty = true
 }
 
-func (c *core) onLogFailed(now time.Time, ev logFailed) {
+func (c *core) onLogFailed(now time.Time, rnd float64, ev logFailed) {
 	c.metrics.Add("control.logFailures", 1)
+	c.noteFailure(now, rnd)
 	c.setLogUnreachable(true)
 	if c.logReachable {
 		c.logReachable = false
--- a/process/control/logend.go
+++ b/process/control/logend.go
@@ -23,6 +23,10 @@
 	overdueSpreadPerMember = 20 * time.Millisecond
 	// maxLogEndAge is the age from which the end of the log is of no use.
 	maxLogEndAge = time.Minute
+	// recheckDelay is the pause before a daemon whose read failed reads the log again
+	// although peers tell it of the log, at least; it doubles with each failure up to
+	// maxRecheckDelay.
+	recheckDelay, maxRecheckDelay = time.Second, 16 * time.Second
 	// maxKnownReads bounds the readers whose newest read is remembered.
 	maxKnownReads = 1024
 )
@@ -55,6 +59,10 @@
 	reliedAt, relyUntil time.Time
 	// overdue says that this daemon has to read the log itself.
 	overdue bool
+	// failedAt is when a read of this daemon failed last, failures how often that was in
+	// a row while others read it, and recheckAfter when it reads again.
+	failedAt, recheckAfter time.Time
+	failures               int
 }
 
 // pollPeriod returns how long a read of the log waits for a record. It is shorter than
@@ -138,6 +146,33 @@
 	c.act(readLog{})
 }
 
+// noteFailure notes that a read of this daemon failed. Failures of a log that others
+// cannot read either do not count.
+func (c *core) noteFailure(now time.Time, rnd float64) {
+	l := &c.logEnds
+	if l.newest.at.After(l.failedAt) {
+		l.failures++
+	} else {
+		l.failures = 0
+	}
+	delay := max(recheckDelay, time.Duration(c.table.ZoneSize(c.table.Self().Zone))*overdueSpreadPerMember)
+	for range min(l.failures, 8) {
+		delay = max(delay, min(2*delay, maxRecheckDelay))
+	}
+	l.failedAt, l.recheckAfter = now, now.Add(delay/2+time.Duration(rnd*float64(delay)))
+}
+
+// recheckLog reads the log if this daemon's last read of it failed and peers have read it
+// since. Otherwise a daemon that relies on peers would not learn that it reaches the log.
+func (c *core) recheckLog(now time.Time, rnd float64) {
+	l := &c.logEnds
+	if c.logReachable || !c.serving || c.readsLog() || !l.newest.at.After(l.failedAt) || now.Before(l.recheckAfter) {
+		return
+	}
+	l.recheckAfter = now.Add(maxRecheckDelay/2 + time.Duration(rnd*float64(maxRecheckDelay)))
+	c.act(readLog{})
+}
+
 // lastHeard describes for the timeline what the daemon last heard of the log and of
 // peers.
 func (c *core) lastHeard(now time.Time) string {
--- a/process/control/logend_test.go
+++ b/process/control/logend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"testing"
@@ -193,6 +194,48 @@
 	}
 }
 
+// TestLogReachableAgain guards against a daemon that reports no end of a move and is passed
+// over as reader long after an outage of the log, because peers tell it of their reads and
+// it makes none of its own. A log that refuses this daemon alone is not called often.
+func TestLogReachableAgain(t *testing.T) {
+	c := servingCore(t, 4)
+	now := epoch.Add(500 * time.Millisecond)
+	read := uint64(10)
+	// pass lets the time pass with reads of another daemon, and returns how often the
+	// daemon has read the log.
+	pass := func(d time.Duration, err error) (reads int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(tickPeriod) {
+			read++
+			c.hearLogEnd(now, readEnd("d9", read, 2, 0))
+			_, actions := c.handle(tick{sinceBoot: now.Sub(epoch)}, now, 0.5)
+			if len(find[readLog](actions)) == 0 {
+				continue
+			}
+			reads++
+			if err != nil {
+				c.handle(logFailed{err}, now, 0.5)
+			} else {
+				c.handle(recordsArrived{first: 1, next: 3, asked: now}, now, 0.5)
+			}
+		}
+		return reads
+	}
+	c.handle(logFailed{errors.New("outage")}, now, 0.5)
+	if got := pass(time.Minute, errors.New("refused")); got < 3 || got > 12 {
+		t.Errorf("got %d reads in a minute of a log that refuses this daemon, want 3 to 12", got)
+	}
+	if pass(time.Minute, nil); !c.logReachable || c.table.Self().LogUnreachable {
+		t.Errorf("got reachable %t, told as unreachable %t, want true and false", c.logReachable, c.table.Self().LogUnreachable)
+	}
+	if got := pass(time.Minute, nil); got > 0 {
+		t.Errorf("got %d reads in a minute after the log was reached, want none", got)
+	}
+	c.handle(logFailed{errors.New("outage")}, now, 0.5)
+	if pass(stableAfter, nil); !c.logReachable {
+		t.Errorf("the log is not reached %v after the end of a short outage", stableAfter)
+	}
+}
+
 // waitingLog is a log without new records that notes how long its reads wait.
 type waitingLog struct {
 	log.Log
