control: a read of the log in an era that is over says nothing of this one

A daemon relied on peers for its news although the newest read that it had heard of was of the log before the restore, or of a daemon of a build that does not know eras. Such a read is no reason to rely on others, and does not replace one of a later era. Case of TestLogEndHeard, which failed before.

--- a/process/control/logend.go
+++ b/process/control/logend.go
@@ -7,6 +7,7 @@
 
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/version/era"
 	wirev1 "github.com/kingcuppitch/kingcuppitch/wire/v1"
 )
 
@@ -105,7 +106,7 @@
 		l.known = make(map[string]readID)
 	}
 	l.known[w.GetReader()] = read
-	if at := sent.Add(-age); at.After(l.newest.at) {
+	if at := sent.Add(-age); at.After(l.newest.at) && era.Of(w.GetOffset()) >= era.Of(l.newest.offset) {
 		l.newest = logEnd{offset: w.GetOffset(), at: at, reader: w.GetReader(), read: read}
 	}
 }
@@ -128,7 +129,8 @@
 // followLogEnd decides whether this daemon has to read the log itself.
 func (c *core) followLogEnd(now time.Time, rnd float64) {
 	l := &c.logEnds
-	if e := l.newest; e.reader != c.table.Self().Name && e.at.After(l.reliedAt) && c.state.Offset >= e.offset {
+	// A read in an earlier era says nothing of the records of this one.
+	if e := l.newest; e.reader != c.table.Self().Name && e.at.After(l.reliedAt) && c.state.Offset >= e.offset && era.Of(e.offset) == era.Of(c.state.Offset) {
 		l.reliedAt = e.at
 		c.rely(e.at.Add(c.relyPeriod() + c.overdueSpread(rnd)))
 	}
--- a/process/control/logend_test.go
+++ b/process/control/logend_test.go
@@ -66,6 +66,10 @@
 				c.hearLogEnd(epoch.Add(at), readEnd("d9", 1, 2, 0))
 			}
 		}, true},
+		{"a read of an era that is over", func(c *core) {
+			c.replaceState(&fold.State{Offset: 1_000_000_000_002, Moves: c.state.Moves})
+			c.hearLogEnd(epoch.Add(last), readEnd("d9", 1, 7, 0))
+		}, true},
 		{"another read each time", func(c *core) {
 			for i := range 12 {
 				c.hearLogEnd(epoch.Add(time.Duration(i+1)*100*time.Millisecond), readEnd("d9", uint64(i), 2, 0))
