soak: a store that comes back from older copies

New disturbance storeRestored: versions are published, the store goes away and comes back from a copy without them, the operators write again what it lost, before daemons call it or later, and publish a version when it is stable.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -56,6 +56,7 @@
 		time.Sleep(slowStoreDelay)
 		return 0
 	})},
+	{"storeRestored", 2, false, storeRestored},
 	{"storeLink", 3, false, onLink((*node).beginDisturbance, func(n *node) *link { return n.store })},
 	{"peerLink", 4, false, onLink((*node).beginPeerDisturbance, func(n *node) *link { return n.peer })},
 	{"peersCut", 2, false, peersCut},
@@ -277,6 +278,37 @@
 	}
 }
 
+// storeRestored has the store go away and come back from a copy that lacks some versions.
+// The operators write again what it has lost, before daemons call it or later, and publish
+// a version when it is stable.
+func storeRestored(h *harness, rng *rand.Rand) bool {
+	older := h.store.Copy()
+	configChanged(h, rng)
+	h.sleep(randomDuration(rng, 200*time.Millisecond, 4*time.Second))
+	if !h.acquireStore() {
+		return false
+	}
+	h.store.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
+	h.sleep(randomDuration(rng, 100*time.Millisecond, 2*time.Second))
+	lost := h.store.Restore(older)
+	writeAgain := func() {
+		for _, l := range lost {
+			h.store.WriteAgain(l)
+		}
+	}
+	if rng.IntN(2) == 0 {
+		writeAgain()
+	}
+	h.store.SetFault(nil)
+	h.sleep(randomDuration(rng, 0, 500*time.Millisecond))
+	writeAgain()
+	h.releaseStore()
+	h.sleep(stableWindow)
+	h.publish()
+	h.sleep(2 * applyWithin)
+	return true
+}
+
 // loseEveryThird drops the answer to every third call.
 func loseEveryThird() func(*http.Request) int {
 	var n atomic.Int64
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -3,8 +3,8 @@
 // what callers and servers observe.
 //
 // The disturbances are signals to daemons, crashes and planned shutdowns of
-// servers, a clock that was set back, a store that is down, slow or loses answers,
-// and loopback links that are delayed, silent, cut in one direction or reset.
+// servers, a clock that was set back, a store that is down, slow, loses answers or comes
+// back from an older copy, and loopback links that are delayed, silent, cut in one direction or reset.
 // Several can occur in sequence and overlap. Meanwhile new versions are published,
 // moves run and zones are taken out. The seed determines the plan; the timing of
 // processes differs from run to run.
