entry: answer all requests before a planned stop ends, and refuse late ones

Report of another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST). It can happen here: a daemon took callers until 45% of the grace, and a first request of a new connection for 0.3 s more, whatever time its answer needed; at 90% it stopped and its connections were cut.

Now an entry that is about to stop refuses as not run, with the time of return, what arrives after 45% of the grace and what is not expected to end in time; it bounds the deadline that others hand on, and answers at 85% what has no answer until then: 503 if it has not been passed on, 502 otherwise. A server's own answer at that deadline is passed on. That is within the last sixth of the grace, until which a server may be at work.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -41,8 +41,10 @@
 	// closing its listeners. Entries learn of it within a few hundred milliseconds.
 	// Idle connections of callers are closed with an answer.
 	leaveDelay = 2 * time.Second
-	// shutdownTimeout bounds a graceful shutdown.
+	// shutdownTimeout bounds a graceful shutdown, and answerTimeout the time until all
+	// requests of callers are answered.
 	shutdownTimeout = 30 * time.Second
+	answerTimeout   = 28 * time.Second
 	// hostLeaveDelay is the time between announcing to peers that the upstream must
 	// not be used and closing the listeners. The change reaches all daemons within a
 	// few hundred milliseconds. A call that still arrives later is refused as not run.
@@ -50,11 +52,12 @@
 	// controlStopTimeout bounds the stop of the control plane after all calls are
 	// answered.
 	controlStopTimeout = 150 * time.Millisecond
-	// graceDelayPercent and graceTimeoutPercent replace leaveDelay and
-	// shutdownTimeout if a grace period is set, as percentages of that period. The
-	// platform sends callers elsewhere after two readiness checks that are one second
-	// apart.
+	// graceDelayPercent, graceAnswerPercent and graceTimeoutPercent replace leaveDelay,
+	// answerTimeout and shutdownTimeout if a grace period is set, as percentages of that
+	// period. The platform sends callers elsewhere after two readiness checks that are
+	// one second apart.
 	graceDelayPercent   = 45
+	graceAnswerPercent  = 85
 	graceTimeoutPercent = 90
 	// readHeaderTimeout bounds the time to read a request header.
 	readHeaderTimeout = 10 * time.Second
@@ -373,10 +376,12 @@
 // shutdown leaves the mesh, waits for the calls in flight and stops.
 func (d *Daemon) shutdown() error {
 	d.events.Add(time.Now(), timeline.KindStop, 0, "daemon is leaving")
-	delay, timeout := leaveDelay, shutdownTimeout
+	began := time.Now()
+	delay, answer, timeout := leaveDelay, answerTimeout, shutdownTimeout
 	if grace := time.Duration(d.currentSettings.Load().GraceSeconds * float64(time.Second)); grace > 0 {
-		delay, timeout = grace*graceDelayPercent/100, grace*graceTimeoutPercent/100
+		delay, answer, timeout = grace*graceDelayPercent/100, grace*graceAnswerPercent/100, grace*graceTimeoutPercent/100
 	}
+	d.entry.Leave(began.Add(delay), began.Add(answer))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	d.leaving.Store(true)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -116,11 +116,17 @@
 	peers    peer.Pool
 	budgets  sync.Map // upstream name to *retry.Budget
 	finishes sync.WaitGroup
+	// departure is set when the daemon is about to stop, and ended is cancelled by end
+	// when the requests without an answer have to be answered.
+	departure atomic.Pointer[departure]
+	ended     context.Context
+	end       context.CancelFunc
 }
 
 // New returns an entry.
 func New(view View, local Local, opts ...Option) *Entry {
 	e := &Entry{view: view, local: local, metrics: new(metrics.Set), headers: request.DefaultHeaders}
+	e.ended, e.end = context.WithCancel(context.Background())
 	e.SetService("")
 	e.peers.IdleTimeout = peerIdleTimeout
 	for _, opt := range opts {
@@ -138,6 +144,7 @@
 func (e *Entry) Close() {
 	e.finishes.Wait()
 	e.peers.Close()
+	e.end()
 }
 
 // ServeHTTP implements http.Handler.
@@ -146,8 +153,10 @@
 	// Cancelling the context ends the attempts and a streamed answer.
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
+	defer context.AfterFunc(e.ended, cancel)()
 	tr := requestTrace{start: time.Now()}
 	ans, err := e.serve(ctx, w, r, &tr)
+	err = e.endedByDeparture(r.Context(), err)
 	e.record(&tr, r, ans, err)
 	if err != nil {
 		e.refuse(w, err)
@@ -189,6 +198,9 @@
 		return nil, err
 	}
 	tr.call = call
+	if err := e.limitByDeparture(call, time.Now()); err != nil {
+		return nil, err
+	}
 	// A streamed answer is read after this function returns, so the deadline context is
 	// cancelled together with the context of the request.
 	requestCtx := ctx
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -135,6 +135,14 @@
 	return ratio, now.Before(in.failingUntil)
 }
 
+// mean returns the mean answer time that instances report for a route; zero if none is
+// known.
+func (l *loads) mean(route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.means[route]
+}
+
 // Slowness implements route.Loads.
 func (l *loads) Slowness(name string, now time.Time) float64 {
 	l.mu.Lock()
