control: drop silent connections after any call without a response

A daemon gave up such a connection only after a periodic exchange; updates, records and fetches were lost on it one after the other, each for 0.8 s, until an exchange happened to go to that peer. TestSilentControlConnection shows it for the three kinds of calls, and failed before. Now each call without a response drops the connections to that peer.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -801,6 +801,7 @@
 		wg.Go(func() {
 			if _, err := c.client(m.Peer).Push(ctx, connect.NewRequest(a.req)); err != nil {
 				c.metrics.Add("control.pushFailures", 1)
+				c.retireFailed(m, err)
 				return
 			}
 			c.countCrossZone(m, "records", a.req)
@@ -815,19 +816,27 @@
 	}
 	asked := time.Now()
 	res, err := c.client(a.to.Peer).Exchange(ctx, connect.NewRequest(a.req))
+	c.retireFailed(a.to, err)
 	switch {
 	case err == nil:
 		c.countCrossZone(a.to, a.kind(), a.req, res.Msg)
 		c.observe(res.Msg.GetClockUnixNano())
 		c.send(exchangeDone{to: a.to, res: res.Msg, asked: asked})
 	case !a.update && c.ctx.Err() == nil:
-		c.peers.Retire(a.to.Peer)
 		c.send(exchangeFailed{to: a.to})
 	default:
 		c.returnCounters(a)
 	}
 }
 
+// retireFailed drops the connections to a peer after a call without a response: they may
+// have gone silent, while new ones work. A refusal is a response.
+func (c *control) retireFailed(to membership.Member, err error) {
+	if err != nil && c.ctx.Err() == nil && connect.CodeOf(err) != connect.CodeResourceExhausted {
+		c.peers.Retire(to.Peer)
+	}
+}
+
 // countCrossZone counts messages between zones and their bytes by cause.
 func (c *control) countCrossZone(to membership.Member, cause string, messages ...proto.Message) {
 	if to.Zone == c.self.Zone {
@@ -865,6 +874,7 @@
 	res, err := c.client(a.to.Peer).Fetch(ctx, connect.NewRequest(&wirev1.FetchRequest{From: a.offset, Carried: a.carried}))
 	if err != nil {
 		c.metrics.Add("control.fetchFailures", 1)
+		c.retireFailed(a.to, err)
 		if c.pause(jitter(fetchRetryDelay)) {
 			c.send(fetchFailed{to: a.to, upTo: a.upTo})
 		}
