control: keep what a single daemon has read before a restore, also without the log

A daemon that alone had read an order before the log was restored, and did not reach the log when it met a peer of the new era, took over the peer's state and kept only its configuration: its order was lost for all. Now it adds the records that the peer's state does not include, except on zones and upstreams that the new era has changed, and the others take over the result.

--- a/process/control/era.go
+++ b/process/control/era.go
@@ -83,7 +83,7 @@
 
 // enterEra prepares the adoption of a state of a later era, and reports whether the state
 // may be adopted. If the daemon holds records that a peer's state does not include, the
-// daemon's own state has to be resumed from the log.
+// daemon's own state has to be resumed from the log, or without the log they are added.
 func (c *core) enterEra(now time.Time, st *fold.State, peer string) bool {
 	if isEmpty(c.state) {
 		c.directoryEra = era.Of(st.Offset)
@@ -93,9 +93,14 @@
 		c.act(readLog{})
 		return false
 	}
-	kept := c.state.Offset > st.Carried && st.Keep(c.state)
-	if kept && peer != "" {
-		st.Carried = c.state.Offset
+	kept := false
+	if c.state.Offset > st.Carried {
+		if peer != "" {
+			st.Add(stored(c.raw))
+		}
+		if kept = st.Keep(c.state); peer != "" {
+			st.Carried = c.state.Offset
+		}
 	}
 	c.event(now, timeline.KindLog, st.Offset, "the log has been restored: era %d after offset %d (newer configuration kept: %t)", era.Of(st.Offset), c.state.Offset, kept)
 	c.startEra()
--- a/process/control/restore_test.go
+++ b/process/control/restore_test.go
@@ -164,3 +164,39 @@
 	o.publish(t)
 	f.runUntil(f.now.Add(2 * stableAfter))
 }
+
+// TestLoneRecordSurvivesRestore guards against what a single daemon has read before a
+// restore and the log has lost: the others, which have not read it, must take it over,
+// whether that daemon or another one reads the restored log first.
+func TestLoneRecordSurvivesRestore(t *testing.T) {
+	for seed := range uint64(12) {
+		f := newFleet(t, 11, seed)
+		o := &operator{f: f, out: make(map[string]bool), written: []string{configKey}}
+		f.runUntil(epoch.Add(stableAfter))
+		lone := f.names[f.rnd.IntN(len(f.names))]
+		f.cut = func(from, to string) bool { return from == lone || to == lone }
+		f.logCut = func(name string) bool { return name != lone }
+		o.toggle(t, "a")
+		o.publish(t)
+		f.runUntil(f.now.Add(stableAfter))
+		if !f.cores[lone].state.Zones["a"].Out {
+			t.Fatalf("seed %d: %s has not read the order", seed, lone)
+		}
+		f.logCut = func(string) bool { return true }
+		o.restore(t, 1)
+		f.runUntil(f.now.Add(time.Second))
+		f.logCut = nil
+		if seed%2 == 0 {
+			f.logCut = func(name string) bool { return name == lone }
+		}
+		f.runUntil(f.now.Add(2 * stableAfter))
+		f.cut, f.logCut = nil, nil
+		f.runUntil(f.now.Add(4 * stableAfter))
+		for _, name := range f.names {
+			if st := f.cores[name].state; !st.Zones["a"].Out || st.Revision != f.revision || st.Offset != f.end() {
+				t.Errorf("seed %d: %s is at offset %d with zones %+v and revision %d, want offset %d, zone a out and revision %d",
+					seed, name, st.Offset, st.Zones, st.Revision, f.end(), f.revision)
+			}
+		}
+	}
+}
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -370,7 +370,7 @@
 }
 
 func (s *State) applyZone(offset int64, rec record.Record) error {
-	key := "zoneState/" + rec.Zone.Name
+	key := zoneKey(rec.Zone.Name)
 	if err := s.checkBase(key, rec.Base); err != nil {
 		return err
 	}
@@ -393,6 +393,8 @@
 	return nil
 }
 
+func zoneKey(zone string) string { return "zoneState/" + zone }
+
 func zoneStatus(out bool) string {
 	if out {
 		return "out"
--- a/version/fold/resume.go
+++ b/version/fold/resume.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/kingcuppitch/kingcuppitch/version/era"
+	"github.com/kingcuppitch/kingcuppitch/version/record"
 )
 
 // StoredRecord is an encoded record with its offset.
@@ -93,6 +94,32 @@
 	}
 }
 
+// Add folds records of an earlier era that s, a state of a later one, does not include.
+// Those on a zone or an upstream that a record of the later era has changed have no effect.
+func (s *State) Add(records []StoredRecord) {
+	now, offset, version := era.Of(s.Offset), s.Offset, s.Version
+	for _, r := range records {
+		rec, err := record.Decode(r.Data)
+		if err != nil || r.Offset <= s.Carried || s.changedSince(rec, now) || s.apply(r.Offset, rec) != nil {
+			continue
+		}
+		version = max(version, r.Offset)
+	}
+	s.Offset, s.Version = offset, version
+}
+
+// changedSince reports whether a record of an era has changed the zone or ordered a move
+// of the upstream of a record.
+func (s *State) changedSince(rec record.Record, e int64) bool {
+	switch {
+	case rec.Zone != nil:
+		return era.Of(s.Touched[zoneKey(rec.Zone.Name)].Version) >= e
+	case rec.Move != nil:
+		return slices.ContainsFunc(s.Moves, func(m Move) bool { return m.Upstream == rec.Move.Upstream && era.Of(m.OrderedAt()) >= e })
+	}
+	return false
+}
+
 // Keep adds to s, a state of a later era, what an earlier state holds and s can only lack
 // because the log has lost it: a newer configuration, and what is known of moves that have
 // been ordered again. It reports whether the configuration was kept.
--- a/version/fold/resume_test.go
+++ b/version/fold/resume_test.go
@@ -175,3 +175,30 @@
 		t.Errorf("got %s, want c4 mv3:2/2:running", describe(st))
 	}
 }
+
+// TestAdd guards against what only one daemon has folded before a restore and is lost when
+// it takes over a later state, and against a lost record that undoes a later one.
+func TestAdd(t *testing.T) {
+	for _, tt := range []struct{ name, own, held, after, want string }{
+		{"order", "c1 +a", "c1", "c1 c2", "c2 +a"},
+		{"withdrawal of an order that the others hold", "c1 +a -a", "c1 +a", "c1 +a", "c1"},
+		{"order on a zone that has changed since", "c1 +a", "c1", "c1 +a -a", "c1"},
+		{"move", "c1 mv2", "c1", "c1", "c1 mv2:1/2:running"},
+		{"move of an upstream that has another one since", "c1 mv2", "c1", "c1 mv3", "c1 mv3:2/2:running"},
+		{"configuration", "c1 c3", "c1", "c1 c2", "c3"},
+		{"nothing that the others lack", "c1 +a", "c1 +a", "c1 -a", "c1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			list, end := storedLog(t, 2, tt.after)
+			st, _, ok := foldAll(t, new(fold.State), 1, tt.held).Resume(list, end)
+			if !ok {
+				t.Fatal("got no state")
+			}
+			own, _ := storedLog(t, 1, tt.own)
+			st.Add(own)
+			if got := describe(st); got != tt.want || st.Offset != end {
+				t.Errorf("got %s at %d, want %s at %d", got, st.Offset, tt.want, end)
+			}
+		})
+	}
+}
