control: a restored log that has deleted records

Two daemons of a fleet missed all that was written after a restore, and fleets of 11 stayed at an old version, if the log had deleted the records before they read it again and held only the newest of each key (a store does that after its time of history).

A read that returned no record, or one that differs from what was folded at its number, was taken for the proof that nothing else is new; the new records before it may have been deleted. Now the end of the copy is known only from a record that the state includes, or from the first one of the log; otherwise the newest records are read, and what lies beyond the end of the log is kept as lost. And a state made from the newest records was older than any state that carries something from an earlier era, so it was dropped, or taken and replaced by a peer's in turn. A daemon that adopts it in its own era keeps what it carries, and what it knows of moves.

Not covered: a record that is written again at the number that it had, after others that have been deleted, seems to be a copy.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -575,13 +575,17 @@
 // empty, if that is newer, and tells peers. A daemon that does not serve yet tells only
 // of what comes from the log, because its peers have the state that it gets from them.
 func (c *core) adopt(now time.Time, rnd float64, st *fold.State, peer string) {
+	if peer == "" && era.Of(st.Offset) == era.Of(c.state.Offset) {
+		// What the daemon keeps from earlier eras is not on the log.
+		st.Carried = max(st.Carried, c.state.Carried)
+	}
 	if !positionOf(st).after(c.at()) {
 		return
 	}
 	if era.Of(st.Offset) > era.Of(c.state.Offset) && !c.enterEra(now, st, peer) {
 		return
 	}
-	c.keepOwn(st)
+	c.keepOwn(st, peer)
 	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, cmp.Or(peer, "a snapshot on the log"), c.lag(now))
 	c.setState(now, st)
 	if peer == "" || c.serving {
--- a/process/control/era.go
+++ b/process/control/era.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
@@ -55,7 +56,7 @@
 	case ok:
 		c.event(now, timeline.KindLog, next.Offset, "the log has been restored: era %d after offset %d, ending at %d with %d copied and %d new records; what it lost stays in force",
 			era.Of(end), was.Offset, end, len(ev.entries)-len(outcomes), len(outcomes))
-	case era.Number(ev.entries[0].Offset) == 1:
+	case len(ev.entries) > 0 && era.Number(ev.entries[0].Offset) == 1:
 		next, outcomes = &fold.State{Offset: era.Start(end)}, nil
 		for _, e := range ev.entries {
 			outcomes = append(outcomes, next.Apply(e.Offset, e.Data))
@@ -94,29 +95,33 @@
 		return false
 	}
 	kept := false
-	if c.state.Offset > st.Carried {
-		if peer != "" {
-			st.Add(stored(c.raw))
-		}
-		if kept = st.Keep(c.state); peer != "" {
-			st.Carried = c.state.Offset
-		}
+	switch {
+	case peer == "":
+		// Records beyond the end of the log are lost; of the others it is not known.
+		st.Add(stored(slices.DeleteFunc(slices.Clone(c.raw), func(e log.Entry) bool {
+			return era.Number(e.Offset) <= era.Number(st.Offset)
+		})))
+		kept = st.Keep(c.state)
+	case c.state.Offset > st.Carried:
+		st.Add(stored(c.raw))
+		kept, st.Carried = st.Keep(c.state), c.state.Offset
 	}
 	c.event(now, timeline.KindLog, st.Offset, "the log has been restored: era %d after offset %d (newer configuration kept: %t)", era.Of(st.Offset), c.state.Offset, kept)
 	c.startEra()
 	return true
 }
 
-// keepOwn adds to a state that is about to be adopted the records of its era that only
-// this daemon has folded.
-func (c *core) keepOwn(st *fold.State) {
+// keepOwn adds to a state that is about to be adopted, from a peer or from the log if peer
+// is empty, the records of its era that only this daemon has folded, and what it knows of
+// moves that the log holds only as orders.
+func (c *core) keepOwn(st *fold.State, peer string) {
 	if era.Of(st.Offset) == era.Of(c.state.Offset) {
 		for _, e := range c.raw {
 			if e.Offset == st.Offset+1 {
 				st.Apply(e.Offset, e.Data)
 			}
 		}
-		if st.Revision < c.state.Revision {
+		if peer == "" || st.Revision < c.state.Revision {
 			st.Keep(c.state)
 		}
 	}
--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -229,6 +229,7 @@
 func (f *fleet) restore(t *testing.T, n int) {
 	t.Helper()
 	f.era++
+	f.first = min(f.first, int64(n)+1)
 	kept := f.records[:n]
 	f.records = nil
 	for _, e := range kept {
--- a/process/control/restore_test.go
+++ b/process/control/restore_test.go
@@ -65,7 +65,8 @@
 // that do not take new ones in time, or that end with other zones out of service than the
 // operator's, when the log is restored from older copies several times: with records
 // written again before the daemons read the log and after, with daemons that reach either
-// only the log or only their peers, and with readers that restart.
+// only the log or only their peers, with readers that restart, and with records that the log
+// deletes before daemons read them.
 func TestRestoredLogFollowed(t *testing.T) {
 	for _, size := range []struct {
 		daemons int
@@ -148,6 +149,10 @@
 			}
 			o.writeAgain(t, key)
 		}
+		if rng.IntN(4) == 0 {
+			// All records are deleted, or all but the last; the newest of each key stay.
+			f.first = max(f.first, int64(len(f.records)+rng.IntN(2)))
+		}
 		f.logCut = cutBefore
 		back := f.now
 		for range rng.IntN(3) {
--- a/version/fold/resume.go
+++ b/version/fold/resume.go
@@ -21,7 +21,7 @@
 //
 // Resume returns false if the records do not show where the copy ends.
 func (s *State) Resume(records []StoredRecord, end int64) (next *State, outcomes []Outcome, ok bool) {
-	copied, ok := s.copied(records)
+	copied, ok := s.copied(records, end)
 	if !ok {
 		return nil, nil, false
 	}
@@ -47,8 +47,9 @@
 }
 
 // copied returns the number of records that s has folded in an earlier era, and whether
-// that is known.
-func (s *State) copied(records []StoredRecord) (n int, ok bool) {
+// that is known. If none of them is a copy, records between the copy and them may have been
+// deleted, unless they begin with the first one of the log.
+func (s *State) copied(records []StoredRecord, end int64) (n int, ok bool) {
 	known := make(map[int64]Outcome, len(s.Outcomes))
 	for _, out := range s.Outcomes {
 		if !out.Lost {
@@ -61,12 +62,12 @@
 		case !folded:
 			// The outcome has not been kept; a later record may tell.
 		case !out.isOf(r.Data):
-			return n, true
+			return n, n > 0 || era.Number(records[0].Offset) == 1
 		default:
 			n = i + 1
 		}
 	}
-	return n, n > 0 || len(records) == 0
+	return n, n > 0 || era.Number(end) == 0
 }
 
 // isOf reports whether out is the outcome of a record or of a copy of it.
@@ -120,13 +121,20 @@
 	return false
 }
 
-// Keep adds to s, a state of a later era, what an earlier state holds and s can only lack
-// because the log has lost it: a newer configuration, and what is known of moves that have
-// been ordered again. It reports whether the configuration was kept.
+// Keep adds to s, a state made from the newest records of a log, what an earlier state
+// holds and s can only lack because the log does not hold it: a newer configuration that
+// the log has lost, and what is known of moves, also of those that have been ordered again. It reports whether the configuration was kept.
 func (s *State) Keep(earlier *State) bool {
 	for i, m := range s.Moves {
-		if j := earlier.orderedBefore(m.Move, m.ID); j >= 0 && m.State == MoveRunning {
-			s.Moves[i] = earlier.Moves[j]
+		j := slices.IndexFunc(earlier.Moves, func(old Move) bool { return old.OrderedAt() == m.ID })
+		if j < 0 {
+			j = earlier.orderedBefore(m.Move, m.ID)
+		}
+		if j < 0 || m.State != MoveRunning {
+			continue
+		}
+		s.Moves[i] = earlier.Moves[j]
+		if m.ID != s.Moves[i].ID {
 			s.Moves[i].Order = m.ID
 		}
 	}
--- a/version/fold/resume_test.go
+++ b/version/fold/resume_test.go
@@ -153,6 +153,13 @@
 	if next, _, ok := st.Resume(again, againEnd); ok {
 		t.Errorf("got %s, want no state", describe(next))
 	}
+	if next, _, ok := st.Resume(nil, againEnd); ok {
+		t.Errorf("got %s without any record of a log that is not empty, want no state", describe(next))
+	}
+	again, againEnd = storedLog(t, 2, "c1 c2 -a +b c4")
+	if next, _, ok := st.Resume(again[2:], againEnd); ok {
+		t.Errorf("got %s from new records that others may precede, want no state", describe(next))
+	}
 	again, againEnd = storedLog(t, 2, "c1 c2 +a +b")
 	if next, _, ok := st.Resume(again, againEnd); !ok || describe(next) != "c3 +a +b" {
 		t.Errorf("got %v, %v, want c3 +a +b", next, ok)
