control: stop to look for what no peer holds any more

A daemon that hears of a peer whose state includes more of earlier eras fetches it, and asks others if that fails. The log does not hold what is asked for, so if that peer had gone, all that had heard of it would have asked on, twice a second, until the next restore. Now eight peers are asked, and again if the position is told again. TestVanishedPosition failed before (119 fetches in a minute).

Also: the check of the directory ends where there is none, and a clearer name.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -587,6 +587,7 @@
 // runRepairDirectory enters the members that the directory lacks.
 func (c *control) runRepairDirectory(ctx context.Context, a repairDirectory) {
 	if c.directory == nil {
+		c.send(directoryRepaired{era: a.era})
 		return
 	}
 	list, err := c.directory.List(ctx)
@@ -687,7 +688,7 @@
 		case expired && page.First > from:
 			from = page.First
 			continue
-		case expired && back > 0, err == nil && back > 0 && len(got.entries) == 0 && from > page.First && !begins(page.Records, st):
+		case expired && back > 0, err == nil && back > 0 && len(got.entries) == 0 && from > page.First && !startsFolded(page.Records, st):
 			// The copy ends further back.
 			back *= resumeStep
 			from = resumeFrom(st, page.First, back)
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -42,6 +42,8 @@
 	// peer is asked. fetchRetryDelay is the pause after a refused fetch.
 	fetchTimeout    = 400 * time.Millisecond
 	fetchRetryDelay = 60 * time.Millisecond
+	// maxFetchTries is the number of peers that are asked for what only peers can hold.
+	maxFetchTries = 8
 	// maxRawRecords and maxRawBytes bound the encoded records that are kept for
 	// peers to fetch.
 	maxRawRecords = 2048
@@ -251,6 +253,8 @@
 	fetchUntil time.Time
 	fetchUpTo  position
 	fetchPeer  membership.Member
+	// fetchTries counts the peers that were asked in vain for the records up to fetchUpTo.
+	fetchTries int
 	// crossZoneUpTo is the newest position that crossZonePeer, a peer in another
 	// zone, has reported. Its records are fetched from there after
 	// crossZoneFetchAt.
@@ -517,6 +521,9 @@
 		c.crossZoneUpTo, c.crossZonePeer = upTo, to
 		return
 	}
+	if upTo != c.fetchUpTo {
+		c.fetchTries = 0
+	}
 	c.fetchUntil, c.fetchUpTo, c.fetchPeer = now.Add(fetchTimeout), upTo, to
 	c.act(sendFetch{to: to, offset: c.state.Offset + 1, carried: c.state.Carried, upTo: upTo})
 }
@@ -525,6 +532,12 @@
 // leaving or gone.
 func (c *core) fetchElsewhere(now time.Time, rnd float64, ev fetchFailed) {
 	c.fetchUntil = time.Time{}
+	if c.fetchTries++; c.fetchTries >= maxFetchTries && ev.upTo.offset <= c.state.Offset {
+		// The log holds no more than this daemon, and the peer that kept more from
+		// earlier eras is gone.
+		c.fetchUpTo, c.crossZoneUpTo, c.behindSince = position{}, position{}, time.Time{}
+		return
+	}
 	zone := c.table.Self().Zone
 	others := c.table.Random(rnd, 1, func(m membership.Member) bool {
 		return m.Name != ev.to.Name && m.Zone == zone && m.State != membership.Suspect
--- a/process/control/era.go
+++ b/process/control/era.go
@@ -32,8 +32,8 @@
 	return max(first, era.Start(first)+era.Number(st.Offset)+1-back)
 }
 
-// begins reports whether the first of the records is one that a state includes.
-func begins(entries []log.Entry, st *fold.State) bool {
+// startsFolded reports whether the first of the records is one that a state includes.
+func startsFolded(entries []log.Entry, st *fold.State) bool {
 	return len(entries) > 0 && st.Folded(stored(entries[:1])[0])
 }
 
--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -301,7 +301,7 @@
 		start := f.offset(f.first)
 		for back := int64(resumeStep); ; back *= resumeStep {
 			from = resumeFrom(c.state, start, back)
-			if from == start || from <= end && begins(f.records[era.Number(from)-1:], c.state) {
+			if from == start || from <= end && startsFolded(f.records[era.Number(from)-1:], c.state) {
 				break
 			}
 		}
--- a/process/control/updates_test.go
+++ b/process/control/updates_test.go
@@ -175,3 +175,28 @@
 		t.Errorf("got fetches %v, want one of the newest version, %v after the first report", got, 3*pause)
 	}
 }
+
+// TestVanishedPosition guards against a daemon that asks its peers for ever for what a peer
+// kept from an earlier era of the log, when that peer is gone and nobody else has it.
+func TestVanishedPosition(t *testing.T) {
+	c := servingCore(t, 4)
+	now := epoch
+	hear := func() {
+		c.handle(exchangeReceived{&wirev1.ExchangeRequest{From: toWire(testMember("d9", "a")), Offset: c.state.Offset, Carried: 1}}, now, 0.5)
+	}
+	asked := func(d time.Duration) (fetches int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(tickPeriod) {
+			_, actions := c.handle(tick{sinceBoot: now.Sub(epoch)}, now, 0.5)
+			fetches += len(find[sendFetch](actions))
+		}
+		return fetches
+	}
+	hear()
+	if got := asked(time.Minute); got < 2 || got > maxFetchTries {
+		t.Errorf("got %d fetches in a minute, want 2 to %d", got, maxFetchTries)
+	}
+	hear()
+	if got := asked(time.Minute); got < 2 {
+		t.Errorf("got %d fetches after the position was told again, want at least 2", got)
+	}
+}
