control: look for the end of a copy no further back than the oldest record

A restored log that answers the read of its oldest record with ErrExpired was read 22 times in a row, further and further back, before the read failed (TestReadEndsAtFirst).

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -688,7 +688,7 @@
 		case expired && page.First > from:
 			from = page.First
 			continue
-		case expired && back > 0, err == nil && back > 0 && len(got.entries) == 0 && from > page.First && !startsFolded(page.Records, st):
+		case back > 0 && from > page.First && (expired || err == nil && len(got.entries) == 0 && !startsFolded(page.Records, st)):
 			// The copy ends further back.
 			back *= resumeStep
 			from = resumeFrom(st, page.First, back)
--- a/process/control/logend_test.go
+++ b/process/control/logend_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -272,3 +273,38 @@
 		t.Errorf("the second read waits %v, want up to %v", got, want)
 	}
 }
+
+// goneLog is a restored log that answers each read with ErrExpired.
+type goneLog struct {
+	log.Log
+	reads atomic.Int64
+}
+
+func (l *goneLog) Read(context.Context, string, int64, time.Time) (log.Page, error) {
+	l.reads.Add(1)
+	return log.Page{First: 1_000_000_000_001}, log.ErrExpired
+}
+
+// TestReadEndsAtFirst guards against a read of a restored log that looks for the end of the
+// copy further and further back, beyond the oldest record.
+func TestReadEndsAtFirst(t *testing.T) {
+	l := new(goneLog)
+	c := New(WithSelf(testMember("d1", "a")), WithLog(l), WithCompactedLog()).(*control)
+	defer c.Stop()
+	if _, err := ask[int64](c, recordsArrived{entries: timedRecords(t), first: 1, next: 3, asked: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.readOnce(true)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if !errors.Is(err, log.ErrExpired) || l.reads.Load() > 3 {
+			t.Errorf("got %v after %d reads, want %v after 3 at most", err, l.reads.Load(), log.ErrExpired)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatalf("the read does not end; %d reads so far", l.reads.Load())
+	}
+}
