--- a/process/control/restore_test.go
+++ b/process/control/restore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -205,3 +206,25 @@
 		}
 	}
 }
+
+// TestLateReadOfEra guards against a read that began before a restore and is handed over
+// after the daemon has met the new era.
+func TestLateReadOfEra(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	f.write(t)
+	f.write(t)
+	late := recordsArrived{entries: slices.Clone(f.records), first: 1, next: 4, asked: epoch}
+	c := f.cores[f.names[0]]
+	f.restore(t, 1)
+	f.write(t)
+	now := epoch.Add(time.Second)
+	c.handle(recordsArrived{entries: f.records, first: f.offset(1), next: f.end() + 1, asked: now}, now, 0)
+	st := c.state
+	if st.Offset != f.end() || st.Revision != f.revision {
+		t.Fatalf("got offset %d and revision %d, want %d and %d", st.Offset, st.Revision, f.end(), f.revision)
+	}
+	end := c.logEnds.newest
+	if _, actions := c.handle(late, now.Add(time.Second), 0); c.state != st || c.logEnds.newest != end {
+		t.Errorf("got state at %d, end %+v and %d actions from a read of an era that is over, want offset %d and end %+v", c.state.Offset, c.logEnds.newest, len(actions), st.Offset, end)
+	}
+}
