--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -381,7 +381,7 @@
 	if grace := time.Duration(d.currentSettings.Load().GraceSeconds * float64(time.Second)); grace > 0 {
 		delay, answer, timeout = grace*graceDelayPercent/100, grace*graceAnswerPercent/100, grace*graceTimeoutPercent/100
 	}
-	d.entry.Leave(began.Add(delay), began.Add(answer))
+	d.entry.Leave(began.Add(answer))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	d.leaving.Store(true)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -116,11 +116,11 @@
 	peers    peer.Pool
 	budgets  sync.Map // upstream name to *retry.Budget
 	finishes sync.WaitGroup
-	// departure is set when the daemon is about to stop, and ended is cancelled by end
-	// when the requests without an answer have to be answered.
-	departure atomic.Pointer[departure]
-	ended     context.Context
-	end       context.CancelFunc
+	// answerBy is set when the daemon is about to stop: all requests have their answers
+	// by then. ended is cancelled by end at that time.
+	answerBy atomic.Pointer[time.Time]
+	ended    context.Context
+	end      context.CancelFunc
 }
 
 // New returns an entry.
--- a/request/entry/leave.go
+++ b/request/entry/leave.go
@@ -9,36 +9,29 @@
 	"github.com/kingcuppitch/kingcuppitch/request"
 )
 
-// departure says until when an entry that is about to stop passes requests on.
-type departure struct {
-	// lastStart is until when a request may arrive, and answerBy when those that have no
-	// answer are answered.
-	lastStart, answerBy time.Time
-}
-
-// expectedTimes is the time that is left for an answer, as a multiple of the mean answer
-// time of its route.
-const expectedTimes = 2
+// expectedTimes is the time that an answer needs, as a multiple of the mean answer time of
+// its route.
+const expectedTimes = 3
 
-// Leave prepares the stop of the entry. Requests that arrive after lastStart, or whose
-// answers are not expected before answerBy, are refused as not run, so that callers send
-// them elsewhere. All that have no answer at answerBy are answered then.
-func (e *Entry) Leave(lastStart, answerBy time.Time) {
-	e.departure.Store(&departure{lastStart, answerBy})
+// Leave prepares the stop of the entry. Requests whose answers are not expected before
+// answerBy are refused as not run, so that callers send them elsewhere. All others have
+// their answers by then.
+func (e *Entry) Leave(answerBy time.Time) {
+	e.answerBy.Store(&answerBy)
 	time.AfterFunc(time.Until(answerBy), e.end)
 }
 
 // limitByDeparture refuses a call that cannot end before the entry stops, and bounds the
 // deadline of all others.
 func (e *Entry) limitByDeparture(call *request.Call, now time.Time) error {
-	d := e.departure.Load()
+	answerBy := e.answerBy.Load()
 	switch {
-	case d == nil:
+	case answerBy == nil:
 		return nil
-	case now.After(d.lastStart), now.Add(expectedTimes * e.loads.mean(call.Route)).After(d.answerBy):
+	case now.Add(expectedTimes * e.loads.mean(call.Route)).After(*answerBy):
 		return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonLeaving, Detail: fmt.Sprintf("daemon %s is about to stop", e.name), RetryAt: now}
-	case d.answerBy.Before(call.Deadline):
-		call.Deadline = d.answerBy
+	case answerBy.Before(call.Deadline):
+		call.Deadline = *answerBy
 	}
 	return nil
 }
