--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -282,6 +282,11 @@
 // The operators write again what it has lost, before daemons call it or later, and publish
 // a version when it is stable.
 func storeRestored(h *harness, rng *rand.Rand) bool {
+	// A copy from before another restore would hold records that the store has lost.
+	if !h.restoring.CompareAndSwap(false, true) {
+		return false
+	}
+	defer h.restoring.Store(false)
 	older := h.store.Copy()
 	configChanged(h, rng)
 	h.sleep(randomDuration(rng, 200*time.Millisecond, 4*time.Second))
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -137,6 +137,8 @@
 	storeStableAt    time.Time
 	// peersCut is set while daemons are cut off from each other.
 	peersCut atomic.Bool
+	// restoring is set from the copy of the store until it has been restored.
+	restoring atomic.Bool
 }
 
 // Run runs a soak. It returns an error if the soak could not be run to its end.
