review: stand-in servers that leave say so in all their answers

Health checks wait for a slot, idle connections end, and the crowd of clients repeats nothing after a 4xx.

--- a/review/platform/crowd.go
+++ b/review/platform/crowd.go
@@ -112,7 +112,8 @@
 		}
 		c.count("status " + strconv.Itoa(status))
 		left := time.Until(until)
-		if status != http.StatusServiceUnavailable && !r.idempotent || left <= 0 {
+		promised := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+		if !promised && (!r.idempotent || status < http.StatusInternalServerError) || left <= 0 {
 			return
 		}
 		time.Sleep(min(wait, left/3))
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -22,6 +22,10 @@
 	// serverQueue is the number of requests that wait for a slot.
 	serverQueue = 48
 	idPath      = "/health"
+	// healthWork is the time of a health check.
+	healthWork = 6 * time.Millisecond
+	// idleFor is how long a server keeps an idle connection, as its answers say.
+	idleFor = 10 * time.Second
 )
 
 // server plays an application server beside a daemon.
@@ -81,7 +85,7 @@
 	s.state = "ready"
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.waiting, s.running = make(chan struct{}, s.slots+serverQueue), make(chan struct{}, s.slots)
-	s.http.Handler = s
+	s.http.Handler, s.http.IdleTimeout = s, idleFor
 	go func() { _ = s.http.Serve(ln) }()
 	go s.heartbeats()
 	s.rec.note("server %s (%s %s) starts beside %s, born %d", s.id, s.service, s.version, s.machine.name, s.born.UnixMilli())
@@ -181,10 +185,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
 	if r.URL.Path == idPath {
-		w.Header().Set("Kingcuppitch-Instance-Id", s.id)
-		if s.isDraining() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		s.serveHealth(w, r)
 		return
 	}
 	id := r.Header.Get("Kingcuppitch-Attempt-Id")
@@ -202,6 +203,7 @@
 		panic(http.ErrAbortHandler) // the connection was closed
 	}
 	h := w.Header()
+	s.setState(h)
 	h.Set("Kingcuppitch-Attempt-Id", id)
 	switch {
 	case status == http.StatusMisdirectedRequest:
@@ -215,6 +217,33 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s\n", s.id, id, s.version)
 }
 
+// setState sets the headers with which a server tells how long it keeps a connection, or
+// that it leaves.
+func (s *server) setState(h http.Header) {
+	if s.isDraining() {
+		h.Set("Server-Leaving", "1")
+		h.Set("Connection", "close")
+		return
+	}
+	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleFor.Seconds())))
+}
+
+// serveHealth answers a health check, which waits for a slot like any other request.
+func (s *server) serveHealth(w http.ResponseWriter, r *http.Request) {
+	s.setState(w.Header())
+	w.Header().Set("Kingcuppitch-Instance-Id", s.id)
+	select {
+	case s.running <- struct{}{}:
+		defer func() { <-s.running }()
+	case <-r.Context().Done():
+		return
+	}
+	time.Sleep(healthWork)
+	if s.isDraining() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // handle runs a request like a server with slots and a queue. A status of 0 means that the
 // caller closed the connection.
 func (s *server) handle(r *http.Request, id string) (status int, ran bool) {
