--- a/review/platform/case_largebody.go
+++ b/review/platform/case_largebody.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"net"
 	"time"
 )
 
@@ -67,6 +69,10 @@
 	}
 	lost, once := make(map[*machine]int), make(map[*machine]int)
 	for _, a := range log.all() {
+		var ne net.Error
+		if errors.As(a.err, &ne) && ne.Timeout() {
+			continue // the client's deadline has passed
+		}
 		if a.kept && a.status == 0 && a.err != nil && ran[a.id] {
 			lost[a.machine]++
 			if !a.route.idempotent {
