The version in force follows from what was ordered, not from what runs

Cause: an upstream of which no move was done has no active version, so the route table took the version that most members run. It left out the target of the running move and of the newest one, but no version taken back before, and it counted members that drain or have left. Relatives, by the same cause:

* An order that replaced another one before the end of that was known lost the end: a completed version was forgotten, and the operator was never told.
* A daemon that started knew the newest order alone, or none once that was gone.
* A configuration that left out the service for a while made it forget the version; an order before the configuration that defines its service was lost.
* A new version with more servers than the old one got all requests between the start of its servers and its order.

Now the state keeps, for each upstream, the target of its last completed move and the versions whose last move ended otherwise; these get nothing until they are ordered again. Before the first completed move the version counts whose instance has run longest, among those that serve and were never ordered. Reports carry both to daemons that start later, which always read them first. An order to the version in force is done at once. The end of a move is stored before anything about the next one, and a move that was replaced can still turn out to have been done.

Ruled out: a verdict that does not reach entries (no request reached v10 between the verdict and the second order) and a wrong source of the second move (empty, as in the first).

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -268,6 +268,8 @@
 	updates updateQueue
 	// routes is the route table of the last view.
 	routes *route.Table
+	// initial holds the initial versions of upstreams, by upstream.
+	initial map[string]initialVersion
 	// dirty requests a new view for traffic at once. stale requests one soon,
 	// because many members may change together.
 	dirty, stale bool
@@ -279,6 +281,7 @@
 	return &core{
 		state: st, routes: route.NewTable(st, nil, self.Zone, self.Region), table: membership.NewTable(self), metrics: set, events: events,
 		peerOffsets: make(map[string]position), decisions: newDecisions(), dirty: true,
+		initial: make(map[string]initialVersion),
 		readers: readersPerZone, announceTimeout: defaultAnnounceTimeout, applyWithin: defaultApplyWithin,
 	}
 }
@@ -392,6 +395,7 @@
 	}
 	c.recheckLog(now, rnd)
 	c.repairDirectory(now)
+	c.noteInitialVersions(now)
 	c.decide(now, rnd)
 }
 
@@ -435,6 +439,7 @@
 	}
 	if len(fresh) > 0 {
 		c.setState(now, st)
+		c.endMovesInForce(now, fresh[0].Offset)
 	}
 	fromLog := ev.next > 0 && era.Of(ev.next) == era.Of(c.state.Offset) && !ev.asked.Before(c.pausedUntil)
 	if fromLog {
@@ -578,7 +583,8 @@
 			c.metrics.Add("control.badSnapshots", 1)
 			continue
 		}
-		c.reportsDue = c.hasOutcomes && len(st.Moves) > 0 && !c.serving
+		// The orders of earlier moves may be gone from the log.
+		c.reportsDue = c.hasOutcomes && !c.serving
 		c.adopt(now, rnd, st, "")
 		return
 	}
@@ -599,6 +605,7 @@
 		return
 	}
 	c.keepOwn(st, peer)
+	c.assumeReported(st, now)
 	c.event(now, timeline.KindVersion, st.Version, "version %d adopted from %s%s", st.Version, cmp.Or(peer, "a snapshot on the log"), c.lag(now))
 	c.setState(now, st)
 	if peer == "" || c.serving {
--- a/process/control/era.go
+++ b/process/control/era.go
@@ -125,9 +125,22 @@
 			st.Keep(c.state)
 		}
 	}
+	for upstream, v := range c.state.Versions {
+		st.MergeVersions(upstream, v)
+	}
 	c.raw, c.rawBytes = nil, 0
 }
 
+// assumeReported notes that the ends of moves in an adopted state that this daemon has
+// not followed itself are reported by those that have.
+func (c *core) assumeReported(st *fold.State, now time.Time) {
+	for _, m := range st.Moves {
+		if m.Within > 0 && m.State != fold.MoveRunning && c.decisions.progress[m.ID] == nil {
+			c.decisions.progressOf(m.ID, now).reported = m.State
+		}
+	}
+}
+
 // startEra forgets what holds for one era only.
 func (c *core) startEra() {
 	c.metrics.Add("control.eras", 1)
--- a/process/control/logend_test.go
+++ b/process/control/logend_test.go
@@ -190,8 +190,8 @@
 		t.Errorf("without peers, while a move runs: got %d reads of the reports, want 1", n)
 	}
 	c.handle(reportsRead{[]Report{{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveTakenBack, Reason: "errors"}}}, now, 0)
-	if got := c.state.TakenBackVersion("booking"); got != "v2" {
-		t.Errorf("got version %q taken back, want v2", got)
+	if !c.state.IsWithdrawn("booking", "v2") {
+		t.Errorf("got versions %+v, want v2 withdrawn", c.state.Versions["booking"])
 	}
 	_, actions = c.handle(recordsArrived{first: 1, next: 3, asked: now}, now, 0)
 	if n := len(find[readReports](actions)); n != 0 {
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"slices"
 	"time"
 
@@ -35,6 +36,10 @@
 	// holdPeriod is how long a move is held after one judge has said so, even if
 	// the other judge does not hold it. It covers the pause between two reports.
 	holdPeriod = 1500 * time.Millisecond
+	// initialSettlePeriod is how long a version must have been the initial one before an
+	// order to it counts as an order to the version in force. The instances of a new
+	// version start shortly before its order.
+	initialSettlePeriod = 5 * time.Second
 	// startTolerance is the largest difference between two start times of a move
 	// that is ignored. A message takes some milliseconds.
 	startTolerance = 100 * time.Millisecond
@@ -49,6 +54,10 @@
 	To     string
 	State  fold.MoveState
 	Reason string
+	// Versions is what the moves of the upstream before this one have decided. It is
+	// stored with the report for daemons that start when the log holds only the order of
+	// this move.
+	Versions fold.Versions
 }
 
 // Outcomes stores the reports of moves. The first end stored for a move is final;
@@ -124,7 +133,7 @@
 			continue
 		}
 		p := d.progressOf(m.ID, now)
-		if m.State == fold.MoveRunning && p.end != "" {
+		if m.State == fold.MoveRunning && p.end != "" || m.Replaced && p.end == fold.MoveDone {
 			_ = st.EndMove(m.ID, p.end, p.reason)
 		}
 	}
@@ -154,12 +163,17 @@
 		c.metrics.Add("control.reportsOfUnknownMoves", 1)
 		return
 	}
-	id := r.Move
+	id, known := r.Move, false
 	for _, m := range c.state.Moves {
-		if m.OrderedAt() == r.Move {
-			id = m.ID
+		switch {
+		case m.OrderedAt() == r.Move:
+			id, known = m.ID, true
+		case m.Upstream == r.Upstream && m.OrderedAt() < r.Move && m.State != fold.MoveRunning:
+			// A stored report replaces those of the moves before.
+			c.decisions.progressOf(m.ID, now).reported = m.State
 		}
 	}
+	c.learnVersions(r, known, now)
 	p := c.decisions.progressOf(id, now)
 	p.reported = r.State
 	if r.State != fold.MoveRunning {
@@ -167,6 +181,57 @@
 	}
 }
 
+// learnVersions adds what a report tells of the versions of its upstream. The log retains
+// only the newest order, so known is false for a report of the order before that one.
+func (c *core) learnVersions(r Report, known bool, now time.Time) {
+	versions := []fold.Versions{r.Versions}
+	if !known {
+		switch r.State {
+		case fold.MoveDone:
+			versions = append(versions, fold.Versions{Active: r.To, Since: r.Move})
+		default:
+			// A move that was still running has been replaced by the newer order.
+			versions = append(versions, fold.Versions{Withdrawn: []string{r.To}})
+		}
+	}
+	st := c.state.Clone()
+	for _, v := range versions {
+		st.MergeVersions(r.Upstream, v)
+	}
+	if !reflect.DeepEqual(st.Versions[r.Upstream], c.state.Versions[r.Upstream]) {
+		c.decisions.setMoveTimes(st, now)
+		c.replaceState(st)
+	}
+}
+
+// endMovesInForce ends the moves that new records ordered to a version that was the
+// initial one long before; first is the offset of the first of these records.
+func (c *core) endMovesInForce(now time.Time, first int64) {
+	for _, m := range c.state.Moves {
+		in := c.initial[m.Upstream]
+		if isTimed(m) && m.ID >= first && in.version == m.To && !in.settledAt.After(now) && c.state.ActiveVersion(m.Upstream) == "" {
+			c.endMove(now, m.ID, fold.MoveDone, "the version was in force already")
+		}
+	}
+}
+
+// initialVersion is the initial version of an upstream; orders to it are done at once
+// from settledAt on.
+type initialVersion struct {
+	version   string
+	settledAt time.Time
+}
+
+// noteInitialVersions notes changes of the initial versions of upstreams.
+func (c *core) noteInitialVersions(now time.Time) {
+	for upstream, version := range c.routes.InitialVersions() {
+		if c.initial[upstream].version != version {
+			c.initial[upstream] = initialVersion{version, now.Add(initialSettlePeriod)}
+			c.event(now, timeline.KindMove, c.state.Offset, "version %s of %s is in force: no move was done yet, and its instances were the first", version, upstream)
+		}
+	}
+}
+
 // endMove records the end of a move. The first known end is final.
 func (c *core) endMove(now time.Time, id int64, end fold.MoveState, reason string) {
 	p := c.decisions.progressOf(id, now)
@@ -225,23 +290,19 @@
 		turn = maxJudges + c.table.ZoneOrder("end")
 	}
 	stagger := time.Duration(turn) * reportStagger
+	waiting := make(map[string]bool)
 	for _, m := range c.state.Moves {
 		p := c.decisions.progress[m.ID]
-		if p == nil || m.Reason != "" && p.end == "" {
+		if p == nil || waiting[m.Upstream] {
 			continue
 		}
-		want, reason := fold.MoveRunning, ""
-		if v, bad := c.decisions.verdicts[m.ID]; bad {
-			want, reason = fold.MoveTakenBack, v.Reason+": "+v.Evidence
-		} else if c.isJudge() && !now.Before(p.heldUntil) && c.decisions.evidence.Done(m, now) {
-			want, reason = fold.MoveDone, "the new version was used to the end without a fault"
-		}
-		if p.end != "" {
-			want, reason = p.end, p.reason
-		}
+		want, reason := c.reportedState(m, p, now)
 		if p.reported == want || p.reported != "" && p.reported != fold.MoveRunning {
 			continue
 		}
+		// Operators read the newest report of an upstream only, so the end of a move is
+		// stored before anything about the next one.
+		waiting[m.Upstream] = true
 		due, ok := c.decisions.reportAfter[m.ID]
 		if !ok || due.state != want {
 			due = reportDue{state: want, at: now.Add(stagger)}
@@ -251,8 +312,26 @@
 			continue
 		}
 		c.decisions.reportAfter[m.ID] = reportDue{state: want, at: now.Add(reportRetryDelay + stagger)}
-		c.act(reportMove{Report{Move: m.OrderedAt(), Upstream: m.Upstream, To: m.To, State: want, Reason: reason}})
+		c.act(reportMove{Report{
+			Move: m.OrderedAt(), Upstream: m.Upstream, To: m.To, State: want, Reason: reason, Versions: c.state.Versions[m.Upstream],
+		}})
+	}
+}
+
+// reportedState returns the state of a move to be reported, and the reason.
+func (c *core) reportedState(m fold.Move, p *progress, now time.Time) (fold.MoveState, string) {
+	v, bad := c.decisions.verdicts[m.ID]
+	switch {
+	case p.end != "":
+		return p.end, p.reason
+	case m.State != fold.MoveRunning:
+		return m.State, m.Reason
+	case bad:
+		return fold.MoveTakenBack, v.Reason + ": " + v.Evidence
+	case c.isJudge() && !now.Before(p.heldUntil) && c.decisions.evidence.Done(m, now):
+		return fold.MoveDone, "the new version was used to the end without a fault"
 	}
+	return fold.MoveRunning, ""
 }
 
 // reportDue is when the state of a move is to be reported.
--- a/process/control/moves_test.go
+++ b/process/control/moves_test.go
@@ -119,8 +119,8 @@
 		t.Fatalf("serving %v before the reports are read, actions %v", c.serving, actions)
 	}
 	c.handle(reportsRead{[]Report{{Move: 2, Upstream: "booking", To: "v2", State: fold.MoveTakenBack, Reason: "errors"}}}, epoch, 0)
-	if !c.serving || c.state.TakenBackVersion("booking") != "v2" {
-		t.Errorf("serving %v, withdrawn version %q, want v2", c.serving, c.state.TakenBackVersion("booking"))
+	if !c.serving || !c.state.IsWithdrawn("booking", "v2") {
+		t.Errorf("serving %v, version v2 withdrawn %v, want both", c.serving, c.state.IsWithdrawn("booking", "v2"))
 	}
 }
 
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -58,10 +58,9 @@
 	// routes holds the routes by host; those of any host have an empty one.
 	routes    map[string][]config.Route
 	instances map[versionKey][]locatedInstance
-	// commonVersion holds the version that most instances of an upstream run, for
-	// upstreams whose configuration names none. The target of a running move and
-	// a version that was taken back do not count.
-	commonVersion map[string]string
+	// initialVersions holds the versions of upstreams before their first move is done,
+	// for those whose configuration names none.
+	initialVersions map[string]string
 }
 
 // versionKey identifies the instances of one version of an upstream.
@@ -118,7 +117,7 @@
 	if t.state == nil || !sameRoutes(t.state.Config.Routes, st.Config.Routes) {
 		next.routes = routesByHost(st.Config.Routes)
 	}
-	next.commonVersion = commonVersions(st, members)
+	next.initialVersions = initialVersions(st, members)
 	next.instances = make(map[versionKey][]locatedInstance)
 	for i := range members {
 		m := &members[i]
@@ -213,40 +212,78 @@
 // Version chooses the version of an upstream by the share of its running move;
 // rnd is in [0,1).
 func (t *Table) Version(upstream string, share func(fold.Move) float64, rnd float64) string {
-	u, ok := t.state.Config.Upstream(upstream)
-	if !ok {
-		return ""
-	}
-	m, ok := t.state.Move(upstream)
-	if !ok {
-		return cmp.Or(u.Active, t.commonVersion[upstream])
-	}
-	if s := share(m); rnd < s && t.hasVersion(upstream, m.To) {
+	if m, ok := t.state.Move(upstream); ok && rnd < share(m) && t.hasVersion(upstream, m.To) {
 		return m.To
 	}
-	return cmp.Or(m.From, t.commonVersion[upstream])
+	return t.InForce(upstream)
+}
+
+// InForce returns the version that receives the traffic of an upstream outside of a
+// move, or an empty string if there is none.
+func (t *Table) InForce(upstream string) string {
+	return cmp.Or(t.state.ActiveVersion(upstream), t.initialVersions[upstream])
+}
+
+// InitialVersions returns the versions in force of the upstreams of which no move was
+// done yet and whose configuration names none.
+func (t *Table) InitialVersions() map[string]string { return t.initialVersions }
+
+// versionUse describes the instances of one version that are in use.
+type versionUse struct {
+	// oldest is the earliest start among the instances; zero if none is known.
+	oldest uint64
+	count  int
 }
 
-// commonVersions returns the version that most instances run, by upstream.
-func commonVersions(st *fold.State, members []membership.Member) map[string]string {
-	count := make(map[versionKey]int)
-	common := make(map[string]string)
+// startsBefore reports whether a version was in use before another one: the instance
+// that has run longest decides, since a new version starts beside the old one and may
+// have more instances. If the starts are equal or unknown, the number decides.
+func (u versionUse) startsBefore(other versionUse) bool {
+	const unknown = math.MaxUint64
+	return cmp.Or(
+		cmp.Compare(cmp.Or(u.oldest, unknown), cmp.Or(other.oldest, unknown)),
+		cmp.Compare(other.count, u.count),
+	) < 0
+}
+
+// initialVersions returns the version that was first in use, by upstream. Instances that
+// drain or have left do not count, nor do versions that moves were ordered to: the
+// target of a running move receives the share of the move, and a withdrawn one nothing.
+func initialVersions(st *fold.State, members []membership.Member) map[string]string {
+	use := make(map[versionKey]versionUse)
+	targets := make(map[string]string)
+	decided := make(map[string]bool)
 	for i := range members {
 		m := &members[i]
-		if m.Service == "" || m.Version == st.TakenBackVersion(m.Service) {
+		if m.State != membership.Ready && m.State != membership.Suspect || m.Service == "" {
 			continue
 		}
-		if mv, ok := st.Move(m.Service); ok && mv.To == m.Version {
+		if _, ok := decided[m.Service]; !ok {
+			decided[m.Service] = st.ActiveVersion(m.Service) != ""
+			if mv, ok := st.Move(m.Service); ok {
+				targets[m.Service] = mv.To
+			}
+		}
+		if target, ok := targets[m.Service]; decided[m.Service] || ok && target == m.Version || st.IsWithdrawn(m.Service, m.Version) {
 			continue
 		}
 		k := versionKey{m.Service, m.Version}
-		count[k]++
-		best := common[m.Service]
-		if n, most := count[k], count[versionKey{m.Service, best}]; best == "" || n > most || n == most && m.Version < best {
-			common[m.Service] = m.Version
+		u := use[k]
+		u.count++
+		if u.oldest == 0 || m.UpstreamIncarnation != 0 && m.UpstreamIncarnation < u.oldest {
+			u.oldest = m.UpstreamIncarnation
+		}
+		use[k] = u
+	}
+	initial := make(map[string]string)
+	for k, u := range use {
+		best, ok := initial[k.upstream]
+		other := use[versionKey{k.upstream, best}]
+		if !ok || u.startsBefore(other) || !other.startsBefore(u) && k.version < best {
+			initial[k.upstream] = k.version
 		}
 	}
-	return common
+	return initial
 }
 
 func (t *Table) hasVersion(upstream, version string) bool {
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -97,6 +97,11 @@
 	Reason   string    `json:"reason,omitempty"`
 	Evidence string    `json:"evidence,omitempty"`
 	EndedAt  time.Time `json:"endedAt"`
+	// Replaced marks a move that counts as taken back because a later order replaced it
+	// before its end was known.
+	Replaced bool `json:"replaced,omitempty"`
+	// InForce marks a move that is done because its target was in force already.
+	InForce bool `json:"inForce,omitempty"`
 }
 
 // Zone is the state of an availability zone: out of service, or in service, where
@@ -127,11 +132,14 @@
 	Carried int64         `json:"carried,omitempty"`
 	Config  config.Config `json:"config"`
 	// Touched holds the last change of each resource, by its key.
-	Touched  map[string]LastChange `json:"touched"`
-	Zones    map[string]Zone       `json:"zones"`
-	Moves    []Move                `json:"moves"`
-	Schedule []Activation          `json:"schedule"`
-	Outcomes []Outcome             `json:"outcomes"`
+	Touched map[string]LastChange `json:"touched"`
+	Zones   map[string]Zone       `json:"zones"`
+	Moves   []Move                `json:"moves"`
+	// Versions holds what the moves of an upstream have decided, by its name, also of
+	// moves that are no longer in Moves. It holds announced upstreams only.
+	Versions map[string]Versions `json:"versions,omitempty"`
+	Schedule []Activation        `json:"schedule"`
+	Outcomes []Outcome           `json:"outcomes"`
 	// Newer counts the skipped records that a newer release wrote.
 	Newer int64 `json:"newer"`
 }
@@ -156,6 +164,7 @@
 	c.Touched = maps.Clone(s.Touched)
 	c.Zones = maps.Clone(s.Zones)
 	c.Moves = slices.Clone(s.Moves)
+	c.Versions = maps.Clone(s.Versions)
 	c.Schedule = slices.Clone(s.Schedule)
 	c.Outcomes = slices.Clone(s.Outcomes)
 	return &c
@@ -306,8 +315,8 @@
 	next.Upstreams = slices.Clone(next.Upstreams)
 	for i := range next.Upstreams {
 		u := &next.Upstreams[i]
-		if old, ok := s.Config.Upstream(u.Name); ok && u.Announced {
-			u.Active = old.Active
+		if u.Announced {
+			u.Active = s.ActiveVersion(u.Name)
 		}
 	}
 	s.Config, s.Revision = next, max(s.Revision, revision)
@@ -405,7 +414,13 @@
 func (s *State) applyMove(offset int64, rec record.Record) error {
 	m := *rec.Move
 	u, ok := s.Config.Upstream(m.Upstream)
-	if !ok {
+	switch {
+	case ok:
+	case m.Within > 0:
+		// The instances announce their versions, and the configuration that defines the
+		// upstream may follow the order.
+		u = config.Upstream{Name: m.Upstream, Announced: true}
+	default:
 		return fmt.Errorf("upstream %q is not defined", m.Upstream)
 	}
 	if i := s.orderedBefore(m, offset); i >= 0 {
@@ -418,6 +433,7 @@
 		}
 	}
 	if u.Announced {
+		u.Active = s.ActiveVersion(m.Upstream)
 		m.From = u.Active
 	}
 	if u.Active != m.From {
@@ -426,7 +442,7 @@
 	if !u.Announced && !slices.Contains(u.Versions, m.To) {
 		return fmt.Errorf("upstream %q has no version %q", m.Upstream, m.To)
 	}
-	if m.From == m.To {
+	if m.From == m.To && !u.Announced {
 		return errors.New("the move has the same version as source and target")
 	}
 	if m.Within <= 0 && !m.DoneBy.After(m.StartAt) {
@@ -434,10 +450,16 @@
 	}
 	for i, other := range s.Moves {
 		if other.Upstream == m.Upstream && other.State == MoveRunning {
-			s.Moves[i].State, s.Moves[i].Reason = MoveTakenBack, fmt.Sprintf("replaced by move %d", offset)
+			s.Moves[i].State, s.Moves[i].Reason, s.Moves[i].Replaced = MoveTakenBack, fmt.Sprintf("replaced by move %d", offset), true
+			s.withdraw(m.Upstream, other.To)
 		}
 	}
-	s.Moves = append(s.Moves, Move{ID: offset, Move: m, State: MoveRunning})
+	next := Move{ID: offset, Move: m, State: MoveRunning}
+	if u.Announced {
+		s.unwithdraw(m.Upstream, m.To)
+		next.follow(m.From)
+	}
+	s.Moves = append(s.Moves, next)
 	s.pruneMoves()
 	return nil
 }
@@ -482,17 +504,23 @@
 		return fmt.Errorf("move %d is not known", end.Move)
 	}
 	m := s.Moves[i]
-	if m.State != MoveRunning {
+	// A move may have been done before the order that replaced it.
+	if m.State != MoveRunning && !(m.Replaced && to == MoveDone) {
 		return fmt.Errorf("move %d has already ended: %s", m.ID, m.State)
 	}
 	s.Moves = slices.Clone(s.Moves)
-	m.State, m.Reason, m.Evidence, m.EndedAt = to, end.Reason, end.Evidence, rec.At
+	m.State, m.Reason, m.Evidence, m.EndedAt, m.Replaced = to, end.Reason, end.Evidence, rec.At, false
 	s.Moves[i] = m
-	if to == MoveDone {
-		u, _ := s.Config.Upstream(m.Upstream)
-		u.Active = m.To
-		s.Config = config.Apply(s.Config, config.Change{Upserts: config.Config{Upstreams: []config.Upstream{u}}})
+	u, defined := s.Config.Upstream(m.Upstream)
+	announced := u.Announced || !defined
+	switch {
+	case to == MoveDone && announced:
+		s.activate(m.Upstream, m.To, m.ID)
+	case to == MoveDone:
+		s.setConfiguredVersion(m.Upstream, m.To)
 		s.setTouched(config.Key{Kind: config.KindUpstream, Name: u.Name}.String(), s.Offset, rec.Author)
+	case announced:
+		s.withdraw(m.Upstream, m.To)
 	}
 	return nil
 }
@@ -533,21 +561,6 @@
 	return s.Config.Preset(name)
 }
 
-// TakenBackVersion returns the target version of the newest move of an upstream
-// if that move was taken back, and an empty string otherwise.
-func (s *State) TakenBackVersion(upstream string) string {
-	for _, m := range slices.Backward(s.Moves) {
-		if m.Upstream != upstream {
-			continue
-		}
-		if m.State == MoveTakenBack {
-			return m.To
-		}
-		break
-	}
-	return ""
-}
-
 // RunningMove returns the running move with the given id.
 func (s *State) RunningMove(id int64) (Move, bool) {
 	for _, m := range s.Moves {
--- a/version/fold/resume.go
+++ b/version/fold/resume.go
@@ -123,7 +123,8 @@
 
 // Keep adds to s, a state made from the newest records of a log, what an earlier state
 // holds and s can only lack because the log does not hold it: a newer configuration that
-// the log has lost, and what is known of moves, also of those that have been ordered again. It reports whether the configuration was kept.
+// the log has lost, and what is known of moves, also of those that have been ordered
+// again. It reports whether the configuration was kept.
 func (s *State) Keep(earlier *State) bool {
 	for i, m := range s.Moves {
 		j := slices.IndexFunc(earlier.Moves, func(old Move) bool { return old.OrderedAt() == m.ID })
@@ -138,6 +139,9 @@
 			s.Moves[i].Order = m.ID
 		}
 	}
+	for upstream, v := range earlier.Versions {
+		s.MergeVersions(upstream, v)
+	}
 	if earlier.Revision > s.Revision {
 		s.Config, s.Schedule, s.Revision = earlier.Config, earlier.Schedule, earlier.Revision
 		return true
