Put every accepted configuration in force, whatever its names and numbers

One name, number or reference outside of them refused the whole record, and the translation refused it for one field of another type. A daemon that started did not become ready. Relatives, by the same cause:

* Names of services, zones and presets; lengths; timeouts above ten minutes; more than 16 attempts; weights that add up to nothing; duplicates; a service that is not defined; limits and rates out of bounds (TestAcceptedConfiguration).
* An order of a move whose duration is missing, not positive or in quotes, and an order for a zone before the first configuration.
* A configuration without routes, after which a daemon never became ready.
* A service without a number of connections got one connection per instance.
* A name with control characters or spaces at its ends does not pass in a header to the host; it is escaped now, and all other names are sent as before, so that daemons of the last build read them.
Events escape control characters.

Config.Usable makes the most of a configuration: it repairs a value, or leaves out one resource, and reports it. Validate remains for the product's own files and changes. What was repaired stands in the state and is shown in the warning of the status, by the counter control.remarks and by one line of the log. MaxTimeout takes the place of the bound of own files as the guard against sums of times that overflow.

Ruled out: the record was read, at once and by all readers ("ignoring malformed record of the operators' topic"), and no route table had the route.

The test passes now; TestAcceptedNames sends requests through two daemons.

Two rows of TestTranslateOther wanted an accepted record to have no effect: a route to a service that is not defined, and a move with a negative duration. The first is now wanted to take effect, the second has given way to a duration in quotes; a configuration that is no configuration at all stays refused.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -479,7 +479,8 @@
 		c.act(readReports{})
 		return
 	}
-	if c.compacted && len(c.state.Config.Routes) == 0 {
+	if c.compacted && len(c.state.Schedule) == 0 {
+		// There is no configuration yet. One without routes is one, too.
 		return
 	}
 	c.startServing(now, "the log")
@@ -618,6 +619,10 @@
 	if c.at().after(positionOf(st)) {
 		return
 	}
+	if len(st.Remarks) > 0 && !slices.Equal(st.Remarks, c.state.Remarks) {
+		c.metrics.Add("control.remarks", int64(len(st.Remarks)))
+		c.event(now, timeline.KindVersion, st.Version, "%s", remarksText(st))
+	}
 	c.decisions.setMoveTimes(st, now)
 	c.replaceState(st)
 	if !c.behindSince.IsZero() {
--- a/process/control/service.go
+++ b/process/control/service.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -117,6 +118,9 @@
 	if c.state.Newer > 0 {
 		res.Warning = strconv.FormatInt(c.state.Newer, 10) + " records of a newer release were skipped; upgrade this daemon"
 	}
+	if len(c.state.Remarks) > 0 {
+		res.Warning = strings.TrimPrefix(res.GetWarning()+"; "+remarksText(c.state), "; ")
+	}
 	for _, m := range c.state.Moves {
 		res.Moves = append(res.Moves, c.moveStatus(m, now))
 	}
@@ -132,6 +136,11 @@
 	return res
 }
 
+// remarksText describes what of the configuration is not in force as it was written.
+func remarksText(st *fold.State) string {
+	return "the configuration is not in force as it was written: " + strings.Join(st.Remarks, "; ")
+}
+
 // moveStatus reports a move with a verdict as taken back even before the verdict is
 // folded, which an outage of the log can delay.
 func (c *core) moveStatus(m fold.Move, now time.Time) *wirev1.MoveStatus {
--- a/process/timeline/timeline.go
+++ b/process/timeline/timeline.go
@@ -17,8 +17,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
 )
 
 // Capacity is the number of events that a daemon keeps.
@@ -112,8 +115,12 @@
 	t.last.Logical++
 }
 
-// Add appends an event that happened at the given time.
+// Add appends an event that happened at the given time. It escapes control characters,
+// which names from elsewhere may contain, so that an event stays one line.
 func (t *Timeline) Add(now time.Time, kind Kind, version int64, detail string) {
+	if strings.ContainsFunc(detail, unicode.IsControl) {
+		detail = strings.Trim(strconv.Quote(detail), `"`)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -233,7 +233,7 @@
 		if err != nil || ms <= 0 {
 			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s: %q is not a positive number of milliseconds", e.headers.Timeout, text)}
 		}
-		if d := now.Add(time.Duration(min(ms, config.MaxAnswerWithin.Milliseconds())) * time.Millisecond); d.Before(deadline) {
+		if d := now.Add(time.Duration(min(ms, config.MaxTimeout.Milliseconds())) * time.Millisecond); d.Before(deadline) {
 			deadline = d
 		}
 	}
--- a/request/wire.go
+++ b/request/wire.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -72,17 +73,17 @@
 // EncodeCall writes the call's metadata into the header of a forwarded call.
 func EncodeCall(c *Call, h http.Header) {
 	h.Set(HeaderRequest, c.ID)
-	h.Set(HeaderRoute, c.Route)
-	h.Set(headerClass, c.Class)
+	h.Set(HeaderRoute, encodeName(c.Route))
+	h.Set(headerClass, encodeName(c.Class))
 	if c.Host != "" {
 		h.Set(headerHost, c.Host)
 	}
-	h.Set(headerUpstream, c.Upstream)
+	h.Set(headerUpstream, encodeName(c.Upstream))
 	if c.Trace != "" {
 		h.Set(headerTrace, c.Trace)
 	}
 	h.Set(headerIdempotent, strconv.FormatBool(c.Idempotent))
-	h.Set(HeaderUpstreamVersion, c.UpstreamVersion)
+	h.Set(HeaderUpstreamVersion, encodeName(c.UpstreamVersion))
 	h.Set(HeaderVersion, strconv.FormatInt(c.Version, 10))
 	left := time.Until(c.Deadline)
 	left -= min(left/returnMarginDivisor, maxReturnMargin)
@@ -95,13 +96,39 @@
 	}
 }
 
+// escapedName marks a name that is escaped because a header cannot carry it.
+const escapedName = "%!"
+
+// encodeName returns the form of a name in a header. Only names that a header does not
+// carry unchanged are escaped, so that daemons of earlier releases understand all others.
+func encodeName(name string) string {
+	control := func(r rune) bool { return r < ' ' || r == 0x7f }
+	if !strings.ContainsFunc(name, control) && strings.TrimSpace(name) == name && !strings.HasPrefix(name, escapedName) {
+		return name
+	}
+	return escapedName + url.QueryEscape(name)
+}
+
+// decodeName reverses encodeName.
+func decodeName(text string) string {
+	escaped, ok := strings.CutPrefix(text, escapedName)
+	if !ok {
+		return text
+	}
+	name, err := url.QueryUnescape(escaped)
+	if err != nil {
+		return text
+	}
+	return name
+}
+
 // DecodeCall reads a forwarded call, whose path starts with the given prefix and
 // whose body has at most limit bytes.
 func DecodeCall(r *http.Request, prefix string, now time.Time, limit int64) (c *Call, err error) {
 	c = &Call{
-		ID: r.Header.Get(HeaderRequest), Route: r.Header.Get(HeaderRoute), Class: r.Header.Get(headerClass),
-		UpstreamVersion: r.Header.Get(HeaderUpstreamVersion), Method: r.Method, Host: r.Header.Get(headerHost),
-		Upstream: r.Header.Get(headerUpstream), Trace: r.Header.Get(headerTrace),
+		ID: r.Header.Get(HeaderRequest), Route: decodeName(r.Header.Get(HeaderRoute)), Class: decodeName(r.Header.Get(headerClass)),
+		UpstreamVersion: decodeName(r.Header.Get(HeaderUpstreamVersion)), Method: r.Method, Host: r.Header.Get(headerHost),
+		Upstream: decodeName(r.Header.Get(headerUpstream)), Trace: r.Header.Get(headerTrace),
 		Path: "/" + strings.TrimPrefix(r.URL.RequestURI(), prefix), Header: CleanHeader(r.Header),
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
@@ -131,10 +158,9 @@
 	return c, err
 }
 
-// addMillis adds ms to t, clamped to the longest time limit of a route in either
-// direction, since the number comes from another process and could overflow.
+// addMillis adds ms to t, clamped to the longest time limit in either direction, since the number comes from another process and could overflow.
 func addMillis(t time.Time, ms int64) time.Time {
-	limit := config.MaxAnswerWithin.Milliseconds()
+	limit := config.MaxTimeout.Milliseconds()
 	return t.Add(time.Duration(max(-limit, min(ms, limit))) * time.Millisecond)
 }
 
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -42,6 +42,9 @@
 // a large configuration can have thousands of problems.
 const maxReasonBytes = 1024
 
+// MaxRemarks is the number of remarks on a configuration that the state retains.
+const MaxRemarks = 16
+
 // MaxEndedMoves is the number of ended moves that the state retains.
 const MaxEndedMoves = 256
 
@@ -142,6 +145,9 @@
 	Outcomes []Outcome           `json:"outcomes"`
 	// Newer counts the skipped records that a newer release wrote.
 	Newer int64 `json:"newer"`
+	// Remarks say which parts of the configuration are not in force as its author wrote
+	// them.
+	Remarks []string `json:"remarks,omitempty"`
 }
 
 // LastChange is the version and the author of the last change of a resource.
@@ -166,6 +172,7 @@
 	c.Moves = slices.Clone(s.Moves)
 	c.Versions = maps.Clone(s.Versions)
 	c.Schedule = slices.Clone(s.Schedule)
+	c.Remarks = slices.Clone(s.Remarks)
 	c.Outcomes = slices.Clone(s.Outcomes)
 	return &c
 }
@@ -250,7 +257,7 @@
 	case record.KindPublish:
 		return s.applyPublish(offset, rec)
 	case record.KindReplace:
-		return s.applyReplace(*rec.Replace, rec.Revision)
+		return s.applyReplace(*rec.Replace, rec.Notes, rec.Revision)
 	case record.KindNone:
 		return nil
 	case record.KindPreset:
@@ -304,15 +311,15 @@
 // upstream announce their versions, the version that a move made active stays
 // active. The schedule stays if the new configuration defines all its presets;
 // otherwise the first preset is in force. A configuration of an earlier revision is
-// refused: it comes from a log that has lost the later one.
-func (s *State) applyReplace(next config.Config, revision int64) error {
+// refused: it comes from a log that has lost the later one. Its author has accepted
+// the configuration by rules of its own, so what cannot be used as it is does not keep
+// the rest from being in force; the remarks say what that is. notes are those of the
+// record.
+func (s *State) applyReplace(next config.Config, notes []string, revision int64) error {
 	if revision > 0 && revision < s.Revision {
 		return fmt.Errorf("revision %d is older than revision %d, which is in force", revision, s.Revision)
 	}
-	if err := next.Validate(); err != nil {
-		return err
-	}
-	next.Upstreams = slices.Clone(next.Upstreams)
+	next, problems := next.Usable()
 	for i := range next.Upstreams {
 		u := &next.Upstreams[i]
 		if u.Announced {
@@ -320,6 +327,11 @@
 		}
 	}
 	s.Config, s.Revision = next, max(s.Revision, revision)
+	s.Remarks = slices.Clone(notes)
+	for _, p := range problems {
+		s.Remarks = append(s.Remarks, truncateReason(p.Error()))
+	}
+	s.Remarks = s.Remarks[:min(len(s.Remarks), MaxRemarks)]
 	for _, a := range s.Schedule {
 		if _, ok := next.Preset(a.Name); !ok {
 			s.Schedule = nil
@@ -383,7 +395,8 @@
 	if err := s.checkBase(key, rec.Base); err != nil {
 		return err
 	}
-	if _, ok := s.Config.Zone(rec.Zone.Name); !ok {
+	if _, ok := s.Config.Zone(rec.Zone.Name); !ok && len(s.Config.Zones) > 0 {
+		// Without a configuration, the one that defines the zone may follow.
 		return fmt.Errorf("availability zone %q is not defined", rec.Zone.Name)
 	}
 	if s.Zones == nil {
@@ -587,14 +600,15 @@
 	return json.Marshal(s)
 }
 
-// DecodeState reads the JSON of a state and validates it.
+// DecodeState reads the JSON of a state and makes its configuration usable.
 func DecodeState(data []byte) (s *State, err error) {
 	defer func() { err = eris.Wrap(err, "decode state") }()
 	s = new(State)
 	if err = json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
-	return s, s.Config.Validate()
+	s.Config, _ = s.Config.Usable()
+	return s, nil
 }
 
 // Hash returns a hash of the state, by which daemons compare their states.
--- a/version/record/record.go
+++ b/version/record/record.go
@@ -69,6 +69,8 @@
 	// Revision is the author's own count of whole configurations, which only rises; zero
 	// means that there is none.
 	Revision int64 `json:"revision,omitempty"`
+	// Notes say which parts of a whole configuration could not be read.
+	Notes []string `json:"notes,omitempty"`
 
 	Publish  *config.Change `json:"publish,omitempty"`
 	Preset   *Preset        `json:"preset,omitempty"`
