Bound the memory that the bodies of all calls take up together

What callers saw: a faulty server writes bytes without end in a body.

Cause: entry and host each read the first MiB of an answer, and a request body whole, into buffers that grow by copying; HTTP/2 takes in 4 MiB more of an answer whose caller reads slowly; and the collector knew no limit. Nothing bounded the sum. A streamed answer that never ended counted as a success, so the faulty server got the next request too.

request.Buffers hands out the memory for bodies: half of the machine's memory, at most 64 MiB (settings memoryBytes, bodyBytes), and an eighth of that beyond it for bodies of up to 64 KiB, so large bodies do not keep small ones out. A buffer counts until the collector has freed it, so no path has to give it back. Where there is no room, a request is refused at once with 503 and Retry-After, since it has not run; an answer is streamed from where its buffer ends. Bodies of known length are read into a buffer of that size. A stream between daemons takes in 256 KiB, and the collector runs more often above 80 percent of the memory. A streamed answer that breaks off or does not end by its deadline has failed, at host and entry, and its instance is avoided like any other that fails.

Open: a body sent in chunks needs up to twice its size while it is read, so one above half of the memory for bodies is refused.

--- a/cmd/kingcuppitchd/main.go
+++ b/cmd/kingcuppitchd/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -60,6 +61,9 @@
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: s.Name, Level: hclog.LevelFromString(s.LogLevel), Output: os.Stdout, JSONFormat: true,
 	})
+	if n := s.CollectAbove(); n > 0 {
+		debug.SetMemoryLimit(n)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	opts := []kingcuppitch.Option{kingcuppitch.WithSettings(s), kingcuppitch.WithLogger(logger)}
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -38,6 +38,9 @@
 	// maxResponseHeader bounds the header of a response in bytes. Daemons use the
 	// same limit for the header of a forwarded call.
 	maxResponseHeader = 512 << 10
+	// streamBuffer bounds the bytes of one response that have arrived and are not read
+	// yet, because the caller of the request reads slowly.
+	streamBuffer = 256 << 10
 	// defaultIdleTimeout is the time after which an unused connection is closed.
 	defaultIdleTimeout = time.Minute
 )
@@ -118,8 +121,9 @@
 		},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
+	t.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer}
 	if !p.DisablePings {
-		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+		t.HTTP2.SendPingTimeout, t.HTTP2.PingTimeout = pingAfter, pingTimeout
 	}
 	return t
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -220,13 +220,17 @@
 		controlOpts = append(controlOpts, control.WithLog(log.NewHTTPLog(s.LogAddress)))
 	}
 	d.control = control.New(controlOpts...)
+	buffers := request.NewBuffers(s.BodyMemory())
+	d.metrics.Gauge("bodies.bytes", func() any { return buffers.Used() })
+	d.metrics.Gauge("bodies.refused", func() any { return buffers.Refused() })
 	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
 		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamUnreachable),
-		host.WithLeaving(d.upstreamLeaving),
+		host.WithLeaving(d.upstreamLeaving), host.WithBuffers(buffers),
 		host.WithAnswerLimits(s.Answers.Limits()))
 	entryOpts := []entry.Option{
 		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
 		entry.WithHeaders(headers), entry.WithService(s.Service), entry.WithDecisions(d.decisions),
+		entry.WithBuffers(buffers),
 	}
 	if d.platform == nil {
 		entryOpts = append(entryOpts, entry.WithClaims(d.control.Claims()))
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -105,6 +105,11 @@
 	Bounds Bounds `toml:"bounds"`
 	// Answers limits the size of the upstream's answers.
 	Answers Answers `toml:"answers"`
+	// MemoryBytes is the memory that the daemon may use; zero means that of the machine.
+	MemoryBytes int64 `toml:"memoryBytes"`
+	// BodyBytes bounds the memory for the bodies of all requests and answers together;
+	// zero means half of MemoryBytes and at most DefaultBodyBytes.
+	BodyBytes int64 `toml:"bodyBytes"`
 	// LogLevel is trace, debug, info, warn or error; empty means info.
 	LogLevel string `toml:"logLevel"`
 }
@@ -114,10 +119,11 @@
 	Name, Region, Zone                          string
 	Caller, Peer, Announce, Metrics, Ready, Log netip.AddrPort
 	// Advertise is the address under which other daemons reach Peer.
-	Advertise netip.AddrPort
-	Platform  bool
-	Answers   Answers
-	ApplyMs   int64
+	Advertise              netip.AddrPort
+	Platform               bool
+	Answers                Answers
+	ApplyMs                int64
+	MemoryBytes, BodyBytes int64
 }
 
 // Fixed returns the settings that take effect only at startup.
@@ -125,7 +131,7 @@
 	return Fixed{
 		Name: s.Name, Region: s.Region, Zone: s.Zone, Caller: s.CallerAddress, Peer: s.PeerAddress,
 		Announce: s.AnnounceAddress, Metrics: s.MetricsAddress, Ready: s.ReadyAddress, Log: s.LogAddress, Advertise: s.Advertised(), Platform: s.Platform,
-		Answers: s.Answers, ApplyMs: s.Bounds.ApplyMs,
+		Answers: s.Answers, ApplyMs: s.Bounds.ApplyMs, MemoryBytes: s.MemoryBytes, BodyBytes: s.BodyBytes,
 	}
 }
 
@@ -333,6 +339,12 @@
 	if _, ok := s.Zones[s.Zone]; s.Platform && !ok {
 		report("zones", "the availability zone of the daemon, %q, is missing", s.Zone)
 	}
+	if n := s.MemoryBytes; n != 0 && n < minMemoryBytes {
+		report("memoryBytes", "%d is less than %d bytes", n, minMemoryBytes)
+	}
+	if n := s.BodyBytes; n != 0 && n < minBodyBytes {
+		report("bodyBytes", "%d is less than %d bytes", n, minBodyBytes)
+	}
 	if s.GraceSeconds < 0 {
 		report("graceSeconds", "%v is negative", s.GraceSeconds)
 	}
--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -197,7 +197,13 @@
 	}
 	tr.endAttempt(err, now)
 	if ans != nil && ans.Rest != nil {
-		ans.Rest = &cancelOnClose{ReadCloser: ans.Rest, cancel: cancel}
+		ans.Rest = &streamedRest{ReadCloser: ans.Rest, done: func(broken bool) {
+			if !errors.Is(attemptCtx.Err(), context.Canceled) {
+				// If the caller has left, that says nothing about the instance.
+				e.loads.finishStream(inst.Name, broken, time.Now())
+			}
+			cancel()
+		}}
 	} else {
 		cancel()
 	}
@@ -254,14 +260,23 @@
 	}
 }
 
-// cancelOnClose cancels the context of an attempt when its streamed answer is closed.
-type cancelOnClose struct {
+// streamedRest is the rest of a streamed answer. Close calls done, with true if the rest
+// has broken off or did not end by the deadline.
+type streamedRest struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	broken bool
+	done   func(broken bool)
+}
+
+// Read implements io.Reader.
+func (s *streamedRest) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	s.broken = s.broken || err != nil && !errors.Is(err, io.EOF)
+	return n, err
 }
 
 // Close implements io.Closer.
-func (c *cancelOnClose) Close() error {
-	defer c.cancel()
-	return c.ReadCloser.Close()
+func (s *streamedRest) Close() error {
+	defer s.done(s.broken)
+	return s.ReadCloser.Close()
 }
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -88,6 +88,9 @@
 // WithInternalCallers sets the networks that may use internal routes.
 func WithInternalCallers(p ...netip.Prefix) Option { return func(e *Entry) { e.internal = p } }
 
+// WithBuffers bounds the memory for bodies; host and entry of a daemon share it.
+func WithBuffers(b *request.Buffers) Option { return func(e *Entry) { e.buffers = b } }
+
 // WithHeaders sets the names of the headers that callers use.
 func WithHeaders(n request.Headers) Option { return func(e *Entry) { e.headers = n } }
 
@@ -107,6 +110,7 @@
 	internal []netip.Prefix
 	metrics  *metrics.Set
 	headers  request.Headers
+	buffers  *request.Buffers
 	// decisions may be nil.
 	decisions *decision.Log
 	service   atomic.Pointer[string]
@@ -248,7 +252,7 @@
 	// block the call, and a graceful shutdown, forever.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(deadline)
-	body, err := request.ReadBody(r.Body, limit)
+	body, err := request.ReadBody(r, limit, e.buffers)
 	if err != nil {
 		if !time.Now().Before(deadline) {
 			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonDeadline, Status: http.StatusRequestTimeout, Detail: "the body did not arrive by the deadline"}
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -38,7 +37,7 @@
 		e.metrics.Add("entry.mismatchedAnswers", 1)
 		return nil, unknownRefusal(request.ReasonMismatch, fmt.Sprintf("daemon %s answered request %q", inst.Name, got))
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, request.MaxBody))
+	body, more, err := e.buffers.ReadAnswer(res.Body, res.ContentLength)
 	if err != nil {
 		_ = res.Body.Close()
 		if ctx.Err() != nil {
@@ -61,7 +60,7 @@
 	if length := res.Header.Get("Content-Length"); length != "" {
 		ans.Header.Set("Content-Length", length)
 	}
-	if len(body) < request.MaxBody {
+	if !more {
 		_ = res.Body.Close()
 		return ans, nil
 	}
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -97,6 +97,13 @@
 	in.failureShare, in.failureShareAt = f, now
 }
 
+// avoid marks the instance as failing for a time that doubles with each consecutive
+// failure.
+func (in *instanceLoad) avoid(now time.Time) {
+	in.failingUntil = now.Add(min(minFailingTime<<min(in.consecutiveFailures, 8), maxFailingTime))
+	in.consecutiveFailures++
+}
+
 func (l *loads) get(name string) *instanceLoad {
 	in, ok := l.instances[name]
 	if !ok {
@@ -224,6 +231,11 @@
 		in.report.InFlight = max(0, in.report.InFlight-1)
 		l.observeMean(in, route, ans.Load.Mean, now)
 	}
+	if err == nil && ans.Rest != nil {
+		// The end of the answer tells whether it failed; see finishStream.
+		in.answeredAt = now
+		return
+	}
 	var ref *request.Refusal
 	if failed, known := classifyFailure(ans, err); known {
 		in.observe(now, failed)
@@ -234,9 +246,21 @@
 	case errors.As(err, &ref) && ref.Reason.IsSaturation():
 		in.saturatedUntil = now.Add(saturatedPeriod)
 	case ref != nil && isInstanceFault(ref.Reason):
-		avoidFor := min(minFailingTime<<min(in.consecutiveFailures, 8), maxFailingTime)
-		in.consecutiveFailures++
-		in.failingUntil = now.Add(avoidFor)
+		in.avoid(now)
+	}
+}
+
+// finishStream counts the end of a streamed answer. An answer that breaks off, or goes on
+// until the deadline, has failed, however well it began.
+func (l *loads) finishStream(name string, broken bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in := l.get(name)
+	in.observe(now, broken)
+	if broken {
+		in.avoid(now)
+	} else {
+		in.consecutiveFailures = 0
 	}
 }
 
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -79,6 +79,9 @@
 // WithObserver sets the observer.
 func WithObserver(o Observer) Option { return func(h *Host) { h.observer = o } }
 
+// WithBuffers bounds the memory for bodies; host and entry of a daemon share it.
+func WithBuffers(b *request.Buffers) Option { return func(h *Host) { h.buffers = b } }
+
 // WithHeaders sets the names of the headers that the upstream uses.
 func WithHeaders(n request.Headers) Option { return func(h *Host) { h.headers = n } }
 
@@ -104,6 +107,7 @@
 	observer Observer
 
 	headers   request.Headers
+	buffers   *request.Buffers
 	limits    instance.Limits
 	draining  atomic.Bool
 	calls     calls
@@ -420,8 +424,22 @@
 // streamedBody calls done at the end of a streamed answer.
 type streamedBody struct {
 	io.ReadCloser
-	once sync.Once
-	done func()
+	// ended and broken say how the last read ended.
+	ended, broken atomic.Bool
+	once          sync.Once
+	done          func()
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.ended.Store(true)
+	case err != nil:
+		b.broken.Store(true)
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/request/host/serve.go
+++ b/request/host/serve.go
@@ -11,7 +11,7 @@
 
 // ServeHTTP serves a call forwarded by the entry of another daemon.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	call, err := request.DecodeCall(r, ForwardPrefix, time.Now(), h.view.Snapshot().BodyLimit())
+	call, err := request.DecodeCall(r, ForwardPrefix, time.Now(), h.view.Snapshot().BodyLimit(), h.buffers)
 	if err != nil {
 		h.metrics.Add("host.malformedCalls", 1)
 		var ref *request.Refusal
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -51,17 +50,37 @@
 		cancel()
 		return ans, err
 	}
-	rest := &streamedBody{ReadCloser: ans.Rest, done: func() {
+	rest := &streamedBody{ReadCloser: ans.Rest}
+	rest.done = func() {
+		uc.endStream(ctx, rest)
 		uc.finish()
 		cancel()
 		h.calls.end()
-	}}
+	}
 	// A caller that does not read must not hold the slot beyond the deadline.
 	context.AfterFunc(ctx, func() { rest.once.Do(rest.done) })
 	ans.Rest = rest
 	return ans, nil
 }
 
+// endStream takes the end of a streamed answer into the result of the call. An answer that
+// breaks off, or goes on until the deadline, has failed.
+func (uc *upstreamCall) endStream(ctx context.Context, rest *streamedBody) {
+	switch {
+	case rest.ended.Load():
+		return
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		uc.result.Expired = true
+		uc.host.metrics.Add("host.endlessAnswers", 1)
+	case errors.Is(ctx.Err(), context.Canceled):
+		uc.cancelled = true
+	case rest.broken.Load():
+		uc.result.Failed, uc.lost = true, true
+		uc.host.metrics.Add("host.truncatedAnswers", 1)
+	}
+	uc.completed = false
+}
+
 // finish reports the call to the limiter and to the observer.
 func (uc *upstreamCall) finish() {
 	now := time.Now()
@@ -121,8 +140,7 @@
 	return uc.readAnswer(ctx, res.Response)
 }
 
-// readAnswer reads the answer; of a long answer it reads the first request.MaxBody
-// bytes.
+// readAnswer reads the answer; of a long answer it reads the first bytes.
 func (uc *upstreamCall) readAnswer(ctx context.Context, res *http.Response) (*request.Answer, error) {
 	if !uc.host.headers.CallerNamesID {
 		// The id belongs to the attempt; the caller may have sent one of its own.
@@ -132,8 +150,9 @@
 	if !uc.isWrongInstance(res.StatusCode) {
 		uc.observeStatement(uc.host.headers.Statement(res.Header))
 	}
-	var err error
-	if ans.Body, err = io.ReadAll(io.LimitReader(res.Body, request.MaxBody)); err != nil {
+	body, more, err := uc.host.buffers.ReadAnswer(res.Body, res.ContentLength)
+	ans.Body = body
+	if err != nil {
 		_ = res.Body.Close()
 		uc.result.Failed, uc.lost = true, ctx.Err() == nil
 		uc.host.metrics.Add("host.truncatedAnswers", 1)
@@ -152,7 +171,7 @@
 	uc.completed = !uc.result.Failed && !uc.result.Shed
 	ans.Load = uc.host.load()
 	ans.Load.Mean = uc.host.meanTimes.of(uc.call.Route)
-	if len(ans.Body) < request.MaxBody {
+	if !more {
 		_ = res.Body.Close()
 		return ans, nil
 	}
--- a/request/request.go
+++ b/request/request.go
@@ -85,7 +85,10 @@
 	ReasonOverload   Reason = "overload"
 	// ReasonRateLimit means that the instance gets as many requests per second as it
 	// says that it takes.
-	ReasonRateLimit     Reason = "rateLimit"
+	ReasonRateLimit Reason = "rateLimit"
+	// ReasonNoRoom means that the bodies of other calls take up the daemon's memory for
+	// bodies.
+	ReasonNoRoom        Reason = "noRoom"
 	ReasonLeaving       Reason = "leaving"
 	ReasonZoneOut       Reason = "zoneOut"
 	ReasonDeadline      Reason = "deadline"
@@ -116,8 +119,11 @@
 	ReasonBodyNotKept Reason = "bodyNotKept"
 )
 
-// IsSaturation reports whether the reason means that the instance has no room.
-func (r Reason) IsSaturation() bool { return r == ReasonOverload || r == ReasonRateLimit }
+// IsSaturation reports whether the reason means that the instance, or the daemon beside
+// it, has no room.
+func (r Reason) IsSaturation() bool {
+	return r == ReasonOverload || r == ReasonRateLimit || r == ReasonNoRoom
+}
 
 // Refusal is an error that carries the outcome that is reported to the caller.
 type Refusal struct {
@@ -230,7 +236,7 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Body holds the whole body, or its first MaxBody bytes.
+	// Body holds the whole body, or its first bytes.
 	Body []byte
 	// Rest streams what follows Body; nil if Body is the whole body.
 	Rest io.ReadCloser
--- a/request/wire.go
+++ b/request/wire.go
@@ -124,7 +124,7 @@
 
 // DecodeCall reads a forwarded call, whose path starts with the given prefix and
 // whose body has at most limit bytes.
-func DecodeCall(r *http.Request, prefix string, now time.Time, limit int64) (c *Call, err error) {
+func DecodeCall(r *http.Request, prefix string, now time.Time, limit int64, buffers *Buffers) (c *Call, err error) {
 	c = &Call{
 		ID: r.Header.Get(HeaderRequest), Route: decodeName(r.Header.Get(HeaderRoute)), Class: decodeName(r.Header.Get(headerClass)),
 		UpstreamVersion: decodeName(r.Header.Get(HeaderUpstreamVersion)), Method: r.Method, Host: r.Header.Get(headerHost),
@@ -154,7 +154,7 @@
 	if c.Version, err = strconv.ParseInt(r.Header.Get(HeaderVersion), 10, 64); err != nil {
 		return nil, fmt.Errorf("header %s: %w", HeaderVersion, err)
 	}
-	c.Body, err = ReadBody(r.Body, limit)
+	c.Body, err = ReadBody(r, limit, buffers)
 	return c, err
 }
 
@@ -164,9 +164,17 @@
 	return t.Add(time.Duration(max(-limit, min(ms, limit))) * time.Millisecond)
 }
 
-// ReadBody reads a request body of at most limit bytes.
-func ReadBody(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+// roomRetryAfter is when a request for whose body there was no room is worth repeating.
+// The bodies in the way belong to calls that mostly end within a second.
+const roomRetryAfter = time.Second
+
+// ReadBody reads the body of a request, at most limit bytes. If there is no room for it,
+// the request is refused at once.
+func ReadBody(r *http.Request, limit int64, buffers *Buffers) ([]byte, error) {
+	body, _, err := buffers.read(r.Body, min(r.ContentLength, limit), limit+1)
+	if errors.Is(err, ErrNoRoom) {
+		return nil, &Refusal{Outcome: NotRun, Reason: ReasonNoRoom, Detail: err.Error(), RetryAt: time.Now().Add(roomRetryAfter)}
+	}
 	if err != nil {
 		return nil, &Refusal{Outcome: NotRun, Reason: ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
 	}
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -29,7 +29,7 @@
 			r.Header.Set(name, value)
 		}
 		now := time.Unix(1_800_000_000, 0)
-		c, err := DecodeCall(r, "/forward/", now, MaxBody)
+		c, err := DecodeCall(r, "/forward/", now, MaxBody, nil)
 		if err != nil {
 			return
 		}
@@ -150,7 +150,7 @@
 			t.Errorf("name %q: %v", tt.name, err)
 			continue
 		}
-		got, err := DecodeCall(received, "/forward/", time.Now(), MaxBody)
+		got, err := DecodeCall(received, "/forward/", time.Now(), MaxBody, nil)
 		if err != nil || got.Route != tt.name || got.Class != tt.name || got.Upstream != tt.name || got.UpstreamVersion != tt.name || got.Idempotent {
 			t.Errorf("name %q: got %+v, error %v", tt.name, got, err)
 		}
--- a/version/config/usable.go
+++ b/version/config/usable.go
@@ -45,7 +45,7 @@
 // clamp returns v, or the nearest bound if v is outside of them. A value that is not a
 // number becomes the lower bound.
 func clamp[T cmp.Ordered](r *repair, kind Kind, name, key string, v, low, high T) T {
-	bounded := v
+	var bounded T
 	switch {
 	case cmp.Less(v, low):
 		bounded = low
--- a/version/fold/fold.go
+++ b/version/fold/fold.go
@@ -518,7 +518,7 @@
 	}
 	m := s.Moves[i]
 	// A move may have been done before the order that replaced it.
-	if m.State != MoveRunning && !(m.Replaced && to == MoveDone) {
+	if m.State != MoveRunning && (!m.Replaced || to != MoveDone) {
 		return fmt.Errorf("move %d has already ended: %s", m.ID, m.State)
 	}
 	s.Moves = slices.Clone(s.Moves)
