--- a/process/timeline/timeline.go
+++ b/process/timeline/timeline.go
@@ -119,7 +119,8 @@
 // which names from elsewhere may contain, so that an event stays one line.
 func (t *Timeline) Add(now time.Time, kind Kind, version int64, detail string) {
 	if strings.ContainsFunc(detail, unicode.IsControl) {
-		detail = strings.Trim(strconv.Quote(detail), `"`)
+		quoted := strconv.Quote(detail)
+		detail = quoted[1 : len(quoted)-1]
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
