Accept connections of callers again after a lack of descriptors

Cause: the server of callers' connections returned every error of Accept but a timeout, and the daemon took it for the failure of its listener. Nothing bounded the connections of callers.

An error that passes is counted, logged once for as long as it lasts, and followed by a growing pause. The longest idle connections are closed then, and when callers have three quarters of the descriptors, so the daemon's own work keeps some.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -66,6 +66,14 @@
 	Limits func() Limits
 	// Logger may be nil.
 	Logger hclog.Logger
+	// MaxConns is the number of connections above which the longest idle ones are
+	// closed; zero means no bound.
+	MaxConns int
+	// Count adds to a counter; it may be nil.
+	Count func(name string, n int64)
+
+	// closeIdleAfter is when idle connections may be closed again; only Serve uses it.
+	closeIdleAfter time.Time
 
 	mu           sync.Mutex
 	listener     net.Listener
@@ -75,33 +83,9 @@
 	wg           sync.WaitGroup
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
-	s.mu.Lock()
-	s.listener = l
-	if s.conns == nil {
-		s.conns = make(map[*conn]bool)
-	}
-	s.mu.Unlock()
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return http.ErrServerClosed
-		}
-		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
-				continue
-			}
-			return err
-		}
-		s.start(nc)
-	}
-}
-
 func (s *Server) start(nc net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel, lr: io.LimitedReader{R: nc, N: math.MaxInt64}, bw: bufio.NewWriterSize(nc, bufferSize)}
+	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel, lr: io.LimitedReader{R: nc, N: math.MaxInt64}, bw: bufio.NewWriterSize(nc, bufferSize), idleSince: time.Now()}
 	c.br = bufio.NewReaderSize(&c.lr, bufferSize)
 	c.idle = sync.NewCond(&c.mu)
 	s.mu.Lock()
@@ -200,6 +184,10 @@
 	// reading is set while a request is being read. closed is set once no further
 	// request is accepted.
 	reading, closed bool
+	// ending is set once the connection was asked to close for want of a request.
+	ending bool
+	// idleSince is since when the connection has been without a request.
+	idleSince time.Time
 	// finalRequest is the number of the request whose response ends the connection;
 	// zero means none so far.
 	finalRequest int
@@ -336,6 +324,7 @@
 	if c.pending > 0 {
 		return
 	}
+	c.ending = true
 	wait := time.Duration(0)
 	if c.received == 0 {
 		wait = firstRequestTimeout
@@ -379,7 +368,7 @@
 		c.mu.Unlock()
 		return nil
 	}
-	c.reading = false
+	c.reading, c.ending = false, false
 	c.pending++
 	c.received++
 	turn := c.tail
@@ -408,6 +397,7 @@
 	c.mu.Lock()
 	c.pending--
 	idle := c.pending == 0
+	c.idleSince = time.Now()
 	c.mu.Unlock()
 	close(done)
 	c.idle.Broadcast()
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -11,12 +11,14 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -295,7 +297,7 @@
 	}
 	vars := http.NewServeMux()
 	vars.Handle("GET /debug/vars", d.metrics)
-	d.callers = &caller.Server{Handler: d.entry, Limits: d.callerLimits, Logger: d.logger}
+	d.callers = &caller.Server{Handler: d.entry, Limits: d.callerLimits, Logger: d.logger, MaxConns: maxCallerConns(), Count: d.metrics.Add}
 	list := []server{
 		{name: "callers", httpServer: d.callers},
 		{name: "announcements", httpServer: d.newShortServer(announce)},
@@ -343,6 +345,20 @@
 	return s
 }
 
+// callerShare is the share of the descriptors of the process that the connections of
+// callers may take; the rest is for the upstream, peers, the log and files.
+const callerShare = 0.75
+
+// maxCallerConns returns the number of connections of callers above which idle ones are
+// closed, or zero if the number of descriptors is not known.
+func maxCallerConns() int {
+	var lim syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
+		return 0
+	}
+	return int(callerShare * float64(min(lim.Cur, math.MaxInt32)))
+}
+
 // callerLimits returns the limits on caller connections from the configuration, with
 // defaults for limits that are not set.
 func (d *Daemon) callerLimits() caller.Limits {
