Take no lock of the server while a request is read

Cause: two locks in both orders. closeLongestIdle held the server's and asked each connection for its own; awaitBytes held the connection's and asked isClosing for the server's. Any request that arrived while the connections were walked stopped both, then all others that asked whether keep-alives are disabled.

Evidence: TestBoundReachedInUse on: 0 requests served in 2 s; its dump has one goroutine in idleFrom below closeLongestIdle and 91 in isClosing. Ruled out: the accept loop alone (kept connections got no answer either), the handlers (none of them waited).

Change: requests read closing and noKeepAlives as atomics; whoever looks at all connections copies the set first. No goroutine holds both kinds of lock, so there is no order to break; the declarations say so.

Measured: the test fails before by its own deadline, passes after, also with -race.

--- a/connection/caller/accept.go
+++ b/connection/caller/accept.go
@@ -101,15 +101,14 @@
 		*conn
 		since time.Time
 	}
-	s.mu.Lock()
+	list := s.list()
 	var idle []idleConn
-	for c := range s.conns {
+	for _, c := range list {
 		if since, ok := c.idleFrom(); ok {
 			idle = append(idle, idleConn{c, since})
 		}
 	}
-	n := max(1, len(s.conns)/idleDivisor)
-	s.mu.Unlock()
+	n := max(1, len(list)/idleDivisor)
 	slices.SortFunc(idle, func(a, b idleConn) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
 	idle = idle[:min(n, len(idle))]
 	for _, c := range idle {
@@ -118,6 +117,17 @@
 	s.count("callers.idleClosed", int64(len(idle)))
 }
 
+// list returns the open connections.
+func (s *Server) list() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
 // idleFrom returns since when the connection has been without a request; false if it has
 // one, or is about to close.
 func (c *conn) idleFrom() (time.Time, bool) {
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -27,6 +27,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -75,12 +76,15 @@
 	// closeIdleAfter is when idle connections may be closed again; only Serve uses it.
 	closeIdleAfter time.Time
 
-	mu           sync.Mutex
-	listener     net.Listener
-	conns        map[*conn]bool
-	noKeepAlives bool
-	closing      bool
-	wg           sync.WaitGroup
+	// noKeepAlives and closing are read by requests, which take no lock of the server.
+	noKeepAlives, closing atomic.Bool
+
+	// mu guards the set of connections. No other lock is taken while it is held, and it
+	// is not taken while a conn.mu is held.
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]bool
+	wg       sync.WaitGroup
 }
 
 func (s *Server) start(nc net.Conn) {
@@ -103,40 +107,21 @@
 
 // DisableKeepAlives makes the response to the newest request of each connection end
 // the connection.
-func (s *Server) DisableKeepAlives() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.noKeepAlives = true
-}
-
-func (s *Server) keepAlivesDisabled() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.noKeepAlives
-}
-
-func (s *Server) isClosing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closing
-}
+func (s *Server) DisableKeepAlives() { s.noKeepAlives.Store(true) }
 
 // Shutdown closes the listener and all connections without a request. It waits until
 // all requests that were read have their response.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.noKeepAlives.Store(true)
+	s.closing.Store(true)
 	s.mu.Lock()
-	s.noKeepAlives, s.closing = true, true
 	l := s.listener
-	list := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		list = append(list, c)
-	}
 	s.mu.Unlock()
 	var err error
 	if l != nil {
 		err = l.Close()
 	}
-	for _, c := range list {
+	for _, c := range s.list() {
 		c.closeIdle()
 	}
 	done := make(chan struct{})
@@ -176,6 +161,7 @@
 	br     *bufio.Reader
 	bw     *bufio.Writer
 
+	// mu guards the state of the connection. No other lock is taken while it is held.
 	mu sync.Mutex
 	// idle is signalled when a request ends.
 	idle *sync.Cond
@@ -280,11 +266,11 @@
 		}
 		closed, busy, fresh := c.closed, c.pending > 0, c.received == 0
 		c.mu.Unlock()
-		if closed || c.server.isClosing() && !fresh && !busy {
+		if closed || c.server.closing.Load() && !fresh && !busy {
 			return false
 		}
 		wait := c.server.Limits().IdleWithin + idleSlack
-		if c.server.isClosing() && fresh {
+		if c.server.closing.Load() && fresh {
 			wait = firstRequestTimeout
 		}
 		c.lr.N = math.MaxInt64
@@ -295,7 +281,7 @@
 			defer c.mu.Unlock()
 			// A further request on a connection is not read while the server shuts
 			// down; the caller sends it to another daemon.
-			if c.server.isClosing() && c.received > 0 {
+			if c.server.closing.Load() && c.received > 0 {
 				c.closed = true
 			}
 			c.reading = !c.closed
@@ -401,7 +387,7 @@
 	c.mu.Unlock()
 	close(done)
 	c.idle.Broadcast()
-	if idle && c.server.isClosing() {
+	if idle && c.server.closing.Load() {
 		c.closeIdle()
 	}
 }
--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -197,7 +197,7 @@
 // response to the newest request may end it.
 func (w *response) finalizeConnection(h http.Header) bool {
 	c := w.conn
-	noKeepAlives := c.server.keepAlivesDisabled()
+	noKeepAlives := c.server.noKeepAlives.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ends := w.req.Close || w.closeAfter.Load() || strings.EqualFold(h.Get("Connection"), "close") || !w.body.ended() ||
