Keep all listeners open through failures that pass

What callers would see: a daemon that ends, and all that it carries with it, because an accept on its listener for peers, announcements, metrics or readiness fails for want of memory in the kernel.

Cause: net/http goes on after EMFILE and ENFILE, but returns ENOBUFS, ENOMEM and EPROTO, and the daemon takes that for the end of the listener. Only the listener for callers had been changed.

Change: connection/listener waits and tries again for every listener.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -23,6 +23,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/kingcuppitch/kingcuppitch/connection/caller"
+	"github.com/kingcuppitch/kingcuppitch/connection/listener"
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/decision"
@@ -254,8 +255,12 @@
 	}
 	failed := make(chan error, len(d.servers))
 	for _, s := range d.servers {
+		l := s.listener
+		if s.name != "callers" {
+			l = &listener.Listener{Listener: l, Name: s.name, Logger: d.logger, Count: d.metrics.Add}
+		}
 		go func() {
-			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- eris.Wrapf(err, "serve %s", s.name)
 			}
 		}()
--- a/process/daemon/listener.go
+++ b/process/daemon/listener.go
@@ -9,10 +9,10 @@
 	"syscall"
 )
 
-// listener still returns the connections that are in the accept queue of the kernel
+// drainingListener still returns the connections that are in the accept queue of the kernel
 // when it is closed. The kernel would reset connections left in the queue, although a
 // caller may have sent a request on them.
-type listener struct {
+type drainingListener struct {
 	*net.TCPListener
 	mu      sync.Mutex
 	closed  bool
@@ -25,12 +25,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &listener{TCPListener: ln.(*net.TCPListener)}, nil
+	return &drainingListener{TCPListener: ln.(*net.TCPListener)}, nil
 }
 
 // Accept implements net.Listener. After Close it first returns the connections that
 // were in the accept queue.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *drainingListener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	if err == nil {
 		return c, nil
@@ -45,7 +45,7 @@
 }
 
 // Close implements net.Listener; a second call does nothing.
-func (l *listener) Close() error {
+func (l *drainingListener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
