Keep room for requests when callers have more connections than the daemon may have

What callers saw: with 1,000 descriptors and 1,300 connections on which callers send nothing, half a header or a part of a body, requests of others are not answered, and 503 for 'too many open files' on dials to peers and to the own upstream.

Cause: only idle connections were closed, and accepting went on until the last descriptor, so callers took those of the daemon's own work. A connection with half a request was never closed, one whose read deadline was set by the reader a moment later kept its old deadline, and the limit of descriptors was read once at the start.

Above that the longest idle ones and those with a part of a header are closed first, then those with a part of a body, then those whose caller does not read its response; a request in hand is never cut. Without one to close, a new connection gets 503 with Retry-After at once; beyond that, connections wait in the queue of the kernel. A request that crosses the end of its idle connection is still served. The limit is read at each use. A connection that is idle has no write buffer. The servers of net/http have bounds of their own.

--- a/connection/caller/accept_test.go
+++ b/connection/caller/accept_test.go
@@ -87,7 +87,7 @@
 			_, _ = io.WriteString(w, "ok")
 		}),
 		Limits:   func() Limits { return Limits{HeaderBytes: 8 << 10, HeaderWithin: time.Second, IdleWithin: time.Minute} },
-		MaxConns: conns,
+		MaxConns: func() int { return conns },
 		Count: func(name string, n int64) {
 			if name == "callers.idleClosed" {
 				closed.Add(n)
@@ -110,7 +110,7 @@
 		}
 		_, _ = io.Copy(io.Discard, res.Body)
 		_ = res.Body.Close()
-		time.Sleep(idlePause / 5)
+		time.Sleep(roomPause / 5)
 	}
 	if closed.Load() < conns {
 		t.Errorf("got %d idle connections closed, want at least %d", closed.Load(), conns)
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -9,9 +9,21 @@
 // still end the connection. The caller would consider the request unread and send
 // it again. The handler of such a request calls AwaitTurn first.
 //
+// Above MaxConns, the server closes connections to make room: first those without a
+// request in hand, the longest idle first, then those whose request body has not
+// arrived, then those whose caller does not read its response. If no connection can be
+// closed, it refuses the requests of new ones.
+//
+// The server answers OPTIONS * itself, so that a process can check that it serves.
+//
 // # Usage
 //
-//	s := &caller.Server{Handler: entry, Limits: func() caller.Limits { return limits }}
+//	s := &caller.Server{
+//		Handler:  entry,
+//		Limits:   func() caller.Limits { return limits },
+//		MaxConns: func() int { return 1000 },
+//		Refuse:   http.HandlerFunc(refuse), // responds beyond MaxConns
+//	}
 //	go s.Serve(listener)
 //	...
 //	s.DisableKeepAlives()  // responses ask callers to use another daemon
@@ -28,6 +40,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -48,6 +61,12 @@
 	// headerSlack is the number of bytes read beyond the header limit, so that the
 	// part of the body in the same buffer does not count.
 	headerSlack = bufferSize
+	// evictedLinger is the period in place of lingerPeriod for a connection for which
+	// there is no room.
+	evictedLinger = 100 * time.Millisecond
+	// crossingPeriod is how long a connection that was closed to make room still accepts
+	// a request that was on its way.
+	crossingPeriod = 20 * time.Millisecond
 	// idleSlack is added to the idle timeout, so that a connection is not closed
 	// just as the caller uses it.
 	idleSlack = time.Second
@@ -67,17 +86,26 @@
 	Limits func() Limits
 	// Logger may be nil.
 	Logger hclog.Logger
-	// MaxConns is the number of connections above which the longest idle ones are
-	// closed; zero means no bound.
-	MaxConns int
+	// MaxConns returns the number of connections above which some are closed, or zero
+	// for no bound; it may be nil.
+	MaxConns func() int
+	// Refuse responds to the requests of connections for which there is no room. If it
+	// is nil, they get status 503.
+	Refuse http.Handler
 	// Count adds to a counter; it may be nil.
 	Count func(name string, n int64)
 
-	// closeIdleAfter is when idle connections may be closed again; only Serve uses it.
-	closeIdleAfter time.Time
-
 	// noKeepAlives and closing are read by requests, which take no lock of the server.
 	noKeepAlives, closing atomic.Bool
+	// full is set while new connections are left in the queue of the kernel.
+	full atomic.Bool
+
+	// roomMu is held by makeRoom, which takes mu and conn.mu one after the other. No
+	// goroutine that serves a connection takes it.
+	roomMu sync.Mutex
+	// roomAfter is when makeRoom may search again, and roomFound what it found last.
+	roomAfter time.Time
+	roomFound bool
 
 	// mu guards the set of connections. No other lock is taken while it is held, and it
 	// is not taken while a conn.mu is held.
@@ -87,9 +115,13 @@
 	wg       sync.WaitGroup
 }
 
-func (s *Server) start(nc net.Conn) {
+func (s *Server) start(nc net.Conn, refused bool) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel, lr: io.LimitedReader{R: nc, N: math.MaxInt64}, bw: bufio.NewWriterSize(nc, bufferSize), idleSince: time.Now()}
+	now := time.Now()
+	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel, lr: io.LimitedReader{R: nc, N: math.MaxInt64}, idleSince: now, refused: refused}
+	if refused {
+		c.endBy = now.Add(firstRequestTimeout)
+	}
 	c.br = bufio.NewReaderSize(&c.lr, bufferSize)
 	c.idle = sync.NewCond(&c.mu)
 	s.mu.Lock()
@@ -151,6 +183,18 @@
 	return w.awaitTurn()
 }
 
+// Evicted reports whether the connection of ctx was closed to make room for others, so
+// that the body of its request does not arrive any more.
+func Evicted(ctx context.Context) bool {
+	w, ok := ctx.Value(turnKey{}).(*response)
+	if !ok {
+		return false
+	}
+	w.conn.mu.Lock()
+	defer w.conn.mu.Unlock()
+	return w.conn.evicted
+}
+
 // conn is one connection. One goroutine reads it, and each request has its own.
 type conn struct {
 	server *Server
@@ -159,9 +203,11 @@
 	cancel context.CancelFunc
 	lr     io.LimitedReader
 	br     *bufio.Reader
-	bw     *bufio.Writer
+	// refused is set if there is no room for the requests of the connection.
+	refused bool
 
-	// mu guards the state of the connection. No other lock is taken while it is held.
+	// mu guards the state of the connection and its deadlines. No other lock is taken
+	// while it is held.
 	mu sync.Mutex
 	// idle is signalled when a request ends.
 	idle *sync.Cond
@@ -170,10 +216,18 @@
 	// reading is set while a request is being read. closed is set once no further
 	// request is accepted.
 	reading, closed bool
-	// ending is set once the connection was asked to close for want of a request.
-	ending bool
-	// idleSince is since when the connection has been without a request.
-	idleSince time.Time
+	// evicted is set once the connection was closed to make room; the response to a
+	// request that arrives all the same ends it.
+	evicted bool
+	// endBy is when the connection ends unless a request arrives, whatever the limits
+	// allow; zero means that the limits decide.
+	endBy time.Time
+	// idleSince is since when the connection has been without a request, headSince since
+	// when a request is being read, and writingSince since when a write to the caller
+	// blocks; writingSince is zero if none does.
+	idleSince, headSince, writingSince time.Time
+	// newest is the response to the last request, or nil if there is none in hand.
+	newest *response
 	// finalRequest is the number of the request whose response ends the connection;
 	// zero means none so far.
 	finalRequest int
@@ -193,15 +247,19 @@
 	for c.pending > 0 {
 		c.idle.Wait()
 	}
+	period := lingerPeriod
+	if c.evicted || c.refused {
+		period = evictedLinger
+	}
 	c.mu.Unlock()
 	c.cancel()
-	c.linger()
+	c.linger(period)
 }
 
 // linger closes the connection without a reset.
-func (c *conn) linger() {
+func (c *conn) linger(period time.Duration) {
 	if tc, ok := c.nc.(interface{ CloseWrite() error }); ok && tc.CloseWrite() == nil {
-		_ = c.nc.SetReadDeadline(time.Now().Add(lingerPeriod))
+		_ = c.nc.SetReadDeadline(time.Now().Add(period))
 		_, _ = io.Copy(io.Discard, c.nc)
 	}
 	_ = c.nc.Close()
@@ -215,13 +273,13 @@
 	}
 	limits := c.server.Limits()
 	c.lr.N = int64(limits.HeaderBytes) + headerSlack
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderWithin))
+	c.readBy(time.Now().Add(limits.HeaderWithin))
 	req, err := http.ReadRequest(c.br)
 	if err != nil {
 		c.refuse(err)
 		return false
 	}
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.headerRead()
 	if c.lr.N <= headerSlack && headerSize(req) > limits.HeaderBytes {
 		c.refuseStatus(http.StatusRequestHeaderFieldsTooLarge)
 		return false
@@ -259,33 +317,14 @@
 
 // awaitBytes waits for the first byte of a request.
 func (c *conn) awaitBytes() bool {
-	for {
-		c.mu.Lock()
-		for c.pending >= maxPipelined && c.ctx.Err() == nil {
-			c.idle.Wait()
-		}
-		closed, busy, fresh := c.closed, c.pending > 0, c.received == 0
-		c.mu.Unlock()
-		if closed || c.server.closing.Load() && !fresh && !busy {
+	for lastLook := false; ; {
+		c.lr.N = math.MaxInt64
+		if !c.awaitIdle(c.server.Limits().IdleWithin + idleSlack) {
 			return false
 		}
-		wait := c.server.Limits().IdleWithin + idleSlack
-		if c.server.closing.Load() && fresh {
-			wait = firstRequestTimeout
-		}
-		c.lr.N = math.MaxInt64
-		_ = c.nc.SetReadDeadline(time.Now().Add(wait))
 		_, err := c.br.Peek(1)
 		if err == nil {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			// A further request on a connection is not read while the server shuts
-			// down; the caller sends it to another daemon.
-			if c.server.closing.Load() && c.received > 0 {
-				c.closed = true
-			}
-			c.reading = !c.closed
-			return c.reading
+			return c.beginHeader()
 		}
 		var ne net.Error
 		if !errors.As(err, &ne) || !ne.Timeout() {
@@ -293,29 +332,142 @@
 			c.cancel()
 			return false
 		}
-		c.mu.Lock()
-		idle := c.pending == 0
-		c.mu.Unlock()
-		if idle {
+		if !c.continues(lastLook) {
 			return false
 		}
+		lastLook = true
 	}
 }
 
+// continues reports whether the connection goes on although no request was read by the
+// deadline: a response is missing, or the connection was closed to make room and a request
+// may have crossed that, unless this was the last look for it.
+func (c *conn) continues(lastLook bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted && c.pending == 0 {
+		arrived := c.hasUnread()
+		period := crossingPeriod
+		if arrived {
+			period = firstRequestTimeout
+		}
+		c.endBy = time.Now().Add(period)
+		return arrived || !lastLook
+	}
+	return c.pending > 0
+}
+
+// hasUnread reports whether data from the caller has arrived, also after the read
+// deadline.
+func (c *conn) hasUnread() (unread bool) {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+		unread = err == nil && n > 0
+	})
+	return unread && err == nil
+}
+
+// awaitIdle waits until a further request may be read, and sets the read deadline for its
+// first byte. It reports whether the connection accepts one.
+func (c *conn) awaitIdle(within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending >= maxPipelined && c.ctx.Err() == nil {
+		c.idle.Wait()
+	}
+	closing, fresh := c.server.closing.Load(), c.received == 0
+	if c.closed || closing && !fresh && c.pending == 0 {
+		return false
+	}
+	if closing && fresh {
+		within = firstRequestTimeout
+	}
+	c.readByLocked(time.Now().Add(within))
+	return true
+}
+
+// beginHeader notes that a request is being read. It reports whether the connection
+// accepts one.
+func (c *conn) beginHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// A further request on a connection is not read while the server shuts down; the
+	// caller sends it to another daemon.
+	if c.server.closing.Load() && c.received > 0 {
+		c.closed = true
+	}
+	c.reading, c.headSince = !c.closed, time.Now()
+	return c.reading
+}
+
+// headerRead removes the read deadline. A connection that was closed to make room still
+// serves a request whose header is complete.
+func (c *conn) headerRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.refused {
+		c.endBy = time.Time{}
+	}
+	c.readByLocked(time.Time{})
+}
+
+// readBy sets the read deadline, or an earlier one if the connection is about to end. Zero
+// means no deadline.
+func (c *conn) readBy(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readByLocked(t)
+}
+
+func (c *conn) readByLocked(t time.Time) {
+	if !c.endBy.IsZero() && (t.IsZero() || c.endBy.Before(t)) {
+		t = c.endBy
+	}
+	_ = c.nc.SetReadDeadline(t)
+}
+
 // closeIdle ends a connection without a pending request by a read deadline. A new
 // connection has firstRequestTimeout left for its first request.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 {
-		return
-	}
-	c.ending = true
-	wait := time.Duration(0)
-	if c.received == 0 {
-		wait = firstRequestTimeout
+	if c.pending == 0 {
+		c.endBy = time.Now()
+		if c.received == 0 {
+			c.endBy = c.endBy.Add(firstRequestTimeout)
+		}
+		c.readByLocked(time.Time{})
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(wait))
+}
+
+// endReading lets the reader stop, since no further request is accepted.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endBy = time.Unix(1, 0)
+	c.readByLocked(time.Time{})
+}
+
+// Write writes to the caller and notes for how long that takes.
+func (c *conn) Write(p []byte) (int, error) {
+	c.setWriting(time.Now())
+	defer c.setWriting(time.Time{})
+	return c.nc.Write(p)
+}
+
+func (c *conn) setWriting(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = since
 }
 
 // refuse responds to a request that cannot be read, after all earlier ones.
@@ -344,7 +496,17 @@
 
 // begin starts the handler of a request.
 func (c *conn) begin(req *http.Request) *response {
-	return c.startHandler(req, c.server.Handler)
+	h := c.server.Handler
+	switch {
+	case req.Method == http.MethodOptions && req.RequestURI == "*":
+		h = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	case c.refused:
+		req.Close = true
+		if h = c.server.Refuse; h == nil {
+			h = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+		}
+	}
+	return c.startHandler(req, h)
 }
 
 func (c *conn) startHandler(req *http.Request, h http.Handler) *response {
@@ -354,20 +516,21 @@
 		c.mu.Unlock()
 		return nil
 	}
-	c.reading, c.ending = false, false
+	c.reading = false
 	c.pending++
 	c.received++
 	turn := c.tail
 	c.tail = done
-	w := &response{conn: c, req: req, turn: turn, done: done, number: c.received, header: make(http.Header), bodyDone: make(chan struct{})}
+	w := &response{conn: c, req: req, turn: turn, done: done, number: c.received, began: time.Now(), header: make(http.Header), bodyDone: make(chan struct{})}
 	w.body = &requestBody{ReadCloser: req.Body, w: w}
-	c.mu.Unlock()
 	if req.Body == nil || req.Body == http.NoBody {
 		close(w.bodyDone)
 		w.body.atEnd.Store(true)
 	} else {
 		req.Body = w.body
 	}
+	c.newest = w
+	c.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, turnKey{}, w))
 	req = req.WithContext(ctx)
 	req.RemoteAddr = c.nc.RemoteAddr().String()
@@ -384,6 +547,9 @@
 	c.pending--
 	idle := c.pending == 0
 	c.idleSince = time.Now()
+	if idle {
+		c.newest = nil
+	}
 	c.mu.Unlock()
 	close(done)
 	c.idle.Broadcast()
--- a/connection/caller/caller_test.go
+++ b/connection/caller/caller_test.go
@@ -23,7 +23,7 @@
 	addr   string
 }
 
-func newTestServer(t *testing.T, h http.HandlerFunc) *testServer {
+func newTestServer(t *testing.T, h http.HandlerFunc, configure ...func(s *Server)) *testServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -32,6 +32,9 @@
 	s := &Server{Handler: h, Limits: func() Limits {
 		return Limits{HeaderBytes: 8 << 10, HeaderWithin: 300 * time.Millisecond, IdleWithin: 10 * time.Second}
 	}}
+	for _, f := range configure {
+		f(s)
+	}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -22,6 +23,8 @@
 	conn   *conn
 	req    *http.Request
 	number int
+	// began is when the header of the request had arrived.
+	began time.Time
 	// turn is closed when all earlier requests are finished, done when this one is.
 	turn <-chan struct{}
 	done chan struct{}
@@ -29,6 +32,9 @@
 	bodyDone chan struct{}
 	body     *requestBody
 
+	// bw is taken from writers when it is the turn of the response; an idle connection
+	// needs none.
+	bw     *bufio.Writer
 	header http.Header
 	status int
 	buf    []byte
@@ -40,6 +46,9 @@
 	err        error
 }
 
+// writers holds write buffers that are not in use.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+
 // errConnEnded means that the caller closed the connection, or that an earlier
 // response ended it.
 var errConnEnded = errors.New("connection to the caller has ended")
@@ -47,6 +56,7 @@
 // run calls the handler and sends its response.
 func (w *response) run(h http.Handler, req *http.Request) {
 	defer w.conn.end(w.done)
+	defer w.releaseWriter()
 	defer func() {
 		if err := recover(); err != nil {
 			if err != http.ErrAbortHandler && w.conn.server.Logger != nil { //nolint:errorlint // as net/http compares it
@@ -61,6 +71,15 @@
 	}
 }
 
+// releaseWriter returns the write buffer.
+func (w *response) releaseWriter() {
+	if w.bw != nil {
+		w.bw.Reset(nil)
+		writers.Put(w.bw)
+		w.bw = nil
+	}
+}
+
 // isFinal reports whether the connection ends with this response.
 func (w *response) isFinal() bool { return w.req.Close || w.closeAfter.Load() }
 
@@ -110,7 +129,7 @@
 			return err
 		}
 	}
-	return w.conn.bw.Flush()
+	return w.bw.Flush()
 }
 
 // SetReadDeadline sets the deadline for reading the body of the request.
@@ -120,7 +139,8 @@
 		// The connection may already be in use to read the next request.
 		return nil
 	default:
-		return w.conn.nc.SetReadDeadline(t)
+		w.conn.readBy(t)
+		return nil
 	}
 }
 
@@ -183,7 +203,9 @@
 	if h.Get("Date") == "" {
 		h.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	bw := w.conn.bw
+	bw := writers.Get().(*bufio.Writer)
+	bw.Reset(w.conn)
+	w.bw = bw
 	_, _ = fmt.Fprintf(bw, "HTTP/1.1 %03d %s\r\n", w.status, http.StatusText(w.status))
 	_ = h.Write(bw)
 	_, _ = bw.WriteString("\r\n")
@@ -197,9 +219,9 @@
 // response to the newest request may end it.
 func (w *response) finalizeConnection(h http.Header) bool {
 	c := w.conn
-	noKeepAlives := c.server.noKeepAlives.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	noKeepAlives := c.server.noKeepAlives.Load() || c.evicted
 	ends := w.req.Close || w.closeAfter.Load() || strings.EqualFold(h.Get("Connection"), "close") || !w.body.ended() ||
 		noKeepAlives && c.received == w.number && (!c.reading || c.closed)
 	if ends {
@@ -209,7 +231,7 @@
 }
 
 func (w *response) writeBody(p []byte) error {
-	bw := w.conn.bw
+	bw := w.bw
 	if len(p) == 0 || !w.hasBody() {
 		return w.err
 	}
@@ -235,22 +257,22 @@
 		}
 	}
 	if w.chunked {
-		_, _ = w.conn.bw.WriteString("0\r\n")
+		_, _ = w.bw.WriteString("0\r\n")
 		trailer := make(http.Header)
 		for name, values := range w.header {
 			if name, ok := strings.CutPrefix(name, http.TrailerPrefix); ok {
 				trailer[name] = values
 			}
 		}
-		_ = trailer.Write(w.conn.bw)
-		_, _ = w.conn.bw.WriteString("\r\n")
+		_ = trailer.Write(w.bw)
+		_, _ = w.bw.WriteString("\r\n")
 	}
-	if err := w.conn.bw.Flush(); err != nil {
+	if err := w.bw.Flush(); err != nil {
 		return err
 	}
 	if w.closeAfter.Load() {
 		// The reader may be waiting for a request that is no longer accepted.
-		_ = w.conn.nc.SetReadDeadline(time.Unix(1, 0))
+		w.conn.endReading()
 	}
 	return nil
 }
@@ -282,7 +304,7 @@
 	}
 	select {
 	case <-b.w.turn:
-		_, _ = io.WriteString(b.w.conn.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.WriteString(b.w.conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	case <-b.w.conn.ctx.Done():
 	}
 }
--- a/connection/caller/room_test.go
+++ b/connection/caller/room_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,7 +30,7 @@
 	s := &Server{
 		Handler:  http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
 		Limits:   func() Limits { return Limits{HeaderBytes: 8 << 10, HeaderWithin: time.Second, IdleWithin: time.Minute} },
-		MaxConns: bound,
+		MaxConns: func() int { return bound },
 	}
 	go func() { _ = s.Serve(l) }()
 	var served, late atomic.Int64
@@ -104,3 +105,137 @@
 		t.Errorf("got %d requests without an answer within %v, want none", n, within)
 	}
 }
+
+// newBoundedServer returns a server with a bound on its connections. Requests of /busy
+// wait until release is closed.
+func newBoundedServer(t *testing.T, bound int, release <-chan struct{}, configure ...func(s *Server)) *testServer {
+	t.Helper()
+	configure = append(configure, func(s *Server) { s.MaxConns = func() int { return bound } })
+	return newTestServer(t, func(w http.ResponseWriter, req *http.Request) {
+		switch req.URL.Path {
+		case "/busy":
+			<-release
+		case "/long":
+			_, _ = io.WriteString(w, strings.Repeat("x", 16<<20))
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	}, configure...)
+}
+
+// TestRoomForRequests guards against callers without a complete request in hand that keep
+// others out: silent ones, ones with a part of a header or of a body, and ones that do
+// not read their response.
+func TestRoomForRequests(t *testing.T) {
+	const bound, within = 32, 3 * time.Second
+	for _, c := range []struct{ name, text string }{
+		{"silent", ""},
+		{"partOfHeader", "GET / HTTP/1.1\r\nHost:"},
+		{"partOfBody", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nabc"},
+		{"unreadResponse", get("/long")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newBoundedServer(t, bound, nil, func(s *Server) {
+				s.Limits = func() Limits {
+					return Limits{HeaderBytes: 8 << 10, HeaderWithin: time.Minute, IdleWithin: time.Minute}
+				}
+			})
+			for range 2 * bound {
+				r.dial(c.text)
+			}
+			time.Sleep(unreadPeriod + 100*time.Millisecond)
+			for i := range 4 {
+				began, status := time.Now(), 0
+				for status != http.StatusOK && time.Since(began) < within {
+					_, br := r.dial(get("/"))
+					if res, err := http.ReadResponse(br, nil); err == nil {
+						status = res.StatusCode
+					}
+				}
+				if status != http.StatusOK {
+					t.Errorf("request %d: got status %d, want 200 within %v", i, status, within)
+				}
+			}
+		})
+	}
+}
+
+// TestRefusedWithoutRoom guards against callers that wait for their deadline when all
+// connections have a request in hand, and against cutting one of these.
+func TestRefusedWithoutRoom(t *testing.T) {
+	const bound, within = 32, 2 * time.Second
+	release := make(chan struct{})
+	var refused atomic.Int64
+	r := newBoundedServer(t, bound, release, func(s *Server) {
+		s.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			refused.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	})
+	var busy []*bufio.Reader
+	for range bound {
+		_, br := r.dial(get("/busy"))
+		busy = append(busy, br)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := range 2 * bound {
+		began := time.Now()
+		nc, br := r.dial(get("/"))
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v, want a refusal", i, err)
+		}
+		_ = nc.Close()
+		if took := time.Since(began); res.StatusCode != http.StatusServiceUnavailable || !res.Close || took > within {
+			t.Errorf("request %d: got status %d, ends the connection %v after %v, want 503, true, at most %v", i, res.StatusCode, res.Close, took, within)
+		}
+	}
+	if got := refused.Load(); got != 2*bound {
+		t.Errorf("got %d refusals, want %d", got, 2*bound)
+	}
+	close(release)
+	for i, br := range busy {
+		if res, err := http.ReadResponse(br, nil); err != nil || res.StatusCode != http.StatusOK {
+			t.Errorf("busy connection %d: got error %v, want status 200", i, err)
+		}
+	}
+	time.Sleep(noRoomPause)
+	_, br := r.dial(get("/"))
+	if res, err := http.ReadResponse(br, nil); err != nil || res.StatusCode != http.StatusOK {
+		t.Errorf("after the busy ones: got error %v, want status 200", err)
+	}
+}
+
+// TestRequestAtEviction guards against a request that is lost because it arrives while its
+// idle connection is closed to make room.
+func TestRequestAtEviction(t *testing.T) {
+	r := newBoundedServer(t, 1000, nil)
+	for i := range 200 {
+		nc, br := r.dial(get("/"))
+		readResponse(t, br)
+		if _, err := io.WriteString(nc, get("/")); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range r.server.list() {
+			c.evict(time.Now())
+		}
+		if res, err := http.ReadResponse(br, nil); err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: got error %v, want status 200", i, err)
+		}
+		_ = nc.Close()
+	}
+}
+
+// TestLiveness guards against a check of a process on itself that a handler answers.
+func TestLiveness(t *testing.T) {
+	r := newTestServer(t, func(http.ResponseWriter, *http.Request) { t.Error("the handler was called") })
+	_, br := r.dial("OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
+	if res, _ := readResponse(t, br); res.StatusCode != http.StatusOK {
+		t.Errorf("got status %d, want 200", res.StatusCode)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -11,14 +11,12 @@
 	"cmp"
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -209,7 +207,7 @@
 		control.WithMetrics(d.metrics),
 		control.WithTimeline(d.events),
 		control.WithViewObserver(d.applyLimits),
-		control.WithWarning(func() string { return d.host.Warning() }),
+		control.WithWarning(d.warning),
 		control.WithLogger(newSlog(logger.Named("actor"))),
 	}
 	headers := request.DefaultHeaders
@@ -302,11 +300,15 @@
 	}
 	vars := http.NewServeMux()
 	vars.Handle("GET /debug/vars", d.metrics)
-	d.callers = &caller.Server{Handler: d.entry, Limits: d.callerLimits, Logger: d.logger, MaxConns: maxCallerConns(), Count: d.metrics.Add}
+	d.callers = &caller.Server{
+		Handler: d.entry, Limits: d.callerLimits, Logger: d.logger, MaxConns: maxCallerConns(d.settings.Memory()),
+		Refuse: http.HandlerFunc(d.entry.RefuseConnection), Count: d.metrics.Add,
+	}
+	d.addDescriptorMetrics()
 	list := []server{
 		{name: "callers", httpServer: d.callers},
-		{name: "announcements", httpServer: d.newShortServer(announce)},
-		{name: "metrics", httpServer: d.newShortServer(vars)},
+		{name: "announcements", httpServer: d.newShortServer("announcements", announce)},
+		{name: "metrics", httpServer: d.newShortServer("metrics", vars)},
 		{name: "peers", httpServer: d.newPeerServer(d.withForwarding(peers))},
 	}
 	addrs := map[string]netip.AddrPort{
@@ -314,7 +316,7 @@
 		"metrics": d.settings.MetricsAddress, "peers": d.settings.PeerAddress, "readiness": d.settings.ReadyAddress,
 	}
 	if d.platform != nil {
-		list = append(list, server{name: "readiness", httpServer: d.newShortServer(d.platform.Readiness(d.Ready))})
+		list = append(list, server{name: "readiness", httpServer: d.newShortServer("readiness", d.platform.Readiness(d.Ready))})
 	}
 	for _, s := range list {
 		if s.listener, err = listen(context.Background(), addrs[s.name].String()); err != nil {
@@ -328,42 +330,30 @@
 	return nil
 }
 
-func (d *Daemon) newServer(h http.Handler, headerBytes int) *http.Server {
+// newServer returns a server of net/http with a bound on its connections.
+func (d *Daemon) newServer(name string, h http.Handler, headerBytes int, maxConns func() int) *http.Server {
+	bound := &connBound{max: maxConns, closed: func() { d.metrics.Add(name+".connectionsClosed", 1) }}
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), ConnState: bound.observe,
 	}
 }
 
 // newShortServer returns a server for short requests, with a read timeout.
-func (d *Daemon) newShortServer(h http.Handler) *http.Server {
-	s := d.newServer(h, maxHeaderBytes)
+func (d *Daemon) newShortServer(name string, h http.Handler) *http.Server {
+	s := d.newServer(name, h, maxHeaderBytes, fixed(maxShortConns))
 	s.ReadTimeout = readTimeout
 	return s
 }
 
 func (d *Daemon) newPeerServer(h http.Handler) *http.Server {
-	s := d.newServer(h, maxForwardedHeaderBytes)
+	s := d.newServer("peers", h, maxForwardedHeaderBytes, maxPeerConns)
 	s.Protocols = new(http.Protocols)
 	s.Protocols.SetHTTP1(true)
 	s.Protocols.SetUnencryptedHTTP2(true)
 	return s
 }
 
-// callerShare is the share of the descriptors of the process that the connections of
-// callers may take; the rest is for the upstream, peers, the log and files.
-const callerShare = 0.75
-
-// maxCallerConns returns the number of connections of callers above which idle ones are
-// closed, or zero if the number of descriptors is not known.
-func maxCallerConns() int {
-	var lim syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
-		return 0
-	}
-	return int(callerShare * float64(min(lim.Cur, math.MaxInt32)))
-}
-
 // callerLimits returns the limits on caller connections from the configuration, with
 // defaults for limits that are not set.
 func (d *Daemon) callerLimits() caller.Limits {
@@ -376,7 +366,9 @@
 }
 
 // Ready reports whether the daemon accepts new callers.
-func (d *Daemon) Ready() bool { return !d.leaving.Load() && d.control.Snapshot().Serving }
+func (d *Daemon) Ready() bool {
+	return !d.leaving.Load() && d.control.Snapshot().Serving
+}
 
 // withForwarding serves forwarded calls and passes all other requests to next.
 // Forwarded calls bypass http.ServeMux, which redirects a path such as /a//b.
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -254,6 +254,9 @@
 	_ = rc.SetReadDeadline(deadline)
 	body, err := request.ReadBody(r, limit, e.buffers)
 	if err != nil {
+		if caller.Evicted(r.Context()) {
+			return nil, noConnection(time.Now())
+		}
 		if !time.Now().Before(deadline) {
 			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonDeadline, Status: http.StatusRequestTimeout, Detail: "the body did not arrive by the deadline"}
 		}
--- a/request/entry/refuse.go
+++ b/request/entry/refuse.go
@@ -19,6 +19,21 @@
 	RetryAt *time.Time      `json:"retryAt,omitempty"`
 }
 
+// RefuseConnection is the HTTP handler for the requests of connections for which the
+// daemon has no room.
+func (e *Entry) RefuseConnection(w http.ResponseWriter, _ *http.Request) {
+	e.metrics.Add("entry.requests", 1)
+	e.refuse(w, noConnection(time.Now()))
+}
+
+// noConnection refuses a request because there are too many connections.
+func noConnection(now time.Time) *request.Refusal {
+	return &request.Refusal{
+		Outcome: request.NotRun, Reason: request.ReasonNoRoom, Detail: "there are too many connections",
+		RetryAt: now.Add(defaultRetryAfter),
+	}
+}
+
 func (e *Entry) refuse(w http.ResponseWriter, err error) {
 	var ref *request.Refusal
 	if !errors.As(err, &ref) {
--- a/request/request.go
+++ b/request/request.go
@@ -87,7 +87,7 @@
 	// says that it takes.
 	ReasonRateLimit Reason = "rateLimit"
 	// ReasonNoRoom means that the bodies of other calls take up the daemon's memory for
-	// bodies.
+	// bodies, or that there are too many connections.
 	ReasonNoRoom        Reason = "noRoom"
 	ReasonLeaving       Reason = "leaving"
 	ReasonZoneOut       Reason = "zoneOut"
