End a daemon of which a part stands still, and say that it is not ready before

Change: each second the daemon sends OPTIONS * to its own listeners for callers and for peers on a new connection, takes the locks on the path to its upstream, and asks the control state.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -190,6 +190,12 @@
 	}
 }
 
+// Check takes the lock of the pool. It does not return while that is held.
+func (p *Pool) Check() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+}
+
 // Close closes the idle connections; those in use are closed after their
 // exchange.
 func (p *Pool) Close() {
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -138,6 +138,8 @@
 	Claims() *claim.Router
 	// Leave tells the peers that the daemon is about to stop.
 	Leave()
+	// Check returns an error if the control state does not answer in time.
+	Check() error
 }
 
 // Upstream is what the upstream beside the daemon announces. ID and Slots may be
@@ -427,6 +429,12 @@
 // Leave implements Control.
 func (c *control) Leave() { _, _ = ask[any](c, leaving{}) }
 
+// Check implements Control.
+func (c *control) Check() error {
+	_, err := ask[any](c, flush{})
+	return err
+}
+
 func (c *control) send(ev any) { c.system.Root.Send(c.pid, ev) }
 
 // ask sends an event to the actor and waits for its reply.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -165,6 +165,7 @@
 	unconfirmedUntil time.Time
 	callers          *caller.Server
 	servers          []*server
+	watch            *watch
 }
 
 // server is a server on one address.
@@ -190,6 +191,7 @@
 		opt(d)
 	}
 	d.decisions = decision.New(logger)
+	d.watch = d.newWatch()
 	d.events.Notify = d.logEvent
 	d.metrics.AddProcessMetrics()
 	internal := s.InternalCallers
@@ -268,9 +270,18 @@
 		go d.restoreFromPeers(ctx)
 	}
 	d.events.Add(time.Now(), timeline.KindStart, 0, "daemon started")
+	stalled := make(chan error, 1)
+	go func() {
+		if err := d.watch.run(ctx); err != nil {
+			stalled <- err
+		}
+	}()
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+	case err = <-stalled:
+		// A graceful shutdown would wait for the part that stands still.
+		return err
 	}
 	return errors.Join(err, d.shutdown())
 }
@@ -367,7 +378,7 @@
 
 // Ready reports whether the daemon accepts new callers.
 func (d *Daemon) Ready() bool {
-	return !d.leaving.Load() && d.control.Snapshot().Serving
+	return !d.leaving.Load() && d.control.Snapshot().Serving && d.watch.healthy()
 }
 
 // withForwarding serves forwarded calls and passes all other requests to next.
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -394,6 +394,11 @@
 	c.n++
 }
 
+func (c *calls) check() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+}
+
 func (c *calls) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/request/host/statements.go
+++ b/request/host/statements.go
@@ -89,6 +89,16 @@
 	return rateLimitGauge{l.PerSecond, time.Since(l.Since).Milliseconds(), time.Since(l.ConfirmedAt).Milliseconds()}
 }
 
+// Check takes the locks that a call to the upstream takes. It does not return while one
+// of them is held.
+func (h *Host) Check() {
+	h.load()
+	h.calls.check()
+	if t := h.target.Load(); t != nil {
+		t.pool.Check()
+	}
+}
+
 // Warning describes what the upstream says about itself that restricts its use; it is
 // empty if there is nothing.
 func (h *Host) Warning() string {
