End a move to the only version that runs, also if it was ordered soon after a start

Cause: an order counts as one to the version in force only if that had been the initial one for 5 s when the order came; otherwise a trial runs, and the share that is left goes to no version.

Change: the condition is looked at again at each tick: once the version has been the initial one for 5 s and no other version runs, the move is done. With another version beside it nothing changes.

Measured: TestOrderToOnlyVersion fails without the change (the move runs on, no version in force) and passes with it.

--- a/process/control/core.go
+++ b/process/control/core.go
@@ -396,6 +396,7 @@
 	c.recheckLog(now, rnd)
 	c.repairDirectory(now)
 	c.noteInitialVersions(now)
+	c.endMovesWithoutOther(now)
 	c.decide(now, rnd)
 }
 
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -215,6 +215,21 @@
 	}
 }
 
+// endMovesWithoutOther ends the moves to a version that was the initial one long before
+// and has no other version beside it. The share that is left to the version in force would
+// be refused, and the trial would spare nobody a bad answer.
+func (c *core) endMovesWithoutOther(now time.Time) {
+	for _, m := range c.state.Moves {
+		if !isTimed(m) || c.state.ActiveVersion(m.Upstream) != "" {
+			continue
+		}
+		in := c.initial[m.Upstream]
+		if in.version == m.To && !in.settledAt.After(now) && c.routes.InitialVersions()[m.Upstream] == "" {
+			c.endMove(now, m.ID, fold.MoveDone, "no other version runs")
+		}
+	}
+}
+
 // initialVersion is the initial version of an upstream; orders to it are done at once
 // from settledAt on.
 type initialVersion struct {
--- a/process/control/versions_test.go
+++ b/process/control/versions_test.go
@@ -202,3 +202,25 @@
 		t.Errorf("got version %q in force, want none", got)
 	}
 }
+
+// TestOrderToOnlyVersion guards against refusing most requests for the whole time of a
+// move to the only version that runs, because it was ordered soon after its instances had
+// started.
+func TestOrderToOnlyVersion(t *testing.T) {
+	c := platformCore("d1", "a")
+	c.table.Merge(epoch, []membership.Member{testMember("d2", "b")})
+	readLogTo(c, epoch, entryOf(t, 1, record.Record{ID: "c", Kind: record.KindReplace, Replace: announcedConfig()}))
+	c.snapshot()
+	ordered := epoch.Add(initialSettlePeriod - time.Second)
+	run(c, epoch, ordered)
+	readLogTo(c, ordered, orderOf(t, 2, "v1"))
+	c.snapshot()
+	settled := epoch.Add(initialSettlePeriod + time.Second)
+	run(c, ordered, settled)
+	if m, ok := c.state.RunningMove(2); ok {
+		t.Errorf("got running move %+v, want it done", m)
+	}
+	if got := inForce(c); got != "v1" {
+		t.Errorf("got version %q in force, want v1", got)
+	}
+}
