--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -100,10 +100,10 @@
 	// full is set while new connections are left in the queue of the kernel.
 	full atomic.Bool
 
-	// roomMu is held by makeRoom, which takes mu and conn.mu one after the other. No
+	// roomMu is held by closeSome, which takes mu and conn.mu one after the other. No
 	// goroutine that serves a connection takes it.
 	roomMu sync.Mutex
-	// roomAfter is when makeRoom may search again, and roomFound what it found last.
+	// roomAfter is when closeSome may search again, and roomFound what it found last.
 	roomAfter time.Time
 	roomFound bool
 
