--- a/connection/caller/room_test.go
+++ b/connection/caller/room_test.go
@@ -149,6 +149,9 @@
 				r.dial(c.text)
 			}
 			time.Sleep(unreadPeriod + 100*time.Millisecond)
+			if n, most := len(r.server.list()), bound+bound/refusedDivisor; n > most {
+				t.Errorf("got %d connections, want at most %d", n, most)
+			}
 			for i := range 4 {
 				began, status := time.Now(), 0
 				for status != http.StatusOK && time.Since(began) < within {
