--- a/process/daemon/watch_test.go
+++ b/process/daemon/watch_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"net"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/kingcuppitch/kingcuppitch/process/settings"
 )
 
 // TestWatch guards against a daemon that stays ready, or stays at all, while a part of it
@@ -56,6 +60,56 @@
 	}
 }
 
+// TestDaemonWithStandingPart guards against a daemon that stays ready, or waits for a
+// graceful shutdown, while a part of it stands still.
+func TestDaemonWithStandingPart(t *testing.T) {
+	t.Parallel()
+	log := httptest.NewServer(new(fakeLog))
+	defer log.Close()
+	d := New(settings.Settings{
+		Name: "d1", Region: "r", Zone: "a", CallerAddress: freeAddr(t), PeerAddress: freeAddr(t), AnnounceAddress: freeAddr(t),
+		MetricsAddress: freeAddr(t), LogAddress: netip.MustParseAddrPort(log.Listener.Addr().String()), LogLevel: "error",
+	}, hclog.NewNullLogger())
+	var mu sync.Mutex
+	mu.Lock()
+	defer mu.Unlock()
+	d.watch.checks = append(d.watch.checks, &check{name: "part", run: func(context.Context) error {
+		mu.Lock()
+		defer mu.Unlock()
+		return nil
+	}})
+	began := time.Now()
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(t.Context()) }()
+	for d.watch.healthy() && time.Since(began) < endAfter {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took, want := time.Since(began), unreadyAfter+3*checkPeriod; took > want {
+		t.Errorf("not ready after %v, want at most %v", took, want)
+	}
+	select {
+	case err := <-ended:
+		if !errors.Is(err, errStandsStill) {
+			t.Errorf("got %v, want %v", err, errStandsStill)
+		}
+	case <-time.After(2 * endAfter):
+		t.Fatal("the daemon does not end")
+	}
+	if got, want := d.watch.failing(time.Now()), "part"; got != want {
+		t.Errorf("got %q standing still, want %q alone", got, want)
+	}
+}
+
+// failing returns the names of the parts that have not worked for a while.
+func (w *watch) failing(now time.Time) (names string) {
+	for _, c := range w.checks {
+		if now.Sub(w.start)-time.Duration(c.workedAt.Load()) >= unreadyAfter {
+			names += c.name
+		}
+	}
+	return names
+}
+
 // TestWatchAfterPause guards against a process that ends itself because it was paused.
 func TestWatchAfterPause(t *testing.T) {
 	now := time.Now()
