--- a/connection/caller/room_test.go
+++ b/connection/caller/room_test.go
@@ -234,6 +234,49 @@
 	}
 }
 
+// TestResponseAtEviction guards against callers that are left in doubt when their request
+// has arrived in part and their connection is closed to make room.
+func TestResponseAtEviction(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"partOfHeader", "GET / HTTP/1.1\r\nHost:", http.StatusRequestTimeout},
+		{"partOfBody", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc", http.StatusServiceUnavailable},
+	} {
+		r := newTestServer(t, func(w http.ResponseWriter, req *http.Request) {
+			if _, err := io.Copy(io.Discard, req.Body); err != nil && Evicted(req.Context()) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		_, br := r.dial(c.text)
+		evicted := false
+		for until := time.Now().Add(5 * time.Second); !evicted && time.Now().Before(until); time.Sleep(time.Millisecond) {
+			for _, conn := range r.server.list() {
+				if st, since := conn.stage(time.Now()); st == receiving || st == awaiting && since.Equal(conn.headStart()) {
+					conn.evict(time.Now())
+					evicted = true
+				}
+			}
+		}
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Errorf("%s: %v, want a response", c.name, err)
+			continue
+		}
+		if res.StatusCode != c.status || !res.Close {
+			t.Errorf("%s: got status %d, ends the connection %v, want %d and true", c.name, res.StatusCode, res.Close, c.status)
+		}
+	}
+}
+
+// headStart returns when the header that is being read began to arrive.
+func (c *conn) headStart() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headSince
+}
+
 // TestLiveness guards against a check of a process on itself that a handler answers.
 func TestLiveness(t *testing.T) {
 	r := newTestServer(t, func(http.ResponseWriter, *http.Request) { t.Error("the handler was called") })
