End the reader of a connection that ends with the request in hand

What callers would see: a daemon short of connections that spends its processors on nothing while requests wait, so all answers come late.

Cause: a connection that is closed to make room, or by a shutdown, keeps a read deadline in the past. If its request goes on all the same (the body was complete in the buffer, or the close came between the header and the handler), the reader looks for the next request, times out at once, and begins again until the response is sent.

Change: a connection that is about to end reads nothing more once its request is in hand. The special case for this in begin goes; it missed a connection that is closed after its header was read.

Measured: the test fails before and passes after, the package also with -race.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -190,7 +190,9 @@
 	if !ok {
 		return false
 	}
-	return w.conn.isEvicted()
+	w.conn.mu.Lock()
+	defer w.conn.mu.Unlock()
+	return w.conn.evicted
 }
 
 // conn is one connection. One goroutine reads it, and each request has its own.
@@ -386,6 +388,10 @@
 	if c.closed || closing && !fresh && c.pending == 0 {
 		return false
 	}
+	if !c.endBy.IsZero() && c.pending > 0 {
+		// The connection ends with the request in hand.
+		return false
+	}
 	if closing && fresh {
 		within = firstRequestTimeout
 	}
@@ -451,12 +457,6 @@
 	}
 }
 
-func (c *conn) isEvicted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.evicted
-}
-
 // endReading lets the reader stop, since no further request is accepted.
 func (c *conn) endReading() {
 	c.mu.Lock()
@@ -513,9 +513,6 @@
 		if h = c.server.Refuse; h == nil {
 			h = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 		}
-	case c.isEvicted():
-		// Nothing more is read, so the time for the body does not end a slow response.
-		req.Close = true
 	}
 	return c.startHandler(req, h)
 }
--- a/connection/caller/room_test.go
+++ b/connection/caller/room_test.go
@@ -284,3 +284,39 @@
 		t.Errorf("got status %d, want 200", res.StatusCode)
 	}
 }
+
+// TestReaderAtEviction guards against a reader that takes a processor for the time of a
+// request, because the connection was closed to make room while the complete body was in
+// the buffer.
+func TestReaderAtEviction(t *testing.T) {
+	var rounds atomic.Int64
+	started, release := make(chan struct{}), make(chan struct{})
+	r := newTestServer(t, func(w http.ResponseWriter, req *http.Request) {
+		close(started)
+		<-release
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			t.Errorf("got %v for a body that has arrived, want none", err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}, func(s *Server) {
+		limits := s.Limits
+		s.Limits = func() Limits {
+			rounds.Add(1)
+			return limits()
+		}
+	})
+	_, br := r.dial("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+	<-started
+	for _, c := range r.server.list() {
+		if got := c.evict(time.Now()); got != receiving {
+			t.Errorf("got stage %d, want %d", got, receiving)
+		}
+	}
+	close(release)
+	if res, _ := readResponse(t, br); res.StatusCode != http.StatusOK || !res.Close {
+		t.Errorf("got status %d, ends the connection %v, want 200 and true", res.StatusCode, res.Close)
+	}
+	if got, most := rounds.Load(), int64(10); got > most {
+		t.Errorf("got %d rounds of the reader, want at most %d", got, most)
+	}
+}
