Write once what the connection bounds and the moves in force wrote twice

- The two ends of a move to the initial version share one condition.
- Servers of net/http bring their own listener, so Run has no special case for callers.
- The begin of a request is the begin of its header, which the connection has already.
- The tests of connection bounds share a server, and so does TestLongestIdleClosed.

No change of behaviour. Measured: ./connection/caller, ./process/daemon and the tests of moves in ./process/control pass.

--- a/connection/caller/accept_test.go
+++ b/connection/caller/accept_test.go
@@ -74,33 +74,19 @@
 func TestLongestIdleClosed(t *testing.T) {
 	const conns = 40
 	release := make(chan struct{})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var closed atomic.Int64
-	s := &Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/busy" {
-				<-release
-			}
-			_, _ = io.WriteString(w, "ok")
-		}),
-		Limits:   func() Limits { return Limits{HeaderBytes: 8 << 10, HeaderWithin: time.Second, IdleWithin: time.Minute} },
-		MaxConns: func() int { return conns },
-		Count: func(name string, n int64) {
+	r := newBoundedServer(t, conns, release, func(s *Server) {
+		s.Limits = func() Limits { return Limits{HeaderBytes: 8 << 10, HeaderWithin: time.Second, IdleWithin: time.Minute} }
+		s.Count = func(name string, n int64) {
 			if name == "callers.idleClosed" {
 				closed.Add(n)
 			}
-		},
-	}
-	go func() { _ = s.Serve(l) }()
-	r := &testServer{t: t, server: s, addr: l.Addr().String()}
-	busy, busyReader := r.dial("GET /busy HTTP/1.1\r\nHost: x\r\n\r\n")
-	_ = busy
+		}
+	})
+	_, busyReader := r.dial(get("/busy"))
 	var oldest net.Conn
 	for i := range 3 * conns {
-		c, br := r.dial("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		c, br := r.dial(get("/"))
 		if i == 0 {
 			oldest = c
 		}
@@ -127,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
+	if err := r.server.Shutdown(ctx); err != nil {
 		t.Error(err)
 	}
 }
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -222,9 +222,9 @@
 	// endBy is when the connection ends unless a request arrives, whatever the limits
 	// allow; zero means that the limits decide.
 	endBy time.Time
-	// idleSince is since when the connection has been without a request, headSince since
-	// when a request is being read, and writingSince since when a write to the caller
-	// blocks; writingSince is zero if none does.
+	// idleSince is since when the connection has been without a request, headSince when
+	// the header of the newest request began to arrive, and writingSince since when a write
+	// to the caller blocks; writingSince is zero if none does.
 	idleSince, headSince, writingSince time.Time
 	// newest is the response to the last request, or nil if there is none in hand.
 	newest *response
@@ -529,7 +529,7 @@
 	c.received++
 	turn := c.tail
 	c.tail = done
-	w := &response{conn: c, req: req, turn: turn, done: done, number: c.received, began: time.Now(), header: make(http.Header), bodyDone: make(chan struct{})}
+	w := &response{conn: c, req: req, turn: turn, done: done, number: c.received, header: make(http.Header), bodyDone: make(chan struct{})}
 	w.body = &requestBody{ReadCloser: req.Body, w: w}
 	if req.Body == nil || req.Body == http.NoBody {
 		close(w.bodyDone)
--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -23,8 +23,6 @@
 	conn   *conn
 	req    *http.Request
 	number int
-	// began is when the header of the request had arrived.
-	began time.Time
 	// turn is closed when all earlier requests are finished, done when this one is.
 	turn <-chan struct{}
 	done chan struct{}
--- a/connection/caller/room.go
+++ b/connection/caller/room.go
@@ -109,10 +109,7 @@
 		if st != ends && !c.refused {
 			staying++
 		}
-		switch st {
-		case ends:
-		case busy:
-		case awaiting, receiving, unread:
+		if st < busy {
 			candidates = append(candidates, candidate{c, st, since})
 		}
 	}
@@ -171,7 +168,7 @@
 			return unread, c.writingSince
 		}
 	case c.pending == 1 && !c.newest.body.ended():
-		return receiving, c.newest.began
+		return receiving, c.headSince
 	}
 	return busy, time.Time{}
 }
@@ -192,7 +189,6 @@
 	case unread:
 		c.evicted = true
 		_ = c.nc.SetWriteDeadline(now)
-	case busy, ends:
 	}
 	return st
 }
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -208,8 +208,7 @@
 // initial one long before; first is the offset of the first of these records.
 func (c *core) endMovesInForce(now time.Time, first int64) {
 	for _, m := range c.state.Moves {
-		in := c.initial[m.Upstream]
-		if isTimed(m) && m.ID >= first && in.version == m.To && !in.settledAt.After(now) && c.state.ActiveVersion(m.Upstream) == "" {
+		if m.ID >= first && c.isToInitial(now, m) {
 			c.endMove(now, m.ID, fold.MoveDone, "the version was in force already")
 		}
 	}
@@ -220,16 +219,19 @@
 // be refused, and the trial would spare nobody a bad answer.
 func (c *core) endMovesWithoutOther(now time.Time) {
 	for _, m := range c.state.Moves {
-		if !isTimed(m) || c.state.ActiveVersion(m.Upstream) != "" {
-			continue
-		}
-		in := c.initial[m.Upstream]
-		if in.version == m.To && !in.settledAt.After(now) && c.routes.InitialVersions()[m.Upstream] == "" {
+		if c.isToInitial(now, m) && c.routes.InitialVersions()[m.Upstream] == "" {
 			c.endMove(now, m.ID, fold.MoveDone, "no other version runs")
 		}
 	}
 }
 
+// isToInitial reports whether a running move is to a version that was the initial one long
+// before, in an upstream of which no move was done.
+func (c *core) isToInitial(now time.Time, m fold.Move) bool {
+	in := c.initial[m.Upstream]
+	return isTimed(m) && in.version == m.To && !in.settledAt.After(now) && c.state.ActiveVersion(m.Upstream) == ""
+}
+
 // initialVersion is the initial version of an upstream; orders to it are done at once
 // from settledAt on.
 type initialVersion struct {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -255,12 +255,8 @@
 	}
 	failed := make(chan error, len(d.servers))
 	for _, s := range d.servers {
-		l := s.listener
-		if s.name != "callers" {
-			l = &listener.Listener{Listener: l, Name: s.name, Logger: d.logger, Count: d.metrics.Add}
-		}
 		go func() {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- eris.Wrapf(err, "serve %s", s.name)
 			}
 		}()
@@ -341,23 +337,36 @@
 	return nil
 }
 
+// patientServer is a server of net/http that goes on after accepts that fail for a while.
+type patientServer struct {
+	*http.Server
+	accepts listener.Listener
+}
+
+// Serve implements httpServer.
+func (s *patientServer) Serve(l net.Listener) error {
+	s.accepts.Listener = l
+	return s.Server.Serve(&s.accepts)
+}
+
 // newServer returns a server of net/http with a bound on its connections.
-func (d *Daemon) newServer(name string, h http.Handler, headerBytes int, maxConns func() int) *http.Server {
+func (d *Daemon) newServer(name string, h http.Handler, headerBytes int, maxConns func() int) *patientServer {
 	bound := &connBound{max: maxConns, closed: func() { d.metrics.Add(name+".connectionsClosed", 1) }}
-	return &http.Server{
+	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: d.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), ConnState: bound.observe,
 	}
+	return &patientServer{Server: srv, accepts: listener.Listener{Name: name, Logger: d.logger, Count: d.metrics.Add}}
 }
 
 // newShortServer returns a server for short requests, with a read timeout.
-func (d *Daemon) newShortServer(name string, h http.Handler) *http.Server {
+func (d *Daemon) newShortServer(name string, h http.Handler) *patientServer {
 	s := d.newServer(name, h, maxHeaderBytes, fixed(maxShortConns))
 	s.ReadTimeout = readTimeout
 	return s
 }
 
-func (d *Daemon) newPeerServer(h http.Handler) *http.Server {
+func (d *Daemon) newPeerServer(h http.Handler) *patientServer {
 	s := d.newServer("peers", h, maxForwardedHeaderBytes, maxPeerConns)
 	s.Protocols = new(http.Protocols)
 	s.Protocols.SetHTTP1(true)
