Test of connections: set the limit with the library that is there already

golang.org/x/sys has Prlimit, so the raw system call and unsafe go. Measured: TestMoreConnectionsThanDescriptors passes; go vet for arm64 and amd64.

--- a/standin/e2e/connections_test.go
+++ b/standin/e2e/connections_test.go
@@ -7,21 +7,18 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
-	"unsafe"
 
 	"github.com/kingcuppitch/kingcuppitch/standin/fleet"
+	"golang.org/x/sys/unix"
 )
 
 // setDescriptors sets the limit of descriptors of a process.
 func setDescriptors(t *testing.T, pid int, n uint64) {
 	t.Helper()
-	lim := syscall.Rlimit{Cur: n, Max: n}
-	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&lim)), 0, 0, 0) //nolint:gosec // prlimit has no wrapper in syscall
-	if errno != 0 {
-		t.Fatal(errno)
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil); err != nil {
+		t.Fatal(err)
 	}
 }
 
