--- a/review/platform/machine.go
+++ b/review/platform/machine.go
@@ -153,7 +153,7 @@
 }
 
 var (
-	section     = regexp.MustCompile(`(?s)\{\{#(\w+)\}\}(.*?)\{\{/\w+\}\}`)
+	section     = regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
 	placeholder = regexp.MustCompile(`\{\{([\w.]+)\}\}`)
 	runLine     = regexp.MustCompile(`(?m)^run *= *"([^"]*)"`)
 )
@@ -162,8 +162,15 @@
 func render(text string, fields map[string]any) (string, error) {
 	text = section.ReplaceAllStringFunc(text, func(s string) string {
 		part := section.FindStringSubmatch(s)
+		value, ok := fields[part[1]]
+		if !ok {
+			return ""
+		}
+		list, isList := value.([][2]string)
+		if !isList {
+			return part[2]
+		}
 		var out strings.Builder
-		list, _ := fields[part[1]].([][2]string)
 		for _, kv := range list {
 			out.WriteString(strings.NewReplacer("{{@}}", kv[0], "{{.}}", kv[1]).Replace(part[2]))
 		}
