Settings, report fields and call fields for load balancing, tenants and usage

The parts of docs/loadAndTenants.md share these: the switches [balancing] and the table [usage] of the settings, Capacity and Admits in load reports, and Nested, Returning and Tenant on forwarded calls. admission.Order replaces the class in Acquire. Nothing uses them yet; daemons without them send and read the same as before.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -42,6 +42,21 @@
 //	headBytes = 65536
 //	skippedBytes = 1048576
 //	bodyBytes = 134217728
+//
+// Decisions of load balancing and admission that are off by default, and the reports
+// of usage by tenant; see docs/loadAndTenants.md:
+//
+//	[balancing]
+//	loadProbes = true
+//	learnCapacity = true
+//	callRanks = true
+//	returnTimes = true
+//	[usage]
+//	address = "10.200.0.103:8745"
+//	windowSeconds = 5
+//	leaseMs = 3000
+//	dueSeconds = 10
+//	reportsPerSecond = 50
 package settings
 
 import (
@@ -103,6 +118,11 @@
 	Zones map[string]string `toml:"zones"`
 	// Bounds are the limits that all daemons together keep.
 	Bounds Bounds `toml:"bounds"`
+	// Balancing switches decisions of load balancing and admission on.
+	Balancing Balancing `toml:"balancing"`
+	// Usage configures the reports of usage by tenant; without an address none is
+	// sent.
+	Usage Usage `toml:"usage"`
 	// Answers limits the size of the upstream's answers.
 	Answers Answers `toml:"answers"`
 	// MemoryBytes is the memory that the daemon may use; zero means that of the machine.
@@ -124,6 +144,8 @@
 	Answers                Answers
 	ApplyMs                int64
 	MemoryBytes, BodyBytes int64
+	Balancing              Balancing
+	Usage                  Usage
 }
 
 // Fixed returns the settings that take effect only at startup.
@@ -132,6 +154,7 @@
 		Name: s.Name, Region: s.Region, Zone: s.Zone, Caller: s.CallerAddress, Peer: s.PeerAddress,
 		Announce: s.AnnounceAddress, Metrics: s.MetricsAddress, Ready: s.ReadyAddress, Log: s.LogAddress, Advertise: s.Advertised(), Platform: s.Platform,
 		Answers: s.Answers, ApplyMs: s.Bounds.ApplyMs, MemoryBytes: s.MemoryBytes, BodyBytes: s.BodyBytes,
+		Balancing: s.Balancing, Usage: s.Usage,
 	}
 }
 
@@ -163,6 +186,76 @@
 	ApplyMs int64 `toml:"applyMs,omitempty"`
 }
 
+// Balancing switches decisions of load balancing and admission on. It takes effect at
+// startup.
+type Balancing struct {
+	// LoadProbes makes the entry ask instances for their load.
+	LoadProbes bool `toml:"loadProbes"`
+	// LearnCapacity makes the host learn how many concurrent requests its upstream
+	// handles well.
+	LearnCapacity bool `toml:"learnCapacity"`
+	// CallRanks gives calls that upstreams make precedence over new work, and makes
+	// entries refuse what no instance would admit.
+	CallRanks bool `toml:"callRanks"`
+	// ReturnTimes makes the entry schedule when refused callers may return.
+	ReturnTimes bool `toml:"returnTimes"`
+}
+
+// Usage configures the reports of usage by tenant. It takes effect at startup.
+type Usage struct {
+	// Address is the address of the service that receives the reports.
+	Address netip.AddrPort `toml:"address"`
+	// WindowSeconds is the length of the time windows that are reported.
+	WindowSeconds int64 `toml:"windowSeconds"`
+	// LeaseMs is the time in milliseconds for which one daemon holds the duty to
+	// report.
+	LeaseMs int64 `toml:"leaseMs"`
+	// DueSeconds is the time after the end of a window by which its report is due.
+	DueSeconds float64 `toml:"dueSeconds"`
+	// ReportsPerSecond is the number of calls per second that the service takes from
+	// all daemons; zero means no limit.
+	ReportsPerSecond float64 `toml:"reportsPerSecond"`
+}
+
+// Window returns WindowSeconds as a duration.
+func (u Usage) Window() time.Duration { return time.Duration(u.WindowSeconds) * time.Second }
+
+// Lease returns LeaseMs as a duration.
+func (u Usage) Lease() time.Duration { return time.Duration(u.LeaseMs) * time.Millisecond }
+
+// Due returns DueSeconds as a duration.
+func (u Usage) Due() time.Duration { return time.Duration(u.DueSeconds * float64(time.Second)) }
+
+const (
+	// maxWindowSeconds bounds WindowSeconds; the counts of a window are lost when all
+	// daemons restart.
+	maxWindowSeconds = 3600
+	// minLeaseMs and maxLeaseMs bound LeaseMs, in milliseconds. The holder renews the
+	// lease several times within it, and each renewal is a write to the store.
+	minLeaseMs, maxLeaseMs = 1000, 60_000
+)
+
+func (u Usage) check(report func(key, format string, args ...any)) {
+	if u == (Usage{}) {
+		return
+	}
+	if !u.Address.IsValid() || u.Address.Port() == 0 || u.Address.Addr().IsUnspecified() {
+		report("usage.address", "an IP number and a port are required")
+	}
+	if n := u.WindowSeconds; n < 1 || n > maxWindowSeconds {
+		report("usage.windowSeconds", "%d is not between 1 and %d seconds", n, maxWindowSeconds)
+	}
+	if n := u.LeaseMs; n < minLeaseMs || n > maxLeaseMs {
+		report("usage.leaseMs", "%d is not between %d and %d milliseconds", n, minLeaseMs, maxLeaseMs)
+	}
+	if u.DueSeconds <= 0 {
+		report("usage.dueSeconds", "%v is not positive", u.DueSeconds)
+	}
+	if u.ReportsPerSecond < 0 {
+		report("usage.reportsPerSecond", "%v is negative", u.ReportsPerSecond)
+	}
+}
+
 // Answers limits what the daemon reads from the upstream, in bytes; zero means the
 // default.
 type Answers struct {
@@ -350,6 +443,7 @@
 	}
 	s.Bounds.check(report)
 	s.Answers.check(report)
+	s.Usage.check(report)
 	for i, a := range s.Seeds {
 		if !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() {
 			report(fmt.Sprintf("seeds[%d]", i), "an IP number and a port are required")
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -20,7 +20,7 @@
 //
 //	var l admission.Limiter
 //	l.SetLimits(admission.Limits{Slots: 20, ColdSlots: 4})
-//	t, err := l.Acquire(ctx, call.Class, preset.Shed, call.Deadline)
+//	t, err := l.Acquire(ctx, admission.Order{Class: call.Class}, preset.Shed, call.Deadline)
 //	if err != nil {
 //		return err // a *request.Refusal, or the error of ctx
 //	}
@@ -59,6 +59,19 @@
 	ColdSlots int
 }
 
+// Order determines which of several waiting requests is served first: the one of the
+// most urgent class, within a class nested calls, then returning callers, then the one
+// that arrived first.
+type Order struct {
+	// Class is the priority class.
+	Class string
+	// Nested means that an upstream made the request while it worked on another one.
+	Nested bool
+	// Returning means that the caller was refused and came back at the time that it
+	// was told.
+	Returning bool
+}
+
 // Result describes the answer to one request, or its absence.
 type Result struct {
 	// Took is the time from sending the request to the answer.
@@ -240,8 +253,8 @@
 
 // Acquire waits for a slot until the deadline or the end of ctx. The error is
 // a *request.Refusal, or the error of ctx.
-func (l *Limiter) Acquire(ctx context.Context, class string, shed []string, deadline time.Time) (Ticket, error) {
-	d := l.Admit(time.Now(), class, shed, deadline)
+func (l *Limiter) Acquire(ctx context.Context, o Order, shed []string, deadline time.Time) (Ticket, error) {
+	d := l.Admit(time.Now(), o.Class, shed, deadline)
 	switch d.Verdict {
 	case Granted:
 		return d.Ticket, nil
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -283,7 +283,7 @@
 // cancellations and grants race.
 func TestAcquire(t *testing.T) {
 	var l Limiter
-	if _, err := l.Acquire(t.Context(), "pay", nil, time.Now().Add(time.Second)); err == nil {
+	if _, err := l.Acquire(t.Context(), Order{Class: "pay"}, nil, time.Now().Add(time.Second)); err == nil {
 		t.Fatal("the zero value granted a request")
 	}
 	l.SetLimits(Limits{4, 4})
@@ -293,7 +293,7 @@
 		wg.Go(func() {
 			for k := range 200 {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i*k%7)*100*time.Microsecond)
-				ticket, err := l.Acquire(ctx, "pay", nil, time.Now().Add(time.Duration(k%5)*200*time.Microsecond))
+				ticket, err := l.Acquire(ctx, Order{Class: "pay"}, nil, time.Now().Add(time.Duration(k%5)*200*time.Microsecond))
 				cancel()
 				var ref *request.Refusal
 				if err != nil {
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -242,8 +242,8 @@
 
 // Acquire waits for a slot until the given time or the end of ctx. The error is a
 // *request.Refusal, or the error of ctx.
-func (g *Gate) Acquire(ctx context.Context, class string, shed []string, until time.Time) (Ticket, error) {
-	req, ref := g.admit(time.Now(), class, shed, until)
+func (g *Gate) Acquire(ctx context.Context, o Order, shed []string, until time.Time) (Ticket, error) {
+	req, ref := g.admit(time.Now(), o, shed, until)
 	if ref != nil {
 		return Ticket{}, ref
 	}
@@ -268,11 +268,11 @@
 }
 
 // admit grants a slot, queues the request, or refuses it.
-func (g *Gate) admit(now time.Time, class string, shed []string, until time.Time) (*slotRequest, *request.Refusal) {
+func (g *Gate) admit(now time.Time, o Order, shed []string, until time.Time) (*slotRequest, *request.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatch(now)
-	req := &slotRequest{class: class, deadline: until, rank: rank(class, shed)}
+	req := &slotRequest{class: o.Class, deadline: until, rank: rank(o.Class, shed)}
 	g.countArrival(now, req.rank)
 	if g.canGrant(now) {
 		g.grant(now, req)
--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -19,7 +19,7 @@
 func TestGateSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var g Gate
-		if _, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second)); err == nil {
+		if _, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second)); err == nil {
 			t.Fatal("granted without bounds")
 		}
 		g.SetBounds(Bounds{Slots: 3})
@@ -28,7 +28,7 @@
 		var wg sync.WaitGroup
 		for range 8 {
 			wg.Go(func() {
-				tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+				tk, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second))
 				if err != nil {
 					return
 				}
@@ -62,7 +62,7 @@
 	var wg sync.WaitGroup
 	for begin := time.Now(); time.Since(begin) < span; time.Sleep(interval) {
 		wg.Go(func() {
-			tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(100*time.Millisecond))
+			tk, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(100*time.Millisecond))
 			if err != nil {
 				return
 			}
@@ -123,7 +123,7 @@
 			asked[class]++
 			wg.Go(func() {
 				now := time.Now()
-				tk, err := g.Acquire(t.Context(), class, ranks, now.Add(maxWait))
+				tk, err := g.Acquire(t.Context(), Order{Class: class}, ranks, now.Add(maxWait))
 				var ref *request.Refusal
 				if errors.As(err, &ref) {
 					mu.Lock()
@@ -184,7 +184,7 @@
 				class = "rank2"
 			}
 			wg.Go(func() {
-				tk, err := g.Acquire(t.Context(), class, ranks, time.Now().Add(maxWait))
+				tk, err := g.Acquire(t.Context(), Order{Class: class}, ranks, time.Now().Add(maxWait))
 				if err != nil {
 					return
 				}
@@ -217,13 +217,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		var g Gate
 		g.SetBounds(Bounds{Slots: 1})
-		tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+		tk, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second))
 		if err != nil {
 			t.Fatal(err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer cancel()
-		if _, err := g.Acquire(ctx, "rank0", ranks, time.Now().Add(time.Second)); !errors.Is(err, context.DeadlineExceeded) {
+		if _, err := g.Acquire(ctx, Order{Class: "rank0"}, ranks, time.Now().Add(time.Second)); !errors.Is(err, context.DeadlineExceeded) {
 			t.Errorf("got %v", err)
 		}
 		g.Cancel(time.Now(), tk)
@@ -231,9 +231,9 @@
 		if n, queued, _, _ := g.Load(); n != 0 || queued != 0 {
 			t.Errorf("got %d in flight and %d queued", n, queued)
 		}
-		held, _ := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+		held, _ := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second))
 		g.Restarted()
-		if _, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second)); err != nil {
+		if _, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second)); err != nil {
 			t.Errorf("after a restart: %v", err)
 		}
 		g.Done(time.Now(), held, Result{})
--- a/request/admission/rate_limit_test.go
+++ b/request/admission/rate_limit_test.go
@@ -66,7 +66,7 @@
 
 func acquire(t *testing.T, g *Gate) Ticket {
 	t.Helper()
-	tk, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(10*time.Second))
+	tk, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(10*time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -122,7 +122,7 @@
 		errs := make(chan error)
 		for range 4 {
 			go func() {
-				_, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+				_, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second))
 				errs <- err
 			}()
 		}
@@ -141,7 +141,7 @@
 		for _, tk := range running {
 			g.Done(time.Now(), tk, Result{Took: time.Second})
 		}
-		_, err := g.Acquire(t.Context(), "rank0", ranks, time.Now().Add(time.Second))
+		_, err := g.Acquire(t.Context(), Order{Class: "rank0"}, ranks, time.Now().Add(time.Second))
 		var ref *request.Refusal
 		if !errors.As(err, &ref) || ref.Reason != request.ReasonRateLimit {
 			t.Errorf("got %v, want a refusal for %s", err, request.ReasonRateLimit)
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -56,7 +56,7 @@
 
 // Limiter bounds the requests that the upstream runs concurrently.
 type Limiter interface {
-	Acquire(ctx context.Context, class string, shed []string, deadline time.Time) (admission.Ticket, error)
+	Acquire(ctx context.Context, o admission.Order, shed []string, deadline time.Time) (admission.Ticket, error)
 	Done(now time.Time, t admission.Ticket, r admission.Result)
 	Cancel(now time.Time, t admission.Ticket)
 	Load() (inFlight, queued, limit int, cold bool)
@@ -218,7 +218,8 @@
 	if n := h.headers.CallerService; n != "" {
 		h.origins.observe(call.Route, call.Header.Get(n))
 	}
-	ticket, err := h.limiter.Acquire(ctx, call.Class, snap.ShedOrder(time.Now()), h.startBy(call, time.Now()))
+	order := admission.Order{Class: call.Class, Nested: call.Nested, Returning: call.Returning}
+	ticket, err := h.limiter.Acquire(ctx, order, snap.ShedOrder(time.Now()), h.startBy(call, time.Now()))
 	if err != nil {
 		return nil, h.countRefusal(overloadRefusal(err))
 	}
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -31,7 +31,7 @@
 	inFlight int
 }
 
-func (l *openLimiter) Acquire(context.Context, string, []string, time.Time) (admission.Ticket, error) {
+func (l *openLimiter) Acquire(context.Context, admission.Order, []string, time.Time) (admission.Ticket, error) {
 	if l.before != nil {
 		l.before()
 	}
--- a/request/host/origins_test.go
+++ b/request/host/origins_test.go
@@ -87,7 +87,7 @@
 			run := func(route string, objective, within, took time.Duration) bool {
 				now := time.Now()
 				call := &request.Call{Route: route, Idempotent: route == "read", Objective: now.Add(objective), Deadline: now.Add(within)}
-				tk, err := g.Acquire(t.Context(), "rank1", []string{"rank2", "rank1"}, h.startBy(call, now))
+				tk, err := g.Acquire(t.Context(), admission.Order{Class: "rank1"}, []string{"rank2", "rank1"}, h.startBy(call, now))
 				if err != nil {
 					return false
 				}
--- a/request/request.go
+++ b/request/request.go
@@ -42,13 +42,19 @@
 	HeaderVersion = "Kingcuppitch-Version"
 	// HeaderReason carries the reason of a refusal.
 	HeaderReason = "Kingcuppitch-Reason"
-	// HeaderLoad, HeaderLimit, HeaderRateLimit, HeaderState and HeaderMean report the
-	// instance's load.
+	// HeaderLoad, HeaderLimit, HeaderRateLimit, HeaderState, HeaderMean, HeaderCapacity
+	// and HeaderAdmits report the instance's load.
 	HeaderLoad      = "Kingcuppitch-Load"
 	HeaderLimit     = "Kingcuppitch-Limit"
 	HeaderRateLimit = "Kingcuppitch-Rate-Limit"
 	HeaderMean      = "Kingcuppitch-Mean"
 	HeaderState     = "Kingcuppitch-State"
+	// HeaderCapacity carries the capacity of an instance. On a forwarded call it is the
+	// last one that the entry knows.
+	HeaderCapacity = "Kingcuppitch-Capacity"
+	// HeaderAdmits carries the position in the shed order from which a host admits
+	// requests.
+	HeaderAdmits = "Kingcuppitch-Admits"
 	// HeaderTimeout carries the remaining time in milliseconds.
 	HeaderTimeout = "Request-Timeout-Ms"
 	// HeaderUpstreamRequest carries the id of a request, which the upstream
@@ -175,6 +181,14 @@
 	UpstreamVersion string
 	// Version is the configuration version of the entry.
 	Version int64
+	// Nested means that an upstream made the call while it worked on a request.
+	Nested bool
+	// Returning means that the caller was refused and came back at the time that it
+	// was told.
+	Returning bool
+	// Tenant is the name of the tenant whose key the caller presented; it may be
+	// empty.
+	Tenant string
 
 	fingerprint    uint64
 	hasFingerprint bool
@@ -215,6 +229,12 @@
 	// Mean is the recent mean answer time of the call's route; zero means
 	// unknown.
 	Mean time.Duration
+	// Capacity is the number of answers per second that the instance gives at its
+	// limit; zero means unknown.
+	Capacity float64
+	// Admits is the position in the shed order of the least urgent class that the host
+	// admits now; zero means that it admits all.
+	Admits int
 }
 
 // Sample is the evidence that one call sent to an upstream gives about it.
--- a/request/wire.go
+++ b/request/wire.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -26,6 +27,9 @@
 	headerUpstream   = "Kingcuppitch-Upstream"
 	headerHost       = "Kingcuppitch-Host"
 	headerObjective  = "Kingcuppitch-Objective-Ms"
+	headerNested     = "Kingcuppitch-Nested"
+	headerReturning  = "Kingcuppitch-Returning"
+	headerTenant     = "Kingcuppitch-Call-Tenant"
 )
 
 const (
@@ -91,6 +95,15 @@
 	if !c.Objective.IsZero() {
 		h.Set(headerObjective, strconv.FormatInt(time.Until(c.Objective).Milliseconds(), 10))
 	}
+	if c.Nested {
+		h.Set(headerNested, "true")
+	}
+	if c.Returning {
+		h.Set(headerReturning, "true")
+	}
+	if c.Tenant != "" {
+		h.Set(headerTenant, encodeName(c.Tenant))
+	}
 	if !c.RunBy.IsZero() {
 		h.Set(headerRunBy, strconv.FormatInt(time.Until(c.RunBy).Milliseconds(), 10))
 	}
@@ -130,6 +143,8 @@
 		UpstreamVersion: decodeName(r.Header.Get(HeaderUpstreamVersion)), Method: r.Method, Host: r.Header.Get(headerHost),
 		Upstream: decodeName(r.Header.Get(headerUpstream)), Trace: r.Header.Get(headerTrace),
 		Path: "/" + strings.TrimPrefix(r.URL.RequestURI(), prefix), Header: CleanHeader(r.Header),
+		Nested: r.Header.Get(headerNested) == "true", Returning: r.Header.Get(headerReturning) == "true",
+		Tenant: decodeName(r.Header.Get(headerTenant)),
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
 	if err != nil || ms <= 0 || c.ID == "" {
@@ -262,6 +277,12 @@
 	if l.Mean > 0 {
 		h.Set(HeaderMean, strconv.FormatInt(l.Mean.Milliseconds(), 10))
 	}
+	if l.Capacity > 0 {
+		h.Set(HeaderCapacity, strconv.FormatFloat(l.Capacity, 'f', 1, 64))
+	}
+	if l.Admits > 0 {
+		h.Set(HeaderAdmits, strconv.Itoa(l.Admits))
+	}
 }
 
 // DecodeLoad reads a load report from a header. It returns the zero Load if there
@@ -280,8 +301,17 @@
 	if err != nil {
 		rateLimit = 0 // an instance without a limit sends none
 	}
+	capacity, err := strconv.ParseFloat(h.Get(HeaderCapacity), 64)
+	if err != nil || !(capacity > 0) || math.IsInf(capacity, 0) {
+		capacity = 0 // a host that does not learn it sends none
+	}
+	admits, err := strconv.Atoi(h.Get(HeaderAdmits))
+	if err != nil || admits < 0 {
+		admits = 0 // a host that admits all classes sends none
+	}
 	return Load{
 		InFlight: inFlight, Limit: limit, State: h.Get(HeaderState), RateLimit: rateLimit, Mean: time.Duration(mean) * time.Millisecond,
+		Capacity: capacity, Admits: admits,
 	}
 }
 
--- a/review/platform/machine.go
+++ b/review/platform/machine.go
@@ -153,29 +153,34 @@
 }
 
 var (
-	section     = regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
+	section     = regexp.MustCompile(`\{\{([#^])([\w.]+)\}\}`)
 	placeholder = regexp.MustCompile(`\{\{([\w.]+)\}\}`)
 	runLine     = regexp.MustCompile(`(?m)^run *= *"([^"]*)"`)
 )
 
 // render fills in the template of the settings.
 func render(text string, fields map[string]any) (string, error) {
-	text = section.ReplaceAllStringFunc(text, func(s string) string {
-		part := section.FindStringSubmatch(s)
-		value, ok := fields[part[1]]
-		if !ok {
-			return ""
+	for {
+		at := section.FindStringSubmatchIndex(text)
+		if at == nil {
+			break
 		}
-		list, isList := value.([][2]string)
-		if !isList {
-			return part[2]
+		inverted, name := text[at[2]:at[3]] == "^", text[at[4]:at[5]]
+		before := text[:at[0]]
+		body, after, _ := strings.Cut(text[at[1]:], "{{/"+name+"}}")
+		value, present := fields[name]
+		if present == inverted {
+			body = ""
 		}
-		var out strings.Builder
-		for _, kv := range list {
-			out.WriteString(strings.NewReplacer("{{@}}", kv[0], "{{.}}", kv[1]).Replace(part[2]))
+		if list, ok := value.([][2]string); ok {
+			var out strings.Builder
+			for _, kv := range list {
+				out.WriteString(strings.NewReplacer("{{@}}", kv[0], "{{.}}", kv[1]).Replace(body))
+			}
+			body = out.String()
 		}
-		return out.String()
-	})
+		text = before + body + after
+	}
 	var missing []string
 	text = placeholder.ReplaceAllStringFunc(text, func(s string) string {
 		name := placeholder.FindStringSubmatch(s)[1]
