Retry budget: refusals without a run cost one token; nested calls first

With balancing.callRanks a refusal that the instance states as not run costs one token and is no sign of an outage. Other than nested calls are retried only while the budget is more than half full and serves the nested ones. Daemons mark repeated arrivals, count the share of repeated runs beside them and subtract it from what nested calls earn, so they use 0.85 of the ratio instead of 0.45; bursts use 0.4 of the slack.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
+	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 	"github.com/kingcuppitch/kingcuppitch/request/entry"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
@@ -226,10 +227,11 @@
 	buffers := request.NewBuffers(s.BodyMemory())
 	d.metrics.Gauge("bodies.bytes", func() any { return buffers.Used() })
 	d.metrics.Gauge("bodies.refused", func() any { return buffers.Refused() })
-	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
+	hostOpts := []host.Option{host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
 		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamUnreachable),
 		host.WithLeaving(d.upstreamLeaving), host.WithBuffers(buffers),
-		host.WithAnswerLimits(s.Answers.Limits()))
+		host.WithAnswerLimits(s.Answers.Limits()),
+	}
 	entryOpts := []entry.Option{
 		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
 		entry.WithHeaders(headers), entry.WithService(s.Service), entry.WithDecisions(d.decisions),
@@ -238,6 +240,12 @@
 	if d.platform == nil {
 		entryOpts = append(entryOpts, entry.WithClaims(d.control.Claims()))
 	}
+	if s.Balancing.CallRanks {
+		learner := new(dependency.Learner)
+		hostOpts = append(hostOpts, host.WithCallRanks(learner))
+		entryOpts = append(entryOpts, entry.WithCallRanks(learner))
+	}
+	d.host = host.New(d.control, d.limiter, hostOpts...)
 	d.entry = entry.New(d.control, d.host, entryOpts...)
 	return d
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -309,6 +309,15 @@
 // repeat.
 func (b Bounds) OwnRetryRatio() float64 { return daemonRetryShare * b.RetryRatio }
 
+// rankedRetryShare replaces daemonRetryShare where the daemons count which runs are
+// repeats and subtract the calls of these runs from what they retry themselves; see
+// retry.Budget. The rest is left for the time until a daemon knows of repeated runs.
+const rankedRetryShare = 0.85
+
+// RankedRetryRatio returns the largest share of requests that the daemons themselves may
+// repeat if Balancing.CallRanks is set.
+func (b Bounds) RankedRetryRatio() float64 { return rankedRetryShare * b.RetryRatio }
+
 // ColdRate returns the number of requests per second to send to an instance in cold
 // start that announced the given rate.
 func (b Bounds) ColdRate(announced float64) float64 {
--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -24,7 +24,11 @@
 func (e *Entry) runAttempts(ctx context.Context, call *request.Call, upstream string, tr *requestTrace) (*request.Answer, error) {
 	budget := e.budget(upstream)
 	preset, _ := e.view.Snapshot().State.InForce(time.Now())
-	budget.Request(time.Now(), preset.RetryPercent, retry.Share(preset.RetrySlack, len(e.view.Snapshot().Members)))
+	if e.ranks != nil {
+		e.ranks.countRequest(budget, call, preset.RetryPercent, preset.RetrySlack, len(e.view.Snapshot().Members))
+	} else {
+		budget.Request(time.Now(), preset.RetryPercent, retry.Share(preset.RetrySlack, len(e.view.Snapshot().Members)))
+	}
 	var (
 		previous []retry.Attempt
 		last     error
@@ -121,6 +125,7 @@
 	c.ID = rand.Text()
 	c.Version = snap.State.Version
 	c.Upstream = upstream
+	c.Repeat = e.ranks != nil && (call.Repeat || retry.IsRepeat(previous))
 	share := func(m fold.Move) float64 { return snap.Share(m, call.Route) }
 	c.UpstreamVersion = snap.Table.Version(upstream, share, mathrand.Float64())
 	query := route.Query{
@@ -243,7 +248,7 @@
 	if b, ok := e.budgets.Load(upstream); ok {
 		return b.(*retry.Budget)
 	}
-	b, _ := e.budgets.LoadOrStore(upstream, new(retry.Budget))
+	b, _ := e.budgets.LoadOrStore(upstream, &retry.Budget{CallRanks: e.ranks != nil})
 	return b.(*retry.Budget)
 }
 
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -115,6 +115,8 @@
 	decisions *decision.Log
 	service   atomic.Pointer[string]
 
+	// ranks is nil without WithCallRanks.
+	ranks    *ranks
 	loads    loads
 	leavers  leavers
 	peers    peer.Pool
--- a/request/headers.go
+++ b/request/headers.go
@@ -53,4 +53,5 @@
 	HeaderReason: true, HeaderLoad: true, HeaderLimit: true, HeaderRateLimit: true, HeaderMean: true, HeaderState: true, headerClass: true, headerRunBy: true,
 	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerTrace: true, headerUpstream: true, headerObjective: true,
 	HeaderCapacity: true, HeaderAdmits: true, headerNested: true, headerReturning: true, headerTenant: true,
+	headerRepeat: true, headerFinishes: true,
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -30,6 +30,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
+	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 )
 
 const (
@@ -99,6 +100,11 @@
 // WithAnswerLimits bounds what is read from the upstream.
 func WithAnswerLimits(l instance.Limits) Option { return func(h *Host) { h.limits = l } }
 
+// WithCallRanks makes the host report which classes it admits, which routes only
+// upstreams call and which share of runs can finish, and observe the runs for that. The
+// entry of the daemon observes the calls of the upstream.
+func WithCallRanks(l *dependency.Learner) Option { return func(h *Host) { h.learner = l } }
+
 // Host sends calls to the upstream instance of the daemon.
 type Host struct {
 	view     View
@@ -123,6 +129,8 @@
 	leaving func(Upstream)
 	// decisions may be nil.
 	decisions *decision.Log
+	// learner is nil without WithCallRanks.
+	learner *dependency.Learner
 }
 
 // Upstream is an incarnation of the upstream instance beside the daemon.
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -43,6 +43,7 @@
 	}
 	h.metrics.Add("host.sent", 1)
 	h.observer.Started(call)
+	h.startRun(call)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	ans, err := uc.run(ctx, cancel)
 	if err != nil || ans.Rest == nil {
@@ -94,6 +95,7 @@
 	if r := uc.result; !uc.cancelled && !r.Failed && !r.Expired && !r.Shed && uc.answered {
 		uc.host.meanTimes.observe(uc.call.Route, r.Took)
 	}
+	uc.endRun(now)
 	excluded, untimed := uc.host.warmup.classify(now, uc.load, uc.result)
 	uc.host.observer.Finished(uc.call, request.Sample{
 		Took: uc.result.Took, Failed: uc.result.Failed || uc.result.Expired, Lost: uc.lost, Completed: uc.completed,
--- a/request/request.go
+++ b/request/request.go
@@ -186,6 +186,9 @@
 	// Returning means that the caller was refused and came back at the time that it
 	// was told.
 	Returning bool
+	// Repeat means that an instance may have received the request before, or that the
+	// run that made it was a repeat itself.
+	Repeat bool
 	// Tenant is the name of the tenant whose key the caller presented; it may be
 	// empty.
 	Tenant string
@@ -235,6 +238,11 @@
 	// Admits is the position in the shed order of the least urgent class that the host
 	// admits now; zero means that it admits all.
 	Admits int
+	// UpstreamsOnly means that only upstreams call the route of the answered call.
+	UpstreamsOnly bool
+	// Finishes is the share of the runs of the answered call's route that can finish,
+	// because the upstreams that they call have the capacity; zero means all.
+	Finishes float64
 }
 
 // Sample is the evidence that one call sent to an upstream gives about it.
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -48,6 +48,9 @@
 // small minimum rate. The zero value is ready to use. It is safe for concurrent
 // use.
 type Budget struct {
+	// CallRanks selects the rules of ranked.go. It must not change after the first use.
+	CallRanks bool
+
 	mu          sync.Mutex
 	started     bool
 	at          time.Time
@@ -59,6 +62,8 @@
 	// burst is the bound of the tokens from the last call of Request; zero means
 	// maxCapacity.
 	burst float64
+	// nestedRefusedAt is when a nested call last found too few tokens.
+	nestedRefusedAt time.Time
 }
 
 // Share returns the part of the retry slack that one of n entries may use. The
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -106,6 +106,10 @@
 	if isStale(last) && b.takeStale(now) {
 		return d
 	}
+	if b.CallRanks {
+		d.Retry = b.takeRanked(now, call.Nested, last.Reason == request.ReasonShed)
+		return d
+	}
 	if !b.Take(now) {
 		return Decision{}
 	}
@@ -143,6 +147,10 @@
 	return n
 }
 
+// IsRepeat reports whether a further attempt arrives at an instance although another one
+// may have received the request before.
+func IsRepeat(attempts []Attempt) bool { return countReached(attempts) > 0 }
+
 // Reached reports whether an upstream instance may have received the request,
 // even if it refused to run it.
 func (a Attempt) Reached() bool {
--- a/request/wire.go
+++ b/request/wire.go
@@ -29,6 +29,8 @@
 	headerObjective  = "Kingcuppitch-Objective-Ms"
 	headerNested     = "Kingcuppitch-Nested"
 	headerReturning  = "Kingcuppitch-Returning"
+	headerRepeat     = "Kingcuppitch-Repeat"
+	headerFinishes   = "Kingcuppitch-Finishes"
 	headerTenant     = "Kingcuppitch-Call-Tenant"
 )
 
@@ -101,6 +103,9 @@
 	if c.Returning {
 		h.Set(headerReturning, "true")
 	}
+	if c.Repeat {
+		h.Set(headerRepeat, "true")
+	}
 	if c.Tenant != "" {
 		h.Set(headerTenant, encodeName(c.Tenant))
 	}
@@ -144,7 +149,7 @@
 		Upstream: decodeName(r.Header.Get(headerUpstream)), Trace: r.Header.Get(headerTrace),
 		Path: "/" + strings.TrimPrefix(r.URL.RequestURI(), prefix), Header: CleanHeader(r.Header),
 		Nested: r.Header.Get(headerNested) == "true", Returning: r.Header.Get(headerReturning) == "true",
-		Tenant: decodeName(r.Header.Get(headerTenant)),
+		Repeat: r.Header.Get(headerRepeat) == "true", Tenant: decodeName(r.Header.Get(headerTenant)),
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
 	if err != nil || ms <= 0 || c.ID == "" {
@@ -283,6 +288,12 @@
 	if l.Admits > 0 {
 		h.Set(HeaderAdmits, strconv.Itoa(l.Admits))
 	}
+	if l.UpstreamsOnly {
+		h.Set(headerNested, "true")
+	}
+	if l.Finishes > 0 && l.Finishes < 1 {
+		h.Set(headerFinishes, strconv.FormatFloat(l.Finishes, 'f', 2, 64))
+	}
 }
 
 // DecodeLoad reads a load report from a header. It returns the zero Load if there
@@ -309,9 +320,13 @@
 	if err != nil || admits < 0 {
 		admits = 0 // a host that admits all classes sends none
 	}
+	finishes, err := strconv.ParseFloat(h.Get(headerFinishes), 64)
+	if err != nil || !(finishes > 0 && finishes < 1) {
+		finishes = 0 // a host whose runs can all finish sends none
+	}
 	return Load{
 		InFlight: inFlight, Limit: limit, State: h.Get(HeaderState), RateLimit: rateLimit, Mean: time.Duration(mean) * time.Millisecond,
-		Capacity: capacity, Admits: admits,
+		Capacity: capacity, Admits: admits, UpstreamsOnly: h.Get(headerNested) == "true", Finishes: finishes,
 	}
 }
 
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -100,6 +100,7 @@
 	for _, want := range []Load{
 		{InFlight: 3, Limit: 12, State: "warm"},
 		{InFlight: 1, Limit: 2, State: "limited", RateLimit: 43.4, Mean: 60 * time.Millisecond},
+		{InFlight: 30, Limit: 13, State: "warm", Admits: 2, UpstreamsOnly: true, Finishes: 0.43},
 	} {
 		h := make(http.Header)
 		EncodeLoad(want, h)
