Recognise calls of upstreams and order them before new work

A call that fails wastes the whole run of the upstream that made it, but the entry could not tell calls of upstreams from requests of callers, because it sees the requests of its own machine only.

With balancing.callRanks the called host, which sees the calls of all daemons, marks its answers on routes that only upstreams call. An entry follows three quarters of the last answers, from two instances at least, and not while the upstream beside it ran nothing that could have made the call. It raises the class of such a call to the most urgent one among the runs in flight of routes that are known to make such calls. The gate orders by class, nested calls, returning callers and arrival in one number, which all estimates of waiting use. It can also say which classes it admits; nothing uses that yet.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -123,8 +123,9 @@
 // slotRequest is the state of a request for a slot, which a Ticket refers to. The
 // mutex of the limiter guards it.
 type slotRequest struct {
-	state    requestState
-	class    string
+	state requestState
+	class string
+	// rank is the position of the request in the order of service; see Order.position.
 	rank     int
 	deadline time.Time
 	ready    chan Grant
@@ -170,13 +171,17 @@
 // in the order in which they are refused; other classes are refused last. A
 // refusal for overload carries a time to retry at.
 func (l *Limiter) Admit(now time.Time, class string, shed []string, deadline time.Time) Decision {
+	return l.admit(now, Order{Class: class}, shed, deadline)
+}
+
+func (l *Limiter) admit(now time.Time, o Order, shed []string, deadline time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dispatch(now)
 	if !now.Before(deadline) {
 		return Decision{Refusal: deadlineRefusal()}
 	}
-	req := &slotRequest{class: class, deadline: deadline, rank: rank(class, shed)}
+	req := &slotRequest{class: o.Class, deadline: deadline, rank: o.position(shed)}
 	if l.inFlight < l.limit {
 		l.grant(req)
 		return Decision{Verdict: Granted, Ticket: Ticket{req}}
@@ -254,7 +259,7 @@
 // Acquire waits for a slot until the deadline or the end of ctx. The error is
 // a *request.Refusal, or the error of ctx.
 func (l *Limiter) Acquire(ctx context.Context, o Order, shed []string, deadline time.Time) (Ticket, error) {
-	d := l.Admit(time.Now(), o.Class, shed, deadline)
+	d := l.admit(time.Now(), o, shed, deadline)
 	switch d.Verdict {
 	case Granted:
 		return d.Ticket, nil
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -62,6 +62,8 @@
 	meanSeconds float64
 	// arrivals counts the recent requests by rank.
 	arrivals map[int]*arrivals
+	// waits holds how long requests may wait, by rank; see Admits.
+	waits map[int]time.Duration
 	// timer dispatches the queue when the bounds of the rate allow the next request.
 	timer *time.Timer
 }
@@ -272,8 +274,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatch(now)
-	req := &slotRequest{class: o.Class, deadline: until, rank: rank(o.Class, shed)}
+	req := &slotRequest{class: o.Class, deadline: until, rank: o.position(shed)}
 	g.countArrival(now, req.rank)
+	g.observeWait(req.rank, until.Sub(now))
 	if g.canGrant(now) {
 		g.grant(now, req)
 		return req, nil
--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -193,6 +193,7 @@
 		silent.Reason = request.ReasonNoAnswer
 		err = &silent
 	}
+	ans = e.observeRanked(&c, inst.Name, ans)
 	e.loads.finish(inst.Name, call.Route, ans, err, time.Now())
 	if ans != nil {
 		// A malformed statement was logged by the host.
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -163,6 +163,7 @@
 	tr := requestTrace{start: time.Now()}
 	ans, err := e.serve(ctx, w, r, &tr)
 	err = e.endedByDeparture(r.Context(), err)
+	e.endRanked(&tr, ans, err)
 	e.record(&tr, r, ans, err)
 	if err != nil {
 		e.refuse(w, err)
@@ -207,6 +208,9 @@
 	if err := e.limitByDeparture(call, time.Now()); err != nil {
 		return nil, err
 	}
+	if err := e.rankCall(call, snap, tr); err != nil {
+		return nil, err
+	}
 	// A streamed answer is read after this function returns, so the deadline context is
 	// cancelled together with the context of the request.
 	requestCtx := ctx
--- a/request/host/ranks.go
+++ b/request/host/ranks.go
@@ -7,6 +7,20 @@
 	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 )
 
+// Report returns the load report for a call; call may be nil.
+func (h *Host) Report(call *request.Call) request.Load {
+	load := h.load()
+	if h.learner == nil {
+		return load
+	}
+	if call != nil {
+		// The waiting time at this instance follows from it also after a refusal.
+		load.Mean = h.meanTimes.of(call.Route)
+		load.UpstreamsOnly = h.origins.fromServersOnly(call.Route)
+	}
+	return load
+}
+
 func (h *Host) startRun(call *request.Call) {
 	if h.learner != nil {
 		h.learner.StartRun(time.Now(), call.Route, call.Class, call.Repeat)
--- /dev/null
+++ b/request/host/ranks_test.go
@@ -0,0 +1,38 @@
+package host
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
+	"github.com/kingcuppitch/kingcuppitch/request/dependency"
+)
+
+// TestReport guards against a host without call ranks that reports more than before, and
+// against one with them that does not report what it knows.
+func TestReport(t *testing.T) {
+	for _, ranked := range []bool{false, true} {
+		var g admission.Gate
+		h := newHost(t, &g, membership.Member{Name: "h", Zone: "a", Version: "v1", State: membership.Ready}, func(http.ResponseWriter, *http.Request) {})
+		var l dependency.Learner
+		if ranked {
+			WithCallRanks(&l)(h)
+		}
+		for range 100 {
+			h.origins.observe("invoice", "dossiers")
+			h.origins.observe("ledger", "scoring")
+		}
+		call := newCall()
+		call.Route = "ledger"
+		got := h.Report(call)
+		want := request.Load{State: stateWarm}
+		if ranked {
+			want.UpstreamsOnly = true
+		}
+		if got != want {
+			t.Errorf("ranked %v: got %+v, want %+v", ranked, got, want)
+		}
+	}
+}
--- a/request/host/serve.go
+++ b/request/host/serve.go
@@ -18,7 +18,7 @@
 		if !errors.As(err, &ref) {
 			ref = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error(), Status: http.StatusBadRequest}
 		}
-		h.refuse(w, r.Header.Get(request.HeaderRequest), ref)
+		h.refuse(w, r.Header.Get(request.HeaderRequest), ref, nil)
 		return
 	}
 	ans, err := h.Do(r.Context(), call)
@@ -27,7 +27,7 @@
 		if !errors.As(err, &ref) {
 			ref = &request.Refusal{Outcome: request.Unknown, Reason: request.ReasonConnection, Detail: err.Error()}
 		}
-		h.refuse(w, call.ID, ref)
+		h.refuse(w, call.ID, ref, call)
 		return
 	}
 	if err := WriteAnswer(w, ans, call.ID); err != nil {
@@ -38,11 +38,12 @@
 	}
 }
 
-func (h *Host) refuse(w http.ResponseWriter, id string, ref *request.Refusal) {
+// refuse writes a refusal; call is nil if the call could not be read.
+func (h *Host) refuse(w http.ResponseWriter, id string, ref *request.Refusal, call *request.Call) {
 	header := w.Header()
 	header.Set(request.HeaderRequest, id)
 	request.EncodeRefusal(ref, header)
-	request.EncodeLoad(h.load(), header)
+	request.EncodeLoad(h.Report(call), header)
 	w.WriteHeader(request.StatusOf(ref))
 	_, _ = io.WriteString(w, ref.Detail)
 }
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -171,7 +171,7 @@
 		ans.Outcome = request.Unknown
 	}
 	uc.completed = !uc.result.Failed && !uc.result.Shed
-	ans.Load = uc.host.load()
+	ans.Load = uc.host.Report(uc.call)
 	ans.Load.Mean = uc.host.meanTimes.of(uc.call.Route)
 	if !more {
 		_ = res.Body.Close()
