Hosts report which classes they admit; entries choose and refuse by it

A request that every instance refuses because of its class was sent from one instance to the next, and a retry found no instance at all if each of them refused half of its requests, because an instance with such failures counts as saturated from a fifth of its load on.

With balancing.callRanks load reports carry the position in the shed order of the least urgent class that the host would grant or queue. Entries choose among the instances that admit the class, retry a request that was refused without a run only there, also at a saturated one, and refuse at once (overload, notRun) if all healthy instances have a valid report and none admits the class. An instance without a valid report may be tried.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -146,6 +146,11 @@
 		// The previous attempt was abandoned in favour of this instance.
 		inst, ok, tr.reserved = *tr.reserved, true, nil
 		c.UpstreamVersion = inst.Version
+	} else if e.ranks != nil {
+		var ref *request.Refusal
+		if inst, ok, ref = e.pickRanked(query, call, previous, snap, tr); ref != nil {
+			return nil, "", ref
+		}
 	} else {
 		inst, ok = snap.Table.Pick(query, &e.loads)
 	}
--- a/request/entry/mesh_test.go
+++ b/request/entry/mesh_test.go
@@ -177,6 +177,8 @@
 	// upstreamProxy does the same for the addresses of the upstreams.
 	upstreamProxy func(netip.AddrPort) netip.AddrPort
 	entry         []Option
+	// host holds the header names of the upstreams; the zero value means the default.
+	host request.Headers
 }
 
 func newMesh(t *testing.T, o meshOptions, upstreams ...netip.AddrPort) *mesh {
@@ -199,11 +201,14 @@
 	}
 	m := &mesh{metrics: new(metrics.Set), limiter: new(admission.Limiter)}
 	m.limiter.SetLimits(admission.Limits{Slots: o.slots, ColdSlots: o.slots})
+	if o.host == (request.Headers{}) {
+		o.host = request.DefaultHeaders
+	}
 	var members []membership.Member
 	var local Local
 	for i, addr := range upstreams {
 		self := membership.Member{Name: "booking-" + strconv.Itoa(i), Zone: "a", Region: "r", Service: "booking", Version: "v1", State: membership.Ready}
-		h := host.New(fixedView{&control.Snapshot{State: st, Self: self, Serving: true}}, m.limiter, host.WithMetrics(m.metrics))
+		h := host.New(fixedView{&control.Snapshot{State: st, Self: self, Serving: true}}, m.limiter, host.WithMetrics(m.metrics), host.WithHeaders(o.host))
 		if o.upstreamProxy != nil {
 			addr = o.upstreamProxy(addr)
 		}
--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -2,16 +2,30 @@
 
 import (
 	"errors"
+	"fmt"
+	"math"
 	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
 	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 	"github.com/kingcuppitch/kingcuppitch/request/retry"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
 )
 
+const (
+	// minReturnTime and maxReturnTime bound the time after which a caller that the entry
+	// refused may return.
+	minReturnTime = 50 * time.Millisecond
+	maxReturnTime = 5 * time.Second
+)
+
+// refusedNotAdmitted is the cause of a refusal by the entry, in the decision log.
+const refusedNotAdmitted = "notAdmitted"
+
 // ranks is what an entry knows with WithCallRanks.
 type ranks struct {
 	learner *dependency.Learner
@@ -80,6 +94,47 @@
 	b.RequestRanked(now, percent, slack, entries, repeats)
 }
 
+// pickRanked chooses an instance that admits the class of the call. The refusal is set if
+// all instances say that they do not.
+func (e *Entry) pickRanked(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot, tr *requestTrace) (inst route.Instance, ok bool, ref *request.Refusal) {
+	k := admittance{position: admission.Position(call.Class, snap.ShedOrder(q.Now)), precedes: call.Nested || call.Returning}
+	wait := maxReturnTime
+	q.Admits = func(name string) bool {
+		admits, after := e.loads.admits(name, k, q.Now)
+		if !admits {
+			wait = min(wait, after)
+		}
+		return admits
+	}
+	if len(previous) > 0 {
+		last := previous[len(previous)-1]
+		// All instances may be refusing a part of their requests.
+		q.AnyAdmitting = last.Outcome == request.NotRun && (last.Reason.IsSaturation() || last.Reason == request.ReasonShed)
+		inst, ok = snap.Table.Pick(q, &e.loads)
+		return inst, ok, nil
+	}
+	if inst, ok = snap.Table.Pick(q, &e.loads); ok {
+		return inst, true, nil
+	}
+	// An instance in a zone that is returning may have room.
+	q.Rnd[0] = 0
+	if inst, ok = snap.Table.Pick(q, &e.loads); ok {
+		return inst, true, nil
+	}
+	q.Admits = nil
+	if _, ok = snap.Table.Pick(q, &e.loads); !ok {
+		return inst, false, nil
+	}
+	e.metrics.Add("entry.refusedNotAdmitted", 1)
+	tr.refusedBy = refusedNotAdmitted
+	after := max(wait, minReturnTime)
+	return inst, false, &request.Refusal{
+		Outcome: request.NotRun, Reason: request.ReasonOverload,
+		Detail:  fmt.Sprintf("no instance of upstream %s admits class %s", q.Upstream, call.Class),
+		RetryAt: q.Now.Add(time.Duration(float64(after) * (1 + mathrand.Float64()))),
+	}
+}
+
 // observeRanked takes what the answer of an instance, or its refusal, says about the
 // route of the call. It returns the answer with the load report, also if the instance is
 // the daemon's own one, whose refusals carry none.
@@ -97,3 +152,33 @@
 	e.ranks.nested.observe(now, call.Route, instance, ans.Load.UpstreamsOnly)
 	return ans
 }
+
+// admittance describes a request whose admission depends on its class.
+type admittance struct {
+	// position is the position of its class in the shed order.
+	position int
+	// precedes means that it goes before others of its class, so an instance that just
+	// does not admit the class may admit it.
+	precedes bool
+}
+
+// admits reports whether an instance may admit a request: it says so in a valid report,
+// or there is none. If not, wait is the time after which the requests that wait at the
+// instance will have been granted.
+func (l *loads) admits(name string, k admittance, now time.Time) (admits bool, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in, ok := l.instances[name]
+	if !ok || !now.Before(in.reportUntil) || k.position >= in.report.Admits || k.precedes && k.position+1 >= in.report.Admits {
+		return true, 0
+	}
+	rate := in.report.Capacity
+	if mean := in.report.Mean.Seconds(); rate == 0 && mean > 0 {
+		rate = float64(in.report.Limit) / mean
+	}
+	if rate <= 0 {
+		return false, minReturnTime
+	}
+	waiting := max(0, in.report.InFlight-in.report.Limit) + 1
+	return false, time.Duration(math.Min(float64(waiting)/rate, maxReturnTime.Seconds()) * float64(time.Second))
+}
--- a/request/entry/ranks_test.go
+++ b/request/entry/ranks_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 )
 
 // TestNestedRoutes guards against a request of a caller that is taken for a call of an
@@ -61,3 +66,107 @@
 		}
 	}
 }
+
+// TestReportedAdmission guards against an instance that is not tried because of a stale
+// report, and against one that is tried although it refuses the class.
+func TestReportedAdmission(t *testing.T) {
+	var l loads
+	now := time.Now()
+	l.start("i")
+	l.finish("i", "r", &request.Answer{Load: request.Load{InFlight: 26, Limit: 13, Mean: 130 * time.Millisecond, Admits: 1}}, nil, now)
+	for _, c := range []struct {
+		instance string
+		k        admittance
+		after    time.Duration
+		want     bool
+	}{
+		{"i", admittance{position: 0}, 0, false},
+		{"i", admittance{position: 1}, 0, true},
+		{"i", admittance{position: 0, precedes: true}, 0, true},
+		{"i", admittance{position: 0}, reportLifetime, true},
+		{"unknown", admittance{position: 0}, 0, true},
+	} {
+		got, wait := l.admits(c.instance, c.k, now.Add(c.after))
+		if got != c.want {
+			t.Errorf("%+v: got %v, want %v", c, got, c.want)
+		}
+		// 13 requests are served before a new one, 100 in a second.
+		if want := 130 * time.Millisecond; !got && (wait < want/2 || wait > 2*want) {
+			t.Errorf("got a wait of %v, want about %v", wait, want)
+		}
+	}
+}
+
+// TestRefusedAtEntry guards against a request that waits at, or is sent to, instances that
+// all say that they refuse its class, and against a refusal that outlasts their reports or
+// that is made while an instance may have room.
+func TestRefusedAtEntry(t *testing.T) {
+	up := newUpstream(t, echo)
+	learner := new(dependency.Learner)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(learner)}}, up.addr(), up.addr())
+	full := request.Load{InFlight: 30, Limit: 10, Mean: 100 * time.Millisecond, Admits: 2}
+	report := func(load request.Load, instances ...string) {
+		for _, name := range instances {
+			m.entry.loads.start(name)
+			m.entry.loads.finish(name, "slots", &request.Answer{Load: load}, nil, time.Now())
+		}
+	}
+	report(full, "booking-0", "booking-1")
+	got := m.call(t, http.MethodGet, "/slots/1", "")
+	if got.outcome() != request.NotRun || got.reason() != request.ReasonOverload || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %d %s %s, want a refusal for overload", got.status, got.outcome(), got.reason())
+	}
+	if n := up.ran("/slots/1"); n != 0 {
+		t.Errorf("the request arrived %d times", n)
+	}
+	if n := m.metrics.Get("entry.refusedNotAdmitted"); n != 1 {
+		t.Errorf("got %d refusals by the entry, want 1", n)
+	}
+	report(request.Load{InFlight: 1, Limit: 10}, "booking-1")
+	if got := m.call(t, http.MethodGet, "/slots/2", ""); got.status != http.StatusOK {
+		t.Errorf("one instance has room: got %d %s", got.status, got.reason())
+	}
+	report(full, "booking-0", "booking-1")
+	time.Sleep(reportLifetime)
+	if got := m.call(t, http.MethodGet, "/slots/3", ""); got.status != http.StatusOK {
+		t.Errorf("stale reports: got %d %s", got.status, got.reason())
+	}
+}
+
+// TestRefusedWithoutRun guards against a request that fails although an instance that has
+// not refused it could answer, when all instances refuse a part of their requests and so
+// count as failing.
+func TestRefusedWithoutRun(t *testing.T) {
+	refuse := raw("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	headers := request.DefaultHeaders
+	headers.NotRun = "Not-Run"
+	refused := make(map[string]bool)
+	upstream := func(c net.Conn, r *http.Request, body []byte) {
+		if !refused[r.URL.Path] {
+			refused[r.URL.Path] = true
+			refuse(c, r, body)
+			return
+		}
+		echo(c, r, body)
+	}
+	// One connection at a time is in use, so the map needs no lock.
+	up := newUpstream(t, upstream)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(new(dependency.Learner))}, host: headers}, up.addr(), up.addr(), up.addr())
+	for i := range 20 {
+		// The instances appear to fail half of their requests.
+		for _, name := range []string{"booking-0", "booking-1", "booking-2"} {
+			m.entry.loads.mu.Lock()
+			m.entry.loads.get(name).failureShare, m.entry.loads.get(name).failureShareAt = 0.5, time.Now()
+			m.entry.loads.get(name).report, m.entry.loads.get(name).reportUntil = request.Load{InFlight: 8, Limit: 10}, time.Now().Add(time.Second)
+			m.entry.loads.mu.Unlock()
+		}
+		b := m.entry.budget("booking")
+		for range 20 {
+			b.RequestRanked(time.Now(), 20, 0, 1, 0)
+		}
+		path := fmt.Sprintf("/timely/%d", i)
+		if got := m.call(t, http.MethodGet, path, ""); got.status != http.StatusOK {
+			t.Errorf("%s: got %d %s %s", path, got.status, got.outcome(), got.reason())
+		}
+	}
+}
--- a/request/entry/request_trace.go
+++ b/request/entry/request_trace.go
@@ -21,6 +21,8 @@
 	// call is nil if the request was refused before it was read.
 	call     *request.Call
 	attempts []attemptTrace
+	// refusedBy says why the entry itself refused the request; empty if it did not.
+	refusedBy string
 	// reserved is the instance in whose favour a silent one was abandoned; nil if none.
 	reserved *route.Instance
 }
@@ -114,6 +116,9 @@
 	if tr.call != nil {
 		args = append(args, "timeoutMs", tr.call.Deadline.Sub(tr.start).Milliseconds())
 	}
+	if tr.refusedBy != "" {
+		args = append(args, "refusedAtEntry", tr.refusedBy)
+	}
 	if outcome == request.NotRun {
 		e.decisions.Write("request answered", args...)
 		return
--- a/request/host/ranks.go
+++ b/request/host/ranks.go
@@ -7,12 +7,21 @@
 	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 )
 
+// admitter is a limiter that knows which classes it would admit.
+type admitter interface {
+	Admits(now time.Time, shed []string) int
+}
+
 // Report returns the load report for a call; call may be nil.
 func (h *Host) Report(call *request.Call) request.Load {
 	load := h.load()
 	if h.learner == nil {
 		return load
 	}
+	now := time.Now()
+	if a, ok := h.admitter(); ok {
+		load.Admits = a.Admits(now, h.view.Snapshot().ShedOrder(now))
+	}
 	if call != nil {
 		// The waiting time at this instance follows from it also after a refusal.
 		load.Mean = h.meanTimes.of(call.Route)
@@ -21,6 +30,16 @@
 	return load
 }
 
+// admitter returns the limiter, if it knows which classes it admits.
+func (h *Host) admitter() (admitter, bool) {
+	limiter := Limiter(h.limiter)
+	if n, ok := limiter.(noRateLimiter); ok {
+		limiter = n.Limiter
+	}
+	a, ok := limiter.(admitter)
+	return a, ok
+}
+
 func (h *Host) startRun(call *request.Call) {
 	if h.learner != nil {
 		h.learner.StartRun(time.Now(), call.Route, call.Class, call.Repeat)
--- a/request/host/ranks_test.go
+++ b/request/host/ranks_test.go
@@ -29,7 +29,7 @@
 		got := h.Report(call)
 		want := request.Load{State: stateWarm}
 		if ranked {
-			want.UpstreamsOnly = true
+			want.Admits, want.UpstreamsOnly = 1, true
 		}
 		if got != want {
 			t.Errorf("ranked %v: got %+v, want %+v", ranked, got, want)
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -86,6 +86,12 @@
 	Leaving func(*Instance) bool
 	// AvailableOnly asks for an instance that is neither saturated nor failing.
 	AvailableOnly bool
+	// Admits reports whether an instance may admit the request; nil means that any may.
+	// If none does, none is chosen.
+	Admits func(instance string) bool
+	// AnyAdmitting relaxes AvailableOnly: an instance that is saturated may be chosen if
+	// it admits the request.
+	AnyAdmitting bool
 	// WaitRatio is how long the request may wait in the daemon's own zone, as a
 	// fraction of the answer time, before its body and answer are sent between
 	// zones.
@@ -322,6 +328,8 @@
 	ratio float64
 	// cost is the expected answer time as a multiple of the usual one.
 	cost float64
+	// refuses means that the instance is known not to admit the request.
+	refuses bool
 }
 
 // loadCostFactor is the relative increase of the cost of an instance from idle to
@@ -360,7 +368,7 @@
 		for distance := range distances {
 			list := open[:0]
 			for _, c := range all {
-				if c.distance <= distance && c.ratio < q.saturationRatio(c.distance) && c.onTrial(share) {
+				if !c.refuses && c.distance <= distance && c.ratio < q.saturationRatio(c.distance) && c.onTrial(share) {
 					list = append(list, c)
 				}
 			}
@@ -369,6 +377,14 @@
 			}
 		}
 	}
+	if q.Admits != nil {
+		if c, healthy := pickAdmitting(all, q, open[:0]); c != nil || healthy {
+			if c == nil || q.AvailableOnly && !q.AnyAdmitting {
+				return Instance{}, false
+			}
+			return c.Instance, true
+		}
+	}
 	if q.AvailableOnly {
 		return Instance{}, false
 	}
@@ -412,7 +428,7 @@
 			if slowness == 0 {
 				slowness = 1
 			}
-			buf = append(buf, candidate{in, ratio, slowness * (1 + loadCostFactor*ratio*ratio)})
+			buf = append(buf, candidate{in, ratio, slowness * (1 + loadCostFactor*ratio*ratio), q.Admits != nil && !q.Admits(in.Name)})
 		}
 	}
 	if add(true); len(buf) == 0 {
@@ -421,6 +437,26 @@
 	return buf
 }
 
+// pickAdmitting returns the instance with the least cost among those that admit the
+// request and are neither failing nor suspect, or nil, and whether any instance is
+// neither. Other instances are no alternative as long as one is: they often have no
+// load report, and do not answer.
+func pickAdmitting(all []candidate, q Query, list []candidate) (best *locatedInstance, healthy bool) {
+	for _, c := range all {
+		if c.ratio >= failingPenalty {
+			continue
+		}
+		healthy = true
+		if !c.refuses {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		return nil, healthy
+	}
+	return leastCost(list, q).locatedInstance, true
+}
+
 // failingPenalty ranks failing and suspect instances behind all others.
 const failingPenalty = 1e6
 
