Limit requests whose runs cannot finish for lack of capacity elsewhere

While billing lacked capacity, 15,460 look-ups at scoring held a slot for their whole work and ended in a 500 because a ledger read was refused.

Only refusals for lack of capacity count, and only of calls whose failure fails the run. Hosts report the share in the answers on a route when it is below 1. An entry that gets such reports from most hosts admits that share of new requests of the route and refuses the others before a slot is used, more urgent classes last.

--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -138,6 +138,9 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	if e.ranks != nil {
+		e.metrics.Gauge("entry.admittedShare", func() any { return e.ranks.shares.Limited(time.Now()) })
+	}
 	return e
 }
 
--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -21,15 +21,22 @@
 	// refused may return.
 	minReturnTime = 50 * time.Millisecond
 	maxReturnTime = 5 * time.Second
+	// dependencyReturnTime is that time if the runs of a route lack the capacity of
+	// another upstream; shares change about as fast.
+	dependencyReturnTime = time.Second
 )
 
-// refusedNotAdmitted is the cause of a refusal by the entry, in the decision log.
-const refusedNotAdmitted = "notAdmitted"
+// Causes of a refusal by the entry, in the decision log.
+const (
+	refusedNotAdmitted = "notAdmitted"
+	refusedDependency  = "dependency"
+)
 
 // ranks is what an entry knows with WithCallRanks.
 type ranks struct {
 	learner *dependency.Learner
 	nested  nestedRoutes
+	shares  dependency.Shares
 }
 
 // WithCallRanks makes the entry recognise the calls of the upstream beside the daemon,
@@ -45,7 +52,8 @@
 }
 
 // rankCall finds out whether the upstream beside the daemon made the request, and raises
-// the class of such a call to that of the runs that need it.
+// the class of such a call to that of the runs that need it. It refuses a request if the
+// runs of its route cannot finish.
 func (e *Entry) rankCall(call *request.Call, snap *control.Snapshot, tr *requestTrace) error {
 	k := e.ranks
 	if k == nil {
@@ -62,7 +70,16 @@
 		}
 		k.learner.StartCall(now, call.Route)
 	}
-	return nil
+	if k.shares.Admit(now, call.Route, mathrand.Float64()) {
+		return nil
+	}
+	e.metrics.Add("entry.refusedDependency", 1)
+	tr.refusedBy = refusedDependency
+	return &request.Refusal{
+		Outcome: request.NotRun, Reason: request.ReasonOverload,
+		Detail:  fmt.Sprintf("the upstreams that route %s needs lack the capacity", call.Route),
+		RetryAt: now.Add(time.Duration(float64(dependencyReturnTime) * (1 + mathrand.Float64()))),
+	}
 }
 
 // endRanked tells the learner how a call of the upstream ended.
@@ -150,6 +167,8 @@
 	}
 	now := time.Now()
 	e.ranks.nested.observe(now, call.Route, instance, ans.Load.UpstreamsOnly)
+	position := admission.Position(call.Class, e.view.Snapshot().ShedOrder(now))
+	e.ranks.shares.Observe(now, call.Route, position, instance, ans.Load.Finishes)
 	return ans
 }
 
--- a/request/entry/ranks_test.go
+++ b/request/entry/ranks_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/dependency"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
 // TestNestedRoutes guards against a request of a caller that is taken for a call of an
@@ -170,3 +171,94 @@
 		}
 	}
 }
+
+// TestRankCall guards against a nested call that does not get the class of the runs that
+// need it, against a request of a caller that does, and against an outcome that is counted
+// as a lack of capacity although the called upstream refused at random.
+func TestRankCall(t *testing.T) {
+	learner := new(dependency.Learner)
+	up := newUpstream(t, echo)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(learner)}}, up.addr())
+	e, snap := m.entry, m.entry.view.Snapshot()
+	for _, name := range []string{"a", "b"} {
+		e.observeRanked(&request.Call{Route: "ledger"}, name, &request.Answer{Load: request.Load{Limit: 1, UpstreamsOnly: true}})
+	}
+	now := time.Now().Add(-time.Second)
+	for range 5 {
+		learner.StartRun(now, "slots", "urgent", true)
+	}
+	for i := range 20 {
+		at := now.Add(time.Duration(i) * 40 * time.Millisecond)
+		learner.StartCall(at, "ledger")
+		learner.EndCall(at, "ledger", dependency.CallSucceeded)
+	}
+	for _, c := range []struct {
+		route, class string
+		nested       bool
+	}{{"ledger", "urgent", true}, {"invoice", "late", false}} {
+		// The preset sheds no class but this one.
+		snap.State.Config.Presets[0].Shed = []string{"late"}
+		snap.State.Schedule = []fold.Activation{{Name: snap.State.Config.Presets[0].Name}}
+		call := &request.Call{Route: c.route, Class: "late"}
+		tr := &requestTrace{call: call}
+		if err := e.rankCall(call, snap, tr); err != nil {
+			t.Fatal(err)
+		}
+		// All runs were repeats.
+		if call.Nested != c.nested || call.Repeat != c.nested || call.Class != c.class {
+			t.Errorf("%s: got nested %v, repeat %v, class %s; want %v, %v, %s", c.route, call.Nested, call.Repeat, call.Class, c.nested, c.nested, c.class)
+		}
+	}
+	for range 60 {
+		learner.StartRun(time.Now(), "slots", "urgent", false)
+		learner.StartCall(time.Now(), "ledger")
+		learner.StartCall(time.Now(), "ledger")
+		learner.EndRun(time.Now(), "slots", "urgent", dependency.RunFailed)
+	}
+	end := func(reason request.Reason) float64 {
+		for range 60 {
+			tr := &requestTrace{call: &request.Call{Route: "ledger", Nested: true}}
+			e.endRanked(tr, nil, &request.Refusal{Outcome: request.NotRun, Reason: reason})
+		}
+		time.Sleep(300 * time.Millisecond) // the share is computed four times a second
+		return learner.Finishes(time.Now(), "slots")
+	}
+	if got := end(request.ReasonShed); got != 1 {
+		t.Errorf("random refusals: got a share of %v, want 1", got)
+	}
+	if got := end(request.ReasonOverload); got >= 0.9 {
+		t.Errorf("lack of capacity: got a share of %v, want less", got)
+	}
+}
+
+// TestLimitedByDependency guards against a request that takes a slot although the runs of
+// its route cannot finish, and against a refusal that hides why.
+func TestLimitedByDependency(t *testing.T) {
+	up := newUpstream(t, echo)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(new(dependency.Learner))}}, up.addr())
+	shares := &m.entry.ranks.shares
+	for i := 30; i >= 0; i-- {
+		at := time.Now().Add(-time.Duration(i) * 50 * time.Millisecond)
+		for _, name := range []string{"a", "b", "c"} {
+			shares.Observe(at, "slots", 0, name, 0.01)
+		}
+		shares.Admit(at, "slots", 0)
+	}
+	refused := 0
+	for range 100 {
+		got := m.call(t, http.MethodGet, "/slots/1", "")
+		if got.status == http.StatusOK {
+			continue
+		}
+		refused++
+		if got.outcome() != request.NotRun || got.reason() != request.ReasonOverload || got.header.Get("Retry-After") == "" {
+			t.Fatalf("got %d %s %s, want a refusal for overload", got.status, got.outcome(), got.reason())
+		}
+	}
+	if refused < 55 || refused > 92 || up.ran("/slots/1") != 100-refused {
+		t.Errorf("%d of 100 are refused and %d arrive, want about three quarters and the others", refused, up.ran("/slots/1"))
+	}
+	if n := m.metrics.Get("entry.refusedDependency"); int(n) != refused {
+		t.Errorf("got a count of %d refusals, want %d", n, refused)
+	}
+}
