Retry budget: subtract repeated runs also for requests not known to be nested

Calls on a route that callers use too are never recognised as nested, so the repeats among them were not subtracted, and two upstreams that refuse half of their requests could together exceed the bound. Every request at a daemon now earns less by the share of repeated runs beside it.

The model of TestRankedBound counted a nested call as a repeat by the estimated share; it now counts those that a repeated run makes, and has a load with calls that are not recognised.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -25,7 +25,7 @@
 	budget := e.budget(upstream)
 	preset, _ := e.view.Snapshot().State.InForce(time.Now())
 	if e.ranks != nil {
-		e.ranks.countRequest(budget, call, preset.RetryPercent, preset.RetrySlack, len(e.view.Snapshot().Members))
+		e.ranks.countRequest(budget, preset.RetryPercent, preset.RetrySlack, len(e.view.Snapshot().Members))
 	} else {
 		budget.Request(time.Now(), preset.RetryPercent, retry.Share(preset.RetrySlack, len(e.view.Snapshot().Members)))
 	}
--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -102,13 +102,12 @@
 	e.ranks.learner.EndCall(time.Now(), tr.call.Route, outcome)
 }
 
-// countRequest counts a new request in the retry budget.
-func (k *ranks) countRequest(b *retry.Budget, call *request.Call, percent int, slack float64, entries int) {
-	now, repeats := time.Now(), 0.0
-	if call.Nested {
-		repeats = k.learner.RepeatShare(now)
-	}
-	b.RequestRanked(now, percent, slack, entries, repeats)
+// countRequest counts a new request in the retry budget. The share of repeats is
+// subtracted whether or not the request is known to be nested, because calls on routes
+// that callers use too are never recognised.
+func (k *ranks) countRequest(b *retry.Budget, percent int, slack float64, entries int) {
+	now := time.Now()
+	b.RequestRanked(now, percent, slack, entries, k.learner.RepeatShare(now))
 }
 
 // pickRanked chooses an instance that admits the class of the call. The refusal is set if
--- a/request/retry/ranked.go
+++ b/request/retry/ranked.go
@@ -18,9 +18,9 @@
 )
 
 // RequestRanked counts a new request like Request, by the rules that apply if CallRanks
-// is set. repeatShare is the share of requests of this kind that are repeats already,
-// because a repeated run made them: they earn nothing and use up what the others earn, so
-// the tokens may become negative.
+// is set. repeatShare is the share of the runs of the upstream beside the daemon that are
+// repeats. Calls of these runs are repeats already: they earn nothing and use up what the
+// others earn, so the tokens may become negative.
 func (b *Budget) RequestRanked(now time.Time, percent int, slack float64, entries int, repeatShare float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/request/retry/ranked_test.go
+++ b/request/retry/ranked_test.go
@@ -13,12 +13,14 @@
 // all entries, and each run of the calling upstream makes calls to the other one, at which
 // requests of callers arrive too.
 type rankedModel struct {
-	rnd      *rand.Rand
-	percent  int
-	slack    float64
-	calls    int
-	upstream [2][]Budget // by entry
-	learners []dependency.Learner
+	rnd     *rand.Rand
+	percent int
+	slack   float64
+	calls   int
+	// unrecognised means that the entries do not know which requests are nested.
+	unrecognised bool
+	upstream     [2][]Budget // by entry
+	learners     []dependency.Learner
 	// refuse is the share of requests that the instances refuse, fail the share that
 	// they run and fail.
 	refuse, fail [2]float64
@@ -29,18 +31,19 @@
 
 const rankedEntries, rankedCalling = 80, 46
 
-func (m *rankedModel) send(now time.Time, upstream, entry int, nested bool) {
+// send sends a request; repeated means that a repeated run makes it.
+func (m *rankedModel) send(now time.Time, upstream, entry int, nested, repeated bool) {
 	b := &m.upstream[upstream][entry]
 	call := &request.Call{Idempotent: true, Attempts: 2, Deadline: now.Add(time.Second), Nested: nested}
-	share := 0.0
-	if nested {
-		share = m.learners[entry].RepeatShare(now)
-		call.Repeat = m.rnd.Float64() < share
+	share := m.learners[entry].RepeatShare(now)
+	if m.unrecognised {
+		call.Nested = false
 	}
+	call.Repeat = call.Nested && m.rnd.Float64() < share
 	b.RequestRanked(now, m.percent, m.slack, rankedEntries, share)
 	var attempts []Attempt
 	for Next(call, attempts, b, now, m.rnd.Float64()).Retry {
-		repeat := call.Repeat || IsRepeat(attempts)
+		repeat := repeated || IsRepeat(attempts)
 		if repeat {
 			m.repeats[upstream] = append(m.repeats[upstream], now)
 		} else {
@@ -51,7 +54,7 @@
 		}
 		calling := m.rnd.IntN(rankedCalling)
 		if upstream == 0 {
-			m.learners[calling].StartRun(now, "look", "rank0", repeat)
+			m.learners[calling].StartRun(now, "look", "rank0", call.Repeat || IsRepeat(attempts))
 		}
 		attempt := Attempt{Outcome: request.Ran}
 		switch x := m.rnd.Float64(); {
@@ -62,7 +65,7 @@
 		}
 		if upstream == 0 && attempt.Outcome != request.NotRun {
 			for range m.calls {
-				m.send(now, 1, calling, true)
+				m.send(now, 1, calling, true, repeat)
 			}
 		}
 		if upstream == 0 {
@@ -107,18 +110,20 @@
 		looks, bills float64 // requests a second
 		calls        int
 		refuse, fail [2]float64
+		unrecognised bool
 	}
 	for i, d := range []day{
-		{"calledRefusesHalf", 1348, 382, 1, [2]float64{0, 0.5}, [2]float64{}},
-		{"bothRefuseHalf", 1348, 382, 1, [2]float64{0.5, 0.5}, [2]float64{}},
-		{"bothRefuseAll", 1348, 382, 1, [2]float64{1, 1}, [2]float64{}},
-		{"bothRefuseHalfTwoCalls", 500, 400, 2, [2]float64{0.5, 0.5}, [2]float64{}},
-		{"callingFails", 1348, 382, 1, [2]float64{0, 0.5}, [2]float64{0.5, 0}},
-		{"bothFail", 871, 436, 1, [2]float64{}, [2]float64{0.3, 0.3}},
-		{"littleTraffic", 40, 20, 1, [2]float64{0.5, 0.5}, [2]float64{}},
+		{"calledRefusesHalf", 1348, 382, 1, [2]float64{0, 0.5}, [2]float64{}, false},
+		{"bothRefuseHalf", 1348, 382, 1, [2]float64{0.5, 0.5}, [2]float64{}, false},
+		{"bothRefuseHalfUnrecognised", 1348, 382, 1, [2]float64{0.5, 0.5}, [2]float64{}, true},
+		{"bothRefuseAll", 1348, 382, 1, [2]float64{1, 1}, [2]float64{}, false},
+		{"bothRefuseHalfTwoCalls", 500, 400, 2, [2]float64{0.5, 0.5}, [2]float64{}, false},
+		{"callingFails", 1348, 382, 1, [2]float64{0, 0.5}, [2]float64{0.5, 0}, false},
+		{"bothFail", 871, 436, 1, [2]float64{}, [2]float64{0.3, 0.3}, false},
+		{"littleTraffic", 40, 20, 1, [2]float64{0.5, 0.5}, [2]float64{}, false},
 	} {
 		t.Run(d.name, func(t *testing.T) {
-			m := &rankedModel{rnd: rand.New(rand.NewPCG(11, uint64(i))), percent: percent, slack: slack, calls: d.calls}
+			m := &rankedModel{rnd: rand.New(rand.NewPCG(11, uint64(i))), percent: percent, slack: slack, calls: d.calls, unrecognised: d.unrecognised}
 			for u := range m.upstream {
 				m.upstream[u] = make([]Budget, rankedEntries)
 				for e := range m.upstream[u] {
@@ -138,7 +143,7 @@
 				if m.rnd.Float64() < d.bills/(d.looks+d.bills) {
 					upstream = 1
 				}
-				m.send(epoch.Add(at), upstream, m.rnd.IntN(rankedEntries), false)
+				m.send(epoch.Add(at), upstream, m.rnd.IntN(rankedEntries), false, false)
 			}
 			for u, name := range []string{"calling", "called"} {
 				got := m.excess(u, ratio)
