--- a/request/entry/ranks_test.go
+++ b/request/entry/ranks_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/dependency"
+	"github.com/kingcuppitch/kingcuppitch/request/host"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
@@ -262,3 +263,37 @@
 		t.Errorf("got a count of %d refusals, want %d", n, refused)
 	}
 }
+
+// TestNestedCallsFound guards against calls of an upstream that no entry recognises, and
+// against requests of callers that count as such, over the wire. Load: callers read slots
+// at the daemons of two services, and only the upstream of one of them reads /timely.
+func TestNestedCallsFound(t *testing.T) {
+	learner := new(dependency.Learner)
+	headers := request.DefaultHeaders
+	headers.ID, headers.CallerNamesID, headers.CallerService = request.HeaderUpstreamRequest, true, "Caller-Service"
+	up := newUpstream(t, echo)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(learner), WithHeaders(headers)}, host: headers}, up.addr(), up.addr())
+	for _, h := range m.hosts {
+		host.WithCallRanks(new(dependency.Learner))(h.Config.Handler.(*host.Host))
+	}
+	get := func(path string) (nested int64) {
+		before := m.metrics.Get("entry.nestedCalls")
+		if got := m.call(t, http.MethodGet, path, ""); got.status != http.StatusOK {
+			t.Fatalf("got %d %s", got.status, got.reason())
+		}
+		return m.metrics.Get("entry.nestedCalls") - before
+	}
+	learner.StartRun(time.Now(), "look", "browse", false)
+	found := int64(0)
+	for i := range 300 {
+		m.entry.SetService([]string{"scoring", "dossiers"}[i%2])
+		if get("/slots/1") != 0 {
+			t.Fatal("a request of a caller counts as nested")
+		}
+		m.entry.SetService("scoring")
+		found += get("/timely/1")
+	}
+	if found < 100 {
+		t.Errorf("%d of 300 calls of the upstream are recognised, want at least the last 100", found)
+	}
+}
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -157,3 +157,24 @@
 		}
 	}
 }
+
+// TestCallFlags guards against a flag of a call that does not reach the host, and against
+// one that is sent although it is not set, which changes the bytes between daemons.
+func TestCallFlags(t *testing.T) {
+	for _, set := range []bool{false, true} {
+		c := &Call{ID: "1", Method: http.MethodGet, Path: "/x", Deadline: time.Now().Add(time.Second), Nested: set, Repeat: set}
+		r, err := NewForwardRequest(t.Context(), "http://127.0.0.1:1/forward/x", c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{headerNested, headerRepeat} {
+			if sent := r.Header.Get(name) != ""; sent != set || !meshHeaders[name] {
+				t.Errorf("set %v: header %s is sent: %v", set, name, sent)
+			}
+		}
+		got, err := DecodeCall(r, "/forward/", time.Now(), MaxBody, nil)
+		if err != nil || got.Nested != set || got.Repeat != set {
+			t.Errorf("got %+v, error %v, want the flags %v", got, err, set)
+		}
+	}
+}
