--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -115,6 +115,8 @@
 	decisions *decision.Log
 	service   atomic.Pointer[string]
 
+	// ranks is nil without WithCallRanks.
+	ranks    *ranks
 	loads    loads
 	leavers  leavers
 	peers    peer.Pool
@@ -136,6 +138,9 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	if e.ranks != nil {
+		e.metrics.Gauge("entry.admittedShare", func() any { return e.ranks.shares.Limited(time.Now()) })
+	}
 	return e
 }
 
@@ -161,6 +166,7 @@
 	tr := requestTrace{start: time.Now()}
 	ans, err := e.serve(ctx, w, r, &tr)
 	err = e.endedByDeparture(r.Context(), err)
+	e.endRanked(&tr, ans, err)
 	e.record(&tr, r, ans, err)
 	if err != nil {
 		e.refuse(w, err)
@@ -205,6 +211,9 @@
 	if err := e.limitByDeparture(call, time.Now()); err != nil {
 		return nil, err
 	}
+	if err := e.rankCall(call, snap, tr); err != nil {
+		return nil, err
+	}
 	// A streamed answer is read after this function returns, so the deadline context is
 	// cancelled together with the context of the request.
 	requestCtx := ctx
