Retry times: schedule of return times per upstream and class

A Retry-After was computed from the queue of the one host that refused, and nothing recorded how many callers were told to return when. The entry now promises times at the rate at which its requests are served, recognises the callers that return and admits new ones beside them. Refusals between daemons carry the wait in milliseconds, since clocks differ.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -238,6 +238,9 @@
 	if d.platform == nil {
 		entryOpts = append(entryOpts, entry.WithClaims(d.control.Claims()))
 	}
+	if s.Balancing.ReturnTimes {
+		entryOpts = append(entryOpts, entry.WithReturnTimes())
+	}
 	d.entry = entry.New(d.control, d.host, entryOpts...)
 	return d
 }
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -35,6 +35,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
+	"github.com/kingcuppitch/kingcuppitch/request/returns"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 )
 
@@ -115,10 +116,12 @@
 	decisions *decision.Log
 	service   atomic.Pointer[string]
 
-	loads    loads
-	leavers  leavers
-	peers    peer.Pool
-	budgets  sync.Map // upstream name to *retry.Budget
+	loads   loads
+	leavers leavers
+	peers   peer.Pool
+	budgets sync.Map // upstream name to *retry.Budget
+	// returns is nil unless refused callers are told scheduled times.
+	returns  *returns.Schedule
 	finishes sync.WaitGroup
 	// answerBy is set when the daemon is about to stop: all requests have their answers
 	// by then. ended is cancelled by end at that time.
@@ -211,7 +214,7 @@
 	ctx, cancel := context.WithDeadline(requestCtx, call.Deadline)
 	context.AfterFunc(requestCtx, cancel)
 	if rt.Idempotent || len(r.Header.Values(request.HeaderKey)) == 0 {
-		return e.runAttempts(ctx, call, rt.Split(mathrand.Float64()), tr)
+		return e.runScheduled(ctx, call, rt.Split(mathrand.Float64()), tr)
 	}
 	key := r.Header.Get(request.HeaderKey)
 	if err := checkKey(r.Header, key, now); err != nil {
--- a/request/entry/keyed.go
+++ b/request/entry/keyed.go
@@ -52,7 +52,7 @@
 	}
 	// The host refuses a call that reaches it after RunBy.
 	call.RunBy = grant.RunBy
-	ans, err := e.runAttempts(ctx, call, upstream, tr)
+	ans, err := e.runScheduled(ctx, call, upstream, tr)
 	var ref *request.Refusal
 	switch {
 	case err == nil && ans.Outcome == request.Ran:
--- /dev/null
+++ b/request/entry/returns.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/returns"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+)
+
+// WithReturnTimes makes the entry schedule when refused callers may return.
+func WithReturnTimes() Option { return func(e *Entry) { e.returns = new(returns.Schedule) } }
+
+// runScheduled sends the call to instances as runAttempts does. With a schedule it
+// recognises callers that return, refuses new ones for whom there is no room beside
+// them, and promises a time to those that were refused for lack of capacity.
+func (e *Entry) runScheduled(ctx context.Context, call *request.Call, upstream string, tr *requestTrace) (*request.Answer, error) {
+	if e.returns == nil {
+		return e.runAttempts(ctx, call, upstream, tr)
+	}
+	shed := e.view.Snapshot().ShedOrder(time.Now())
+	rank := slices.Index(shed, call.Class)
+	if rank < 0 {
+		rank = len(shed)
+	}
+	key := returns.Key{Upstream: upstream, Class: call.Class, Rank: rank, Nested: call.Nested}
+	caller, identified := returns.Caller{}, false
+	if e.returns.Promises() > 0 {
+		caller, identified = callerOf(call), true
+	}
+	arrival := e.returns.Arrive(time.Now(), key, caller)
+	if arrival.Early {
+		e.metrics.Add("returns.early", 1)
+	}
+	call.Returning = arrival.Returning
+	var ans *request.Answer
+	var err error
+	if arrival.Limited {
+		e.metrics.Add("returns.limited", 1)
+		err = &request.Refusal{
+			Outcome: request.NotRun, Reason: request.ReasonOverload,
+			Detail: fmt.Sprintf("the capacity of upstream %s is promised to callers that return", upstream),
+		}
+	} else {
+		ans, err = e.runAttempts(ctx, call, upstream, tr)
+	}
+	now := time.Now()
+	var ref *request.Refusal
+	switch {
+	case err == nil:
+		e.returns.Served(now, key, caller, arrival)
+		if arrival.Returning {
+			e.metrics.Add("returns.kept", 1)
+		}
+		return ans, nil
+	case !errors.As(err, &ref) || ref.Reason == request.ReasonCancelled:
+		return nil, err
+	case arrival.Returning:
+		e.metrics.Add("returns.broken", 1)
+	}
+	if !e.lacksCapacity(ref, call, upstream, now) {
+		return nil, err
+	}
+	if !identified {
+		caller = callerOf(call)
+	}
+	at, promised := e.returns.Refuse(now, key, caller, returns.Refusal{
+		Arrival: arrival, Deadline: e.callerDeadline(call, tr.start),
+		WholeSeconds: !e.headers.FractionalRetryTime, Rnd: mathrand.Float64(),
+	})
+	if promised {
+		e.metrics.Add("returns.promised", 1)
+	}
+	scheduled := *ref
+	scheduled.RetryAt = at
+	return nil, &scheduled
+}
+
+func callerOf(call *request.Call) returns.Caller {
+	return returns.Caller{Fingerprint: call.Fingerprint(), Tenant: call.Tenant}
+}
+
+// lacksCapacity reports whether a call was refused, and has not run, because the
+// instances of its upstream have no room.
+func (e *Entry) lacksCapacity(ref *request.Refusal, call *request.Call, upstream string, now time.Time) bool {
+	if ref.Outcome != request.NotRun {
+		return false
+	}
+	switch ref.Reason {
+	case request.ReasonOverload, request.ReasonRateLimit, request.ReasonShed:
+		return true
+	case request.ReasonNoInstance:
+		// If there is an instance in service, all are full.
+		table := e.view.Snapshot().Table
+		_, ok := table.Pick(route.Query{Upstream: upstream, Version: table.InForce(upstream), Leaving: e.leavers.contains, Now: now}, &e.loads)
+		return ok
+	}
+	return false
+}
+
+// callerDeadline returns the time until which the caller waits for an answer to a
+// request that arrived at the given time. The deadline of the call may be earlier,
+// because the route bounds it.
+func (e *Entry) callerDeadline(call *request.Call, arrived time.Time) time.Time {
+	ms, err := strconv.ParseInt(call.Header.Get(e.headers.Timeout), 10, 64)
+	if err != nil || ms <= 0 {
+		return call.Deadline
+	}
+	return arrived.Add(time.Duration(min(ms, config.MaxTimeout.Milliseconds())) * time.Millisecond)
+}
--- a/request/headers.go
+++ b/request/headers.go
@@ -51,6 +51,6 @@
 var meshHeaders = map[string]bool{
 	HeaderOutcome: true, HeaderRequest: true, HeaderRoute: true, HeaderUpstreamVersion: true, HeaderVersion: true,
 	HeaderReason: true, HeaderLoad: true, HeaderLimit: true, HeaderRateLimit: true, HeaderMean: true, HeaderState: true, headerClass: true, headerRunBy: true,
-	headerIdempotent: true, headerRetryAt: true, headerRefused: true, headerHost: true, headerTrace: true, headerUpstream: true, headerObjective: true,
+	headerIdempotent: true, headerRetryAt: true, headerRetryIn: true, headerRefused: true, headerHost: true, headerTrace: true, headerUpstream: true, headerObjective: true,
 	HeaderCapacity: true, HeaderAdmits: true, headerNested: true, headerReturning: true, headerTenant: true,
 }
--- a/request/wire.go
+++ b/request/wire.go
@@ -22,6 +22,7 @@
 	headerRunBy      = "Kingcuppitch-Run-By-Ms"
 	headerIdempotent = "Kingcuppitch-Idempotent"
 	headerRetryAt    = "Kingcuppitch-Retry-At"
+	headerRetryIn    = "Kingcuppitch-Retry-In-Ms"
 	headerRefused    = "Kingcuppitch-Refused"
 	headerTrace      = "Kingcuppitch-Trace"
 	headerUpstream   = "Kingcuppitch-Upstream"
@@ -322,6 +323,9 @@
 	h.Set(HeaderReason, string(ref.Reason))
 	if !ref.RetryAt.IsZero() {
 		h.Set(headerRetryAt, strconv.FormatInt(ref.RetryAt.UnixMilli(), 10))
+		// A caller that returns too early is refused again, so the wait is rounded up.
+		left := time.Until(ref.RetryAt) + time.Millisecond - 1
+		h.Set(headerRetryIn, strconv.FormatInt(max(0, left.Milliseconds()), 10))
 	}
 }
 
@@ -332,7 +336,10 @@
 		return nil, false
 	}
 	ref := &Refusal{Outcome: Outcome(h.Get(HeaderOutcome)), Reason: Reason(h.Get(HeaderReason)), Detail: string(body), Status: status}
-	if ms, err := strconv.ParseInt(h.Get(headerRetryAt), 10, 64); err == nil {
+	// The clocks of daemons differ; only daemons of earlier releases send no wait.
+	if ms, err := strconv.ParseInt(h.Get(headerRetryIn), 10, 64); err == nil && ms >= 0 {
+		ref.RetryAt = addMillis(time.Now(), ms)
+	} else if ms, err := strconv.ParseInt(h.Get(headerRetryAt), 10, 64); err == nil {
 		ref.RetryAt = time.UnixMilli(ms)
 	}
 	return ref, true
