--- a/request/returns/model_test.go
+++ b/request/returns/model_test.go
@@ -200,7 +200,7 @@
 		for _, in := range m.instances {
 			free += m.slots - in.inFlight
 		}
-		if free*10 >= m.slots*len(m.instances) {
+		if free*10 >= m.slots*len(m.instances) && m.now.Before(m.end) {
 			m.result.limitedFree++
 		}
 		m.refuse(r)
--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -74,7 +74,8 @@
 	// earlyTolerance and lateTolerance bound the time around a promise in which its
 	// caller is recognised. Timers and rounding account for a few milliseconds before
 	// it; a connection that must be opened again, and a busy machine, for the rest.
-	earlyTolerance = 50 * time.Millisecond
+	// earlyTolerance is less than minWait, so that no caller is recognised at once.
+	earlyTolerance = 20 * time.Millisecond
 	lateTolerance  = time.Second
 	// promiseHold is how long the room of a promise is kept free after its time.
 	promiseHold = 100 * time.Millisecond
--- a/request/returns/returns_test.go
+++ b/request/returns/returns_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
@@ -96,6 +97,9 @@
 			if float64(kept) < 0.95*float64(promised) || promised == 0 && c.absent < 1 && c.load > 1 {
 				t.Errorf("got %d of %d returns served, want at least 95%%", kept, promised)
 			}
+			if with.limitedFree > 0 {
+				t.Errorf("%d requests were refused by their entry while a tenth of the slots were free", with.limitedFree)
+			}
 			checkServed(t, with, without)
 		})
 	}
@@ -127,3 +131,169 @@
 		}
 	}
 }
+
+var (
+	epoch = time.Date(2026, 12, 7, 0, 0, 0, 0, time.UTC)
+	key   = Key{Upstream: "u", Class: "c"}
+)
+
+// trained returns a schedule of an entry whose requests are served 50 times a second,
+// and the time.
+func trained(start time.Time) (*Schedule, time.Time) {
+	s := new(Schedule)
+	for range 500 {
+		start = start.Add(20 * time.Millisecond)
+		s.Served(start, key, Caller{}, Arrival{})
+	}
+	return s, start
+}
+
+// TestRecognised guards against callers that take the room of others because they come
+// too early, too late or again, or because another tenant sent the same request.
+func TestRecognised(t *testing.T) {
+	id := Caller{Fingerprint: 7, Tenant: "a"}
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		id    Caller
+		want  Arrival
+	}{
+		{"early", -25 * time.Millisecond, id, Arrival{Early: true}},
+		{"slightlyEarly", -15 * time.Millisecond, id, Arrival{Returning: true}},
+		{"late", 900 * time.Millisecond, id, Arrival{Returning: true}},
+		{"tooLate", 1100 * time.Millisecond, id, Arrival{}},
+		{"otherTenant", 0, Caller{7, "b"}, Arrival{}},
+		{"otherRequest", 0, Caller{8, "a"}, Arrival{}},
+	} {
+		s, now := trained(epoch)
+		at, promised := s.Refuse(now, key, id, Refusal{Deadline: now.Add(3 * time.Second), Rnd: 0.99})
+		if wait := at.Sub(now); !promised || wait <= minWait || wait > time.Second {
+			t.Fatalf("%s: got promise %v after %v", c.name, promised, wait)
+		}
+		if again, promised := s.Refuse(now, key, id, Refusal{Deadline: now.Add(time.Second)}); promised || !again.Equal(at) {
+			t.Errorf("%s: refused again: got %v, want the time promised before, %v", c.name, again, at)
+		}
+		if got := s.Arrive(at.Add(c.after), key, c.id); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+		if got := s.Arrive(at.Add(c.after), key, c.id); got.Returning {
+			t.Errorf("%s: the same promise was kept twice", c.name)
+		}
+	}
+}
+
+// TestEvenSpacing guards against promises that exceed the rate served, against times
+// later than callers wait, and against whole seconds that callers are not told.
+func TestEvenSpacing(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		s, now := trained(epoch)
+		times := make(map[time.Duration]int)
+		for i := range 400 {
+			at, promised := s.Refuse(now, key, Caller{Fingerprint: uint64(i)}, Refusal{Deadline: now.Add(9 * time.Second), WholeSeconds: whole})
+			if !promised {
+				if at.Sub(now) < 3*time.Second-2*waitMargin {
+					t.Errorf("caller %d: told %v without a promise", i, at.Sub(now))
+				}
+				continue
+			}
+			if wait := at.Sub(now); wait > 3*time.Second || whole && wait%time.Second != 0 {
+				t.Errorf("caller %d: promised %v", i, wait)
+			}
+			times[at.Sub(now).Truncate(time.Second)]++
+		}
+		// Four fifths of 50 a second.
+		for second, n := range times {
+			if n < 38 || n > 42 {
+				t.Errorf("whole seconds %v: got %d promises in second %v, want 40", whole, n, second)
+			}
+		}
+		if want := 3; len(times) < want-1 || len(times) > want {
+			t.Errorf("whole seconds %v: got promises in %d seconds", whole, len(times))
+		}
+	}
+}
+
+// TestLimited guards against new requests that compete with callers that return, and
+// against ones refused although capacity is free, no time is promised, or the request
+// is a call of an upstream.
+func TestLimited(t *testing.T) {
+	deadline := epoch.Add(time.Hour)
+	limited := func(s *Schedule, now time.Time, k Key) (n int) {
+		for i := range 30 {
+			if s.Arrive(now, k, Caller{Fingerprint: uint64(1000 + i)}).Limited {
+				n++
+			}
+		}
+		return n
+	}
+	nested := key
+	nested.Nested = true
+	for _, c := range []struct {
+		name         string
+		after        time.Duration
+		served       int
+		refused, key Key
+		want         bool
+	}{
+		{"limited", 0, 0, key, key, true},
+		{"servedSince", 0, freeAfter, key, key, false},
+		{"notRefusedLately", shedPeriod, 0, key, key, false},
+		{"nested", 0, 0, nested, nested, false},
+		{"otherClass", 0, 0, key, Key{Upstream: "u", Class: "d"}, false},
+	} {
+		s, now := trained(epoch)
+		for i := range 100 {
+			s.Refuse(now, c.refused, Caller{Fingerprint: uint64(i)}, Refusal{Deadline: deadline})
+		}
+		for range c.served {
+			s.Served(now, c.key, Caller{}, Arrival{})
+		}
+		if got := limited(s, now.Add(c.after), c.key); got > 0 != c.want {
+			t.Errorf("%s: got %d of 30 new requests refused, want any: %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestBounded guards against a schedule that grows without bound, or that never
+// promises anything again once it was full.
+func TestBounded(t *testing.T) {
+	s, now := trained(epoch)
+	for i := range 3 * MaxPromises {
+		s.Refuse(now, key, Caller{Fingerprint: uint64(i)}, Refusal{Deadline: now.Add(time.Hour)})
+	}
+	if got := s.Promises(); got != MaxPromises {
+		t.Errorf("got %d promises, want %d", got, MaxPromises)
+	}
+	now = now.Add(time.Hour)
+	if at, promised := s.Refuse(now, key, Caller{}, Refusal{Deadline: now.Add(time.Hour)}); !promised || s.Promises() != 1 {
+		t.Errorf("an hour later: got promise %v at %v, %d promises in all", promised, at, s.Promises())
+	}
+}
+
+// TestMonotonic guards against promises that a step of the wall clock moves: a time
+// without a monotonic reading is compared by the wall clock.
+func TestMonotonic(t *testing.T) {
+	s, now := trained(time.Now())
+	for i := range 2 {
+		at, _ := s.Refuse(now, key, Caller{Fingerprint: uint64(i)}, Refusal{Deadline: now.Add(time.Minute), WholeSeconds: i > 0})
+		if !strings.Contains(at.String(), " m=") {
+			t.Errorf("got %v without a monotonic reading", at)
+		}
+	}
+}
+
+// BenchmarkDecision measures the decisions on one request at an entry in overload: an
+// arrival, and a refusal or an answer.
+func BenchmarkDecision(b *testing.B) {
+	s, now := trained(epoch)
+	for i := uint64(0); b.Loop(); i++ {
+		now = now.Add(10 * time.Millisecond)
+		id := Caller{Fingerprint: i}
+		a := s.Arrive(now, key, id)
+		if a.Limited || i%2 == 0 {
+			s.Refuse(now, key, id, Refusal{Arrival: a, Deadline: now.Add(3 * time.Second)})
+		} else {
+			s.Served(now, key, id, a)
+		}
+	}
+}
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -156,3 +156,34 @@
 		}
 	}
 }
+
+// TestRetryTime guards against a retry time that depends on the clocks of two daemons,
+// which may differ by hours, and against one that a daemon of an earlier release does
+// not send or understand.
+func TestRetryTime(t *testing.T) {
+	const wait = 400 * time.Millisecond
+	for _, tt := range []struct {
+		name         string
+		change       func(http.Header)
+		least, limit time.Duration
+	}{
+		{"clocksDiffer", func(h http.Header) { h.Set(headerRetryAt, "1") }, wait - 50*time.Millisecond, wait + time.Millisecond},
+		{"earlierRelease", func(h http.Header) { h.Del(headerRetryIn) }, wait - 50*time.Millisecond, wait + time.Millisecond},
+		{"malformed", func(h http.Header) { h.Set(headerRetryIn, "soon") }, wait - 50*time.Millisecond, wait + time.Millisecond},
+		{"tooLong", func(h http.Header) { h.Set(headerRetryIn, "9223372036854775807") }, config.MaxTimeout - time.Second, config.MaxTimeout},
+	} {
+		h := make(http.Header)
+		EncodeRefusal(&Refusal{Outcome: NotRun, Reason: ReasonOverload, RetryAt: time.Now().Add(wait)}, h)
+		if h.Get(headerRetryAt) == "" {
+			t.Error("a daemon of an earlier release gets no retry time")
+		}
+		tt.change(h)
+		ref, ok := DecodeRefusal(http.StatusServiceUnavailable, h, nil)
+		if !ok {
+			t.Fatal("got no refusal")
+		}
+		if got := time.Until(ref.RetryAt); got < tt.least || got > tt.limit {
+			t.Errorf("%s: got a wait of %v, want %v to %v", tt.name, got, tt.least, tt.limit)
+		}
+	}
+}
