--- a/request/returns/returns_test.go
+++ b/request/returns/returns_test.go
@@ -297,3 +297,23 @@
 		}
 	}
 }
+
+// TestRateIsLearnedAgain guards against a rate from before a pause, in which nothing was
+// requested, and against one that takes long to learn after it.
+func TestRateIsLearnedAgain(t *testing.T) {
+	var r rate
+	now := epoch
+	for _, perSecond := range []int{50, 4, 200} {
+		for i := range perSecond {
+			now = now.Add(time.Second / time.Duration(perSecond))
+			r.add(now)
+			if got, want := r.perSecond(now), float64(perSecond); i > perSecond/2 && (got < want/2 || got > want*2) {
+				t.Errorf("after %d of %d answers a second: got a rate of %.1f", i, perSecond, got)
+			}
+		}
+		now = now.Add(relearnAfter + time.Millisecond)
+		if got := r.perSecond(now); got != 0 {
+			t.Errorf("after a pause: got a rate of %.1f, want it unknown", got)
+		}
+	}
+}
