Retry times: promise seven tenths of the rate, at most 10 s ahead

Without recent answers one a second is assumed instead of one in ten seconds, which told callers of an idle class 10 s.

--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -43,18 +43,21 @@
 	// remove over time.
 	maxStreams = 1024
 	// promisedShare is the share of the rate that is promised. The rest absorbs the
-	// variation of the work times, and lets new requests show whether the capacity has
-	// grown.
-	promisedShare = 0.8
-	// limitFactor is the rate up to which new and returning requests together are
-	// admitted, as a multiple of the rate served. Without the excess the rate could
-	// only fall, because no more is served than is admitted.
+	// variation of the work times, and goes to new requests, which let the rate of an
+	// entry grow again: with 0.8, one of 80 entries was served half of its share.
+	promisedShare = 0.7
+	// New and returning requests together are admitted up to limitFactor times the rate
+	// served and limitExcess requests per second. Without the excess the rate could only
+	// fall, because no more is served than is admitted.
 	limitFactor = 1.1
-	// minPromised is the least rate per second at which an entry without recent answers
-	// promises times. It is low because many entries may be in the same position.
-	minPromised = 0.1
-	// minAdmitted is the least rate per second at which new requests are admitted.
-	minAdmitted = 1.0
+	limitExcess = 1.0
+	// unknownRate is the rate per second that is assumed for a class without recent
+	// answers, so that an entry can give a caller a time.
+	unknownRate = 1.0
+	// minRate is the least rate per second that is assumed, also while more urgent
+	// classes take all the room. It is low because many entries may be in the same
+	// position.
+	minRate = 0.1
 	// trustWeight is the weight of one returning caller in the share of those that are
 	// refused again. The rate promised falls with the square of the share kept, since
 	// the rate served follows a loss of capacity only after seconds.
@@ -68,6 +71,9 @@
 	idlePeriod = 10 * time.Second
 	// waitDivisor is the part of their remaining time that callers wait at most.
 	waitDivisor = 3
+	// maxLead is how far ahead times are promised. The rate is that of the last seconds
+	// and says little about later ones.
+	maxLead = 10 * time.Second
 	// waitMargin is subtracted from that part: the caller computes it from the time
 	// that is left when the refusal arrives.
 	waitMargin = 10 * time.Millisecond
@@ -267,7 +273,7 @@
 		return old.at, false
 	}
 	trust := 1 - st.broken(now)
-	gap := 1 / max(minPromised, promisedShare*trust*trust*s.room(st, now))
+	gap := 1 / (promisedShare * max(minRate, trust*trust*s.room(st, now)))
 	if st.last.IsZero() || now.Sub(st.last) > idlePeriod {
 		st.last, st.phase = now.Add(minWait), r.Rnd
 	}
@@ -279,7 +285,7 @@
 	if r.WholeSeconds {
 		at = now.Add(seconds(math.Ceil(free.Sub(now).Seconds())))
 	}
-	if at.Sub(now) > r.Deadline.Sub(now)/waitDivisor-waitMargin {
+	if at.Sub(now) > min(maxLead, r.Deadline.Sub(now)/waitDivisor-waitMargin) {
 		return at, false
 	}
 	if known {
@@ -333,18 +339,22 @@
 }
 
 // room returns the requests per second that are expected to be served. While more urgent
-// requests are refused, a class gets what hosts reserve for the lowest request, whatever
-// it got before.
+// requests are refused, a class gets at most what hosts reserve for the lowest request,
+// whatever it got before.
 func (s *Schedule) room(st *stream, now time.Time) float64 {
 	all, short := 0.0, false
 	for _, o := range s.upstreams[st.key.Upstream] {
 		all += o.served.perSecond(now)
 		short = short || o.key.Rank > st.key.Rank && !o.refusedAt.IsZero() && now.Sub(o.refusedAt) < refusedPeriod
 	}
-	if own := st.served.perSecond(now); !short || own < lowestShare*all {
-		return own
+	own := st.served.perSecond(now)
+	switch {
+	case short:
+		return min(own, lowestShare*all)
+	case own == 0:
+		return unknownRate
 	}
-	return lowestShare * all
+	return own
 }
 
 // advance adds the tokens of the time passed and forgets the promises that can no longer
@@ -406,7 +416,7 @@
 
 // admitted returns the requests per second that are admitted while new ones are limited.
 func (st *stream) admitted(now time.Time) float64 {
-	return max(minAdmitted, limitFactor*st.served.perSecond(now))
+	return limitExcess + limitFactor*st.served.perSecond(now)
 }
 
 // burst returns the maximum number of tokens.
