--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -246,6 +246,9 @@
 		entryOpts = append(entryOpts, entry.WithCallRanks(learner))
 	}
 	d.host = host.New(d.control, d.limiter, hostOpts...)
+	if s.Balancing.ReturnTimes {
+		entryOpts = append(entryOpts, entry.WithReturnTimes())
+	}
 	d.entry = entry.New(d.control, d.host, entryOpts...)
 	return d
 }
--- a/request/entry/backends_test.go
+++ b/request/entry/backends_test.go
@@ -21,7 +21,9 @@
 )
 
 // changingView is a View whose snapshot can be replaced.
-type changingView struct{ snap atomic.Pointer[control.Snapshot] }
+type changingView struct {
+	snap atomic.Pointer[control.Snapshot]
+}
 
 func (v *changingView) Snapshot() *control.Snapshot { return v.snap.Load() }
 
