Tenants and keys

Callers on the deployment with tenants had their keys passed on to upstreams unchecked and without a tenant name.

With tenants, the entry refuses a request without a known key with 401 (unknownKey, not run) after the route is matched and before the body is read, removes the key, and names the tenant to the upstream in a header that callers cannot set. Idempotency keys are scoped to the tenant. In the queue of a host, each second grant among tenants goes to the one with the fewest running requests, and a tenant with more than half of the waiting requests makes room for others. 'kingcuppitch key' prints a digest; status and validate show the number of tenants.

--- a/process/client/client.go
+++ b/process/client/client.go
@@ -61,8 +61,12 @@
 	return func(a *app) { a.stdout, a.stderr = stdout, stderr }
 }
 
+// WithInput sets the reader of the command key.
+func WithInput(stdin io.Reader) Option { return func(a *app) { a.stdin = stdin } }
+
 // app is the state that all commands share.
 type app struct {
+	stdin          io.Reader
 	stdout, stderr io.Writer
 
 	daemons []*daemon
@@ -93,12 +97,13 @@
 
 // Run executes one command line and returns its exit code.
 func Run(ctx context.Context, args []string, opts ...Option) int {
-	a := &app{stdout: os.Stdout, stderr: os.Stderr}
+	a := &app{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr}
 	for _, opt := range opts {
 		opt(a)
 	}
 	root := a.newRoot()
 	root.SetArgs(args)
+	root.SetIn(a.stdin)
 	root.SetOut(a.stdout)
 	root.SetErr(a.stderr)
 	err := root.ExecuteContext(ctx)
@@ -175,7 +180,7 @@
 	flags.DurationVar(&timeout, "timeout", defaultTimeout, "time limit of the command; a watch has none unless it is given")
 	root.AddCommand(
 		a.newValidate(), a.newTrace(), a.newPublish(), a.newStatus(), a.newWatch(), a.newPreset(),
-		a.newZone(), a.newMove(), a.newTimeline(),
+		a.newZone(), a.newMove(), a.newTimeline(), a.newKey(),
 	)
 	root.CompletionOptions.HiddenDefaultCmd = true
 	return root
--- a/process/client/status.go
+++ b/process/client/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -21,6 +22,7 @@
 	Serving      bool           `json:"serving"`
 	LogReachable bool           `json:"logReachable"`
 	Warning      string         `json:"warning,omitempty"`
+	Tenants      int            `json:"tenants,omitempty"`
 	Members      []memberOutput `json:"members"`
 	Moves        []moveOutput   `json:"moves"`
 	Zones        []zoneOutput   `json:"zones"`
@@ -74,7 +76,7 @@
 			out := statusOutput{
 				Daemon: res.Daemon, Zone: res.Zone, Address: d.addr.String(), Offset: res.Offset, Version: res.Version,
 				StateHash: res.StateHash, Preset: res.Preset, Serving: res.Serving, LogReachable: res.LogReachable,
-				Warning: res.Warning, Members: []memberOutput{}, Moves: moveOutputs(res.Moves), Zones: []zoneOutput{},
+				Warning: res.Warning, Tenants: countTenants(res.State), Members: []memberOutput{}, Moves: moveOutputs(res.Moves), Zones: []zoneOutput{},
 			}
 			for _, m := range res.Members {
 				out.Members = append(out.Members, memberOutput{
@@ -91,6 +93,19 @@
 	}
 }
 
+// countTenants returns the number of tenants in an encoded state; zero if it cannot be read.
+func countTenants(state []byte) int {
+	var st struct {
+		Config struct {
+			Tenants []json.RawMessage `json:"tenants"`
+		} `json:"config"`
+	}
+	if json.Unmarshal(state, &st) != nil {
+		return 0
+	}
+	return len(st.Config.Tenants)
+}
+
 func (s *statusOutput) writeText(p *printer) {
 	p.table([][]string{
 		{"daemon", fmt.Sprintf("%s (%s, %s)", s.Daemon, s.Zone, s.Address)},
@@ -99,6 +114,9 @@
 		{"serving", yesNo(s.Serving)},
 		{"log reachable", yesNo(s.LogReachable)},
 	})
+	if s.Tenants > 0 {
+		p.line("%s; requests on routes that are not public need a key", pluralize(s.Tenants, "tenant"))
+	}
 	if s.Warning != "" {
 		p.line("warning: %s", s.Warning)
 	}
--- a/process/client/validate.go
+++ b/process/client/validate.go
@@ -27,10 +27,15 @@
 				Upstreams int    `json:"upstreams"`
 				Routes    int    `json:"routes"`
 				Presets   int    `json:"presets"`
-			}{args[0], len(cfg.Zones), len(cfg.Upstreams), len(cfg.Routes), len(cfg.Presets)}
+				Tenants   int    `json:"tenants,omitempty"`
+			}{args[0], len(cfg.Zones), len(cfg.Upstreams), len(cfg.Routes), len(cfg.Presets), len(cfg.Tenants)}
 			a.print(res, func(p *printer) {
-				p.line("%s is valid: %s, %s, %s, %s", res.File, pluralize(res.Zones, "availability zone"),
-					pluralize(res.Upstreams, "upstream"), pluralize(res.Routes, "route"), pluralize(res.Presets, "preset"))
+				tenants := ""
+				if res.Tenants > 0 {
+					tenants = ", " + pluralize(res.Tenants, "tenant")
+				}
+				p.line("%s is valid: %s, %s, %s, %s%s", res.File, pluralize(res.Zones, "availability zone"),
+					pluralize(res.Upstreams, "upstream"), pluralize(res.Routes, "route"), pluralize(res.Presets, "preset"), tenants)
 			})
 			return nil
 		},
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/request/tenant"
 	"github.com/kingcuppitch/kingcuppitch/version/era"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
@@ -268,6 +269,8 @@
 	updates updateQueue
 	// routes is the route table of the last view.
 	routes *route.Table
+	// tenants is the index of the last view.
+	tenants *tenant.Index
 	// initial holds the initial versions of upstreams, by upstream.
 	initial map[string]initialVersion
 	// dirty requests a new view for traffic at once. stale requests one soon,
@@ -931,8 +934,10 @@
 func (c *core) snapshot() *Snapshot {
 	self, members := c.table.Self(), c.table.All()
 	c.routes = c.routes.Next(c.state, members)
+	c.tenants = c.tenants.Next(c.state.Config.Tenants)
 	s := &Snapshot{
 		State: c.state, Self: self, Members: members, Serving: c.serving, LogReachable: c.logReachable, Table: c.routes,
+		Tenants: c.tenants,
 	}
 	if m, ok := c.table.SelfBeforeRestart(); ok {
 		s.Earlier = &m
--- a/process/control/snapshot.go
+++ b/process/control/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/request/tenant"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
@@ -16,7 +17,9 @@
 type Snapshot struct {
 	State *fold.State
 	Table *route.Table
-	Self  membership.Member
+	// Tenants finds the tenant of a request; nil if there are no tenants.
+	Tenants *tenant.Index
+	Self    membership.Member
 	// Earlier is what peers remember of the daemon and its upstream from before the
 	// daemon restarted; nil if they remember nothing.
 	Earlier *membership.Member
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -70,6 +70,8 @@
 	// Returning means that the caller was refused and came back at the time that it
 	// was told.
 	Returning bool
+	// Tenant is the name of the tenant; it may be empty.
+	Tenant string
 }
 
 // Result describes the answer to one request, or its absence.
@@ -125,6 +127,7 @@
 type slotRequest struct {
 	state    requestState
 	class    string
+	tenant   string
 	rank     int
 	deadline time.Time
 	ready    chan Grant
@@ -170,13 +173,17 @@
 // in the order in which they are refused; other classes are refused last. A
 // refusal for overload carries a time to retry at.
 func (l *Limiter) Admit(now time.Time, class string, shed []string, deadline time.Time) Decision {
+	return l.admit(now, Order{Class: class}, shed, deadline)
+}
+
+func (l *Limiter) admit(now time.Time, o Order, shed []string, deadline time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dispatch(now)
 	if !now.Before(deadline) {
 		return Decision{Refusal: deadlineRefusal()}
 	}
-	req := &slotRequest{class: class, deadline: deadline, rank: rank(class, shed)}
+	req := &slotRequest{class: o.Class, tenant: o.Tenant, deadline: deadline, rank: rank(o.Class, shed)}
 	if l.inFlight < l.limit {
 		l.grant(req)
 		return Decision{Verdict: Granted, Ticket: Ticket{req}}
@@ -188,6 +195,9 @@
 	}
 	if l.queue.full(req.rank, l.limit) {
 		victim := l.queue.victim(req.rank, l.limit)
+		if victim == nil {
+			victim, _ = l.queue.crowding(req)
+		}
 		if victim == nil {
 			return Decision{Refusal: l.overloadRefusal(now)}
 		}
@@ -237,6 +247,7 @@
 	defer l.mu.Unlock()
 	l.incarnation++
 	l.inFlight = 0
+	l.queue.tenants = tenantShares{}
 	l.controller.startRamp(now)
 	l.limit = l.limits.ColdSlots
 	l.trimQueue()
@@ -254,7 +265,7 @@
 // Acquire waits for a slot until the deadline or the end of ctx. The error is
 // a *request.Refusal, or the error of ctx.
 func (l *Limiter) Acquire(ctx context.Context, o Order, shed []string, deadline time.Time) (Ticket, error) {
-	d := l.Admit(time.Now(), o.Class, shed, deadline)
+	d := l.admit(time.Now(), o, shed, deadline)
 	switch d.Verdict {
 	case Granted:
 		return d.Ticket, nil
@@ -292,6 +303,7 @@
 
 func (l *Limiter) grant(req *slotRequest) {
 	l.inFlight++
+	l.queue.tenants.start(req.tenant)
 	req.state, req.load = stateRunning, l.inFlight
 	req.incarnation, req.generation = l.incarnation, l.controller.generation
 }
@@ -300,6 +312,7 @@
 	req.state = stateEnded
 	if req.incarnation == l.incarnation {
 		l.inFlight--
+		l.queue.tenants.end(req.tenant)
 	}
 }
 
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -172,6 +172,7 @@
 	defer g.mu.Unlock()
 	g.incarnation++
 	g.inFlight = 0
+	g.queue.tenants = tenantShares{}
 	g.rateLimit = RateLimit{}
 	g.dispatch(time.Now())
 }
@@ -272,21 +273,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatch(now)
-	req := &slotRequest{class: o.Class, deadline: until, rank: rank(o.Class, shed)}
+	req := &slotRequest{class: o.Class, tenant: o.Tenant, deadline: until, rank: rank(o.Class, shed)}
 	g.countArrival(now, req.rank)
 	if g.canGrant(now) {
 		g.grant(now, req)
 		return req, nil
 	}
-	if min(g.estimateRankWait(now, req.rank, g.queue.ahead(req.rank)), g.estimateShareWait(now, req.rank)) > until.Sub(now) {
+	late := min(g.estimateRankWait(now, req.rank, g.queue.ahead(req.rank)), g.estimateShareWait(now, req.rank)) > until.Sub(now)
+	if late && !g.displace(now, req) {
 		return nil, g.overloadRefusal(now)
 	}
 	if g.queue.len() >= queuedPerSlot*g.bounds.Slots {
 		victim := g.queue.lowest()
-		if victim.rank >= req.rank {
+		switch {
+		case victim.rank < req.rank:
+			g.refuse(victim, g.overloadRefusal(now))
+		case !g.displace(now, req):
 			return nil, g.overloadRefusal(now)
 		}
-		g.refuse(victim, g.overloadRefusal(now))
 	}
 	req.ready = make(chan Grant, 1)
 	g.queue.push(req)
@@ -366,6 +370,7 @@
 
 func (g *Gate) grant(now time.Time, req *slotRequest) {
 	g.inFlight++
+	g.queue.tenants.start(req.tenant)
 	req.state, req.incarnation, req.grantedAt = stateRunning, g.incarnation, now
 	expired := 0
 	for expired < len(g.grantTimes) && !g.grantTimes[expired].After(now.Add(-coldWindow)) {
@@ -412,6 +417,7 @@
 	req.state = stateEnded
 	if req.incarnation == g.incarnation {
 		g.inFlight--
+		g.queue.tenants.end(req.tenant)
 	}
 }
 
@@ -463,10 +469,10 @@
 	}
 	if lowest.rank < best.rank && g.grants >= int(1/minLowestShare) {
 		g.grants = 0
-		return lowest
+		return g.queue.byTenant(lowest)
 	}
 	g.grants++
-	return best
+	return g.queue.byTenant(best)
 }
 
 // throughput returns the number of requests that the instance can answer per
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -24,6 +24,7 @@
 	earliest time.Time
 	grants   int
 	refusals int
+	tenants  tenantShares
 }
 
 // rank returns the position of a class in the order of refusal: lower ranks are
@@ -89,6 +90,7 @@
 			}
 		}
 	}
+	best = q.byTenant(best)
 	q.remove(best)
 	return best
 }
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -136,6 +136,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.metrics.Gauge("entry.tenants", func() any { return e.view.Snapshot().Tenants.Len() })
 	return e
 }
 
@@ -190,6 +191,10 @@
 	if rt.Internal && !e.isInternal(r.RemoteAddr) {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonInternalRoute, Status: http.StatusForbidden, Detail: fmt.Sprintf("route %s is internal", rt.Name)}
 	}
+	tnt, err := snap.Tenants.Check(r.Header, rt.Public)
+	if err != nil {
+		return nil, err
+	}
 	if !rt.Idempotent {
 		// Until the answers to earlier requests on the connection are written, the
 		// connection may break and the caller may send this request again.
@@ -197,10 +202,12 @@
 			return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonCancelled, Detail: "the caller gave up"}
 		}
 	}
+	tr.tenant = tnt.Name
 	call, err := e.newCall(w, r, rt, snap, now)
 	if err != nil {
 		return nil, err
 	}
+	e.setTenant(call, tnt, snap)
 	tr.call = call
 	if err := e.limitByDeparture(call, time.Now()); err != nil {
 		return nil, err
@@ -219,7 +226,7 @@
 	}
 	// A key is scoped to the path. It is not scoped to the route, which operators may
 	// rename or split before the caller sends the same request again.
-	return e.serveKeyed(ctx, call, rt.Split(mathrand.Float64()), r.Method+" "+r.URL.Path+"\n"+key, tr)
+	return e.serveKeyed(ctx, call, rt.Split(mathrand.Float64()), scopeKey(call, r.Method+" "+r.URL.Path+"\n"+key), tr)
 }
 
 // hostName returns a host without its port, in lower case.
--- a/request/entry/mesh_test.go
+++ b/request/entry/mesh_test.go
@@ -25,6 +25,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/request/tenant"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
@@ -177,6 +178,8 @@
 	// upstreamProxy does the same for the addresses of the upstreams.
 	upstreamProxy func(netip.AddrPort) netip.AddrPort
 	entry         []Option
+	// tenants hold the keys that callers need, except on the route slots.
+	tenants []config.Tenant
 }
 
 func newMesh(t *testing.T, o meshOptions, upstreams ...netip.AddrPort) *mesh {
@@ -197,13 +200,15 @@
 		},
 		Presets: []config.Preset{{Name: "ordinary", RetryPercent: 20, CanaryPercent: 5}},
 	}
+	st.Config.Tenants, st.Config.Routes[0].Public = o.tenants, len(o.tenants) > 0
+	tenants := tenant.New(o.tenants)
 	m := &mesh{metrics: new(metrics.Set), limiter: new(admission.Limiter)}
 	m.limiter.SetLimits(admission.Limits{Slots: o.slots, ColdSlots: o.slots})
 	var members []membership.Member
 	var local Local
 	for i, addr := range upstreams {
 		self := membership.Member{Name: "booking-" + strconv.Itoa(i), Zone: "a", Region: "r", Service: "booking", Version: "v1", State: membership.Ready}
-		h := host.New(fixedView{&control.Snapshot{State: st, Self: self, Serving: true}}, m.limiter, host.WithMetrics(m.metrics))
+		h := host.New(fixedView{&control.Snapshot{State: st, Self: self, Serving: true, Tenants: tenants}}, m.limiter, host.WithMetrics(m.metrics))
 		if o.upstreamProxy != nil {
 			addr = o.upstreamProxy(addr)
 		}
@@ -232,7 +237,7 @@
 	if o.claims != nil {
 		opts = append(opts, WithClaims(o.claims))
 	}
-	m.entry = New(fixedView{&control.Snapshot{State: st, Table: route.NewTable(st, members, "a", "r"), Serving: true}}, local, opts...)
+	m.entry = New(fixedView{&control.Snapshot{State: st, Table: route.NewTable(st, members, "a", "r"), Serving: true, Tenants: tenants}}, local, opts...)
 	srv := httptest.NewServer(m.entry)
 	t.Cleanup(srv.Close)
 	m.url, m.server = srv.URL, srv
--- a/request/entry/refuse.go
+++ b/request/entry/refuse.go
@@ -55,6 +55,9 @@
 		body.RetryAt = &at
 		h.Set("Retry-After", e.retryAfter(at))
 	}
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	w.WriteHeader(status)
 	data, _ := json.Marshal(body)
 	_, _ = w.Write(append(data, '\n'))
--- a/request/entry/request_trace.go
+++ b/request/entry/request_trace.go
@@ -18,6 +18,8 @@
 	start time.Time
 	// version is the configuration version by which it was routed.
 	version int64
+	// tenant is the name of the tenant; it may be empty.
+	tenant string
 	// call is nil if the request was refused before it was read.
 	call     *request.Call
 	attempts []attemptTrace
@@ -111,6 +113,9 @@
 		"id", id, "side", "entry", "route", name, "configVersion", tr.version, "status", status, "outcome", outcome,
 		"reason", reason, "detail", detail, "tookMs", took.Milliseconds(), "tries", strings.Join(tries, "; "),
 	}
+	if tr.tenant != "" {
+		args = append(args, "tenant", tr.tenant)
+	}
 	if tr.call != nil {
 		args = append(args, "timeoutMs", tr.call.Deadline.Sub(tr.start).Milliseconds())
 	}
--- a/request/headers.go
+++ b/request/headers.go
@@ -1,5 +1,7 @@
 package request
 
+import "net/http"
+
 // Headers names the HTTP headers that carry request metadata from callers and to
 // and from upstreams. An empty name means that there is no such header. The zero
 // value is not useful; DefaultHeaders holds the names of the product's own
@@ -13,6 +15,9 @@
 	// CallerService tells the upstream the service whose daemon received the
 	// request.
 	CallerService string
+	// Tenant tells the upstream the name of the tenant whose key the caller presented.
+	// What the caller sent in it is removed.
+	Tenant string
 	// Instance tells the upstream the id of the intended instance; any other
 	// instance answers 421 and does not run the request.
 	Instance string
@@ -36,7 +41,19 @@
 }
 
 // DefaultHeaders holds the header names of the product's own interface.
-var DefaultHeaders = Headers{ID: HeaderUpstreamRequest, Timeout: HeaderTimeout}
+var DefaultHeaders = Headers{ID: HeaderUpstreamRequest, Timeout: HeaderTimeout, Tenant: HeaderTenant}
+
+// SetTenant names the tenant in the header of a request to an upstream, or removes the name
+// if there is none.
+func (n Headers) SetTenant(h http.Header, tenant string) {
+	switch {
+	case n.Tenant == "":
+	case tenant == "":
+		h.Del(n.Tenant)
+	default:
+		h.Set(n.Tenant, encodeName(tenant))
+	}
+}
 
 // TraceOf returns the id that identifies a request in the log lines.
 func (n Headers) TraceOf(c *Call) string {
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -218,7 +218,7 @@
 	if n := h.headers.CallerService; n != "" {
 		h.origins.observe(call.Route, call.Header.Get(n))
 	}
-	order := admission.Order{Class: call.Class, Nested: call.Nested, Returning: call.Returning}
+	order := admission.Order{Class: call.Class, Nested: call.Nested, Returning: call.Returning, Tenant: call.Tenant}
 	ticket, err := h.limiter.Acquire(ctx, order, snap.ShedOrder(time.Now()), h.startBy(call, time.Now()))
 	if err != nil {
 		return nil, h.countRefusal(overloadRefusal(err))
@@ -249,6 +249,9 @@
 		"entryVersion", call.Version, "outcome", outcome, "reason", reason, "detail", detail, "inFlight", load.InFlight,
 		"limit", load.Limit, "state", load.State, "tookMs", took.Milliseconds(),
 	}
+	if call.Tenant != "" {
+		args = append(args, "tenant", call.Tenant)
+	}
 	if load.RateLimit > 0 {
 		args = append(args, "perSecond", load.RateLimit)
 	}
@@ -378,6 +381,9 @@
 	if n.Instance != "" {
 		req.Header.Set(n.Instance, tgt.ID)
 	}
+	// The entry may be of an earlier release, which checks no keys.
+	h.view.Snapshot().Tenants.RemoveKey(req.Header)
+	n.SetTenant(req.Header, call.Tenant)
 	return req, id, nil
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -60,6 +60,8 @@
 	// HeaderUpstreamRequest carries the id of a request, which the upstream
 	// echoes.
 	HeaderUpstreamRequest = "Request-Id"
+	// HeaderTenant carries the name of the tenant to the upstream.
+	HeaderTenant = "Request-Tenant"
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
 	// HeaderKeyDate carries the time when the caller first used its key.
@@ -112,6 +114,8 @@
 	ReasonLogOut        Reason = "logUnavailable"
 	ReasonKeyExpired    Reason = "keyExpired"
 	ReasonInternalRoute Reason = "internalRoute"
+	// ReasonUnknownKey means that the caller presented no key of a tenant.
+	ReasonUnknownKey Reason = "unknownKey"
 	// ReasonCancelled means that the caller gave up; it is no evidence about the
 	// instance.
 	ReasonCancelled Reason = "cancelled"
--- a/version/config/change.go
+++ b/version/config/change.go
@@ -13,6 +13,7 @@
 	c.Upserts.Upstreams, c.Deletes.Upstreams = diffList(from.Upstreams, to.Upstreams, upstreamName)
 	c.Upserts.Routes, c.Deletes.Routes = diffList(from.Routes, to.Routes, routeName)
 	c.Upserts.Presets, c.Deletes.Presets = diffList(from.Presets, to.Presets, presetName)
+	c.Upserts.Tenants, c.Deletes.Tenants = diffList(from.Tenants, to.Tenants, tenantName)
 	if to.Limits != from.Limits {
 		c.Upserts.Limits = to.Limits
 	}
@@ -26,6 +27,7 @@
 		Upstreams: applyList(cfg.Upstreams, c.Upserts.Upstreams, c.Deletes.Upstreams, upstreamName),
 		Routes:    applyList(cfg.Routes, c.Upserts.Routes, c.Deletes.Routes, routeName),
 		Presets:   applyList(cfg.Presets, c.Upserts.Presets, c.Deletes.Presets, presetName),
+		Tenants:   applyList(cfg.Tenants, c.Upserts.Tenants, c.Deletes.Tenants, tenantName),
 		Limits:    cmp.Or(c.Upserts.Limits, cfg.Limits),
 	}
 }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -1,5 +1,5 @@
 // Package config holds the configuration that operators publish: routes, the
-// upstreams behind them with their versions, presets and availability zones.
+// upstreams behind them with their versions, presets, availability zones and tenants.
 //
 // Validate checks a configuration as a whole: every field, and that each reference
 // resolves within the configuration. Diff returns the change between two
@@ -42,6 +42,9 @@
 	Upstreams []Upstream `toml:"upstreams" json:"upstreams,omitempty"`
 	Routes    []Route    `toml:"routes" json:"routes,omitempty"`
 	Presets   []Preset   `toml:"presets" json:"presets,omitempty"`
+	// Tenants are the tenants; if there is one, callers need a key on routes that are
+	// not public.
+	Tenants []Tenant `toml:"tenants" json:"tenants,omitempty"`
 	// Limits bound what callers may send.
 	Limits Limits `toml:"limits" json:"limits,omitzero"`
 }
@@ -116,6 +119,8 @@
 	// Attempts bounds the number of instances that may receive one request; zero
 	// means the default.
 	Attempts int `toml:"attempts" json:"attempts,omitempty"`
+	// Public means that callers need no key of a tenant.
+	Public bool `toml:"public" json:"public,omitempty"`
 }
 
 // Backend is one part of a route that is split between upstreams.
@@ -193,6 +198,7 @@
 	Upstreams []string `json:"upstreams,omitempty"`
 	Routes    []string `json:"routes,omitempty"`
 	Presets   []string `json:"presets,omitempty"`
+	Tenants   []string `json:"tenants,omitempty"`
 }
 
 // Kind is the kind of a resource.
@@ -204,6 +210,7 @@
 	KindUpstream Kind = "upstream"
 	KindRoute    Kind = "route"
 	KindPreset   Kind = "preset"
+	KindTenant   Kind = "tenant"
 	KindLimits   Kind = "limits"
 )
 
@@ -229,6 +236,7 @@
 	add(KindUpstream, append(names(c.Upserts.Upstreams, upstreamName), c.Deletes.Upstreams...))
 	add(KindRoute, append(names(c.Upserts.Routes, routeName), c.Deletes.Routes...))
 	add(KindPreset, append(names(c.Upserts.Presets, presetName), c.Deletes.Presets...))
+	add(KindTenant, append(names(c.Upserts.Tenants, tenantName), c.Deletes.Tenants...))
 	if c.Upserts.Limits != (Limits{}) {
 		add(KindLimits, []string{"callers"})
 	}
--- a/version/config/usable.go
+++ b/version/config/usable.go
@@ -31,7 +31,8 @@
 		r.define(&usable, rt)
 	}
 	usable.Routes = r.routes(c.Routes)
-	usable.Presets = r.presets(c.Presets, usable.Routes)
+	usable.Tenants = r.tenants(c.Tenants)
+	usable.Presets = r.presets(c.Presets, usable.Routes, usable.Tenants)
 	return usable, r.problems
 }
 
@@ -188,11 +189,14 @@
 }
 
 // presets returns presets that can be used, at least one if there are routes.
-func (r *repair) presets(list []Preset, routes []Route) []Preset {
+func (r *repair) presets(list []Preset, routes []Route, tenants []Tenant) []Preset {
 	classes := make(map[string]bool)
 	for _, rt := range routes {
 		classes[rt.Class] = true
 	}
+	for _, t := range tenants {
+		classes[t.Class] = true
+	}
 	out := first(r, KindPreset, list, presetName)
 	for i := range out {
 		p := &out[i]
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -136,6 +136,7 @@
 	reportDuplicates(KindUpstream, names(c.Upstreams, upstreamName), reporter)
 	reportDuplicates(KindRoute, names(c.Routes, routeName), reporter)
 	reportDuplicates(KindPreset, names(c.Presets, presetName), reporter)
+	reportDuplicates(KindTenant, names(c.Tenants, tenantName), reporter)
 	for i, z := range c.Zones {
 		z.check(reporter(KindZone, z.Name, i))
 	}
@@ -157,6 +158,11 @@
 			matches[m] = r.Name
 		}
 	}
+	holders := make(map[string]string)
+	for i, t := range c.Tenants {
+		classes[t.Class] = true
+		t.check(holders, reporter(KindTenant, t.Name, i))
+	}
 	for i, p := range c.Presets {
 		p.check(classes, reporter(KindPreset, p.Name, i))
 	}
