Answers with a malformed status never reach a caller

net/http accepts statuses that are none. Measured before the change with the new tests: of an upstream, 600 and 999 reached the caller as answers that ran; 0, 20, 99, 1200, 2000, 0200, -20, 2x0, abc and an empty one gave 502 but counted as lost connections, which is evidence for a crash; 000, 099 and +20 were mismatches already. Of another daemon over h2c, 600 and 999 reached the caller, 0200 reached it as 200, and 000, 0, 20, 99, 099, 1200 and 2000 made the handler panic, so that the caller's connection closed without an answer.

The connection to the instance checks the status line before it is read, the entry checks the text of the status of a forwarded call, and WriteAnswer writes 502 in place of any other status. The caller gets 502, outcome unknown, reason answerMismatch; it counts as a failure of the instance in the loads and in the evidence on versions. Interim responses work as before.

All cases pass now. In one run of ./request/... while the machine had a load of 38 on 7 cores, TestUnreadAnswer and TestSlowRequest failed (each waits a fixed time); TestUnreadAnswer also failed in a run of 20 then.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -60,7 +60,8 @@
 	bufferSize = 4 << 10
 )
 
-// ErrMismatch means that the responses on a connection belong to other requests.
+// ErrMismatch means that a response on a connection belongs to another request or to none,
+// as one with a malformed status.
 var ErrMismatch = errors.New("response from the instance does not match the request")
 
 // Exchange describes one request to an instance.
@@ -418,13 +419,16 @@
 	for range maxSkipped {
 		// The start of the body may arrive in the same buffer as the header.
 		c.lr.N = int64(limits.Head) + bufferSize
+		if text, malformed := c.hasMalformedStatus(); malformed {
+			return nil, fmt.Errorf("status %q: %w", text, ErrMismatch)
+		}
 		res, err := http.ReadResponse(c.br, req)
 		switch {
 		case err != nil && c.lr.N <= 0:
 			return nil, fmt.Errorf("response header exceeds %d bytes: %w", limits.Head, ErrTooLong)
 		case err != nil:
 			return nil, err
-		case res.StatusCode < http.StatusContinue || res.StatusCode == http.StatusSwitchingProtocols:
+		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, fmt.Errorf("status %d: %w", res.StatusCode, ErrMismatch)
 		case res.StatusCode < http.StatusOK:
 			continue
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/status"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
@@ -37,6 +38,12 @@
 		e.metrics.Add("entry.mismatchedAnswers", 1)
 		return nil, unknownRefusal(request.ReasonMismatch, fmt.Sprintf("daemon %s answered request %q", inst.Name, got))
 	}
+	// net/http takes any integer for a status; res.Status holds the text.
+	if text, _, _ := strings.Cut(res.Status, " "); !status.Is(text) {
+		_ = res.Body.Close()
+		e.metrics.Add("entry.mismatchedAnswers", 1)
+		return nil, unknownRefusal(request.ReasonMismatch, fmt.Sprintf("daemon %s answered with status %q", inst.Name, text))
+	}
 	body, more, err := e.buffers.ReadAnswer(res.Body, res.ContentLength)
 	if err != nil {
 		_ = res.Body.Close()
--- a/request/host/host_test.go
+++ b/request/host/host_test.go
@@ -296,3 +296,43 @@
 		}
 	}
 }
+
+// TestMalformedStatus guards against an answer whose status is none and that is no evidence
+// against the version of the upstream, or that counts as the sign of a crash.
+func TestMalformedStatus(t *testing.T) {
+	for _, status := range []string{"000", "20", "2000", "600", "+20"} {
+		o := new(sampleObserver)
+		h := newHost(t, new(openLimiter), ready, func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nRequest-Id: id\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+		})
+		h.observer = o
+		_, err := h.Do(t.Context(), newCall())
+		var ref *request.Refusal
+		if !errors.As(err, &ref) || ref.Outcome != request.Unknown || ref.Reason != request.ReasonMismatch {
+			t.Errorf("status %s: got %v, want unknown and answerMismatch", status, err)
+		}
+		if len(o.samples) != 1 || !o.samples[0].Failed || o.samples[0].Lost || o.samples[0].Completed || o.samples[0].Excluded {
+			t.Errorf("status %s: got samples %+v, want one that failed", status, o.samples)
+		}
+	}
+}
+
+// TestWriteAnswerStatus guards against an answer with a status that net/http does not
+// write, such as one that was stored without a status, and that breaks the connection.
+func TestWriteAnswerStatus(t *testing.T) {
+	for _, status := range []int{0, 20, 100, 199, 600, 1000} {
+		w := httptest.NewRecorder()
+		if err := WriteAnswer(w, &request.Answer{Status: status, Body: []byte("x"), Outcome: request.Replayed}, ""); err != nil {
+			t.Error(err)
+		}
+		if got := w.Result(); got.StatusCode != http.StatusBadGateway || got.Header.Get(request.HeaderOutcome) != string(request.Unknown) || w.Body.Len() > 0 {
+			t.Errorf("status %d: got %d %s %q, want 502, unknown and no body", status, got.StatusCode, got.Header.Get(request.HeaderOutcome), w.Body)
+		}
+	}
+}
--- a/request/host/serve.go
+++ b/request/host/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/status"
 	"github.com/kingcuppitch/kingcuppitch/request"
 )
 
@@ -51,6 +52,13 @@
 // report for the entry of another daemon; a caller gets neither. After an error
 // the answer is incomplete, and the connection or stream must be aborted.
 func WriteAnswer(w http.ResponseWriter, ans *request.Answer, id string) error {
+	if !status.IsFinal(ans.Status) {
+		// net/http would panic or send it.
+		if ans.Rest != nil {
+			_ = ans.Rest.Close()
+		}
+		ans = &request.Answer{Status: http.StatusBadGateway, Outcome: request.Unknown, Reason: request.ReasonMismatch, Load: ans.Load}
+	}
 	header := w.Header()
 	for name, values := range request.CleanHeader(ans.Header) {
 		header[name] = values
