--- a/request/entry/tenant.go
+++ b/request/entry/tenant.go
@@ -9,8 +9,12 @@
 )
 
 // setTenant makes a call one of a tenant, whose name is empty if the caller has presented
-// no known key. It removes the key, and what the caller has named as its tenant.
+// no known key. It removes the key, and what the caller has named as its tenant. If there
+// are no tenants, it does nothing.
 func (e *Entry) setTenant(call *request.Call, t config.Tenant, snap *control.Snapshot) {
+	if snap.Tenants.Len() == 0 {
+		return
+	}
 	snap.Tenants.RemoveKey(call.Header)
 	// A daemon of an earlier release passes the header on to its upstream as it is.
 	e.headers.SetTenant(call.Header, t.Name)
--- a/request/entry/tenant_test.go
+++ b/request/entry/tenant_test.go
@@ -91,21 +91,21 @@
 	})
 }
 
-// TestWithoutTenants guards against credentials that callers lose although there are no
+// TestWithoutTenants guards against headers that callers lose although there are no
 // tenants.
 func TestWithoutTenants(t *testing.T) {
 	runLocalAndForwarded(t, func(t *testing.T, local bool) {
 		got := make(chan string, 1)
 		up := newUpstream(t, func(c net.Conn, r *http.Request, body []byte) {
-			got <- r.Header.Get("Authorization")
+			got <- r.Header.Get("Authorization") + ", " + r.Header.Get(request.HeaderTenant)
 			echo(c, r, body)
 		})
 		m := newMesh(t, meshOptions{local: local}, up.addr())
-		if r := m.call(t, http.MethodPost, "/reserve/1", "x", "Authorization", "Bearer key-acme"); r.status != http.StatusOK {
+		if r := m.call(t, http.MethodPost, "/reserve/1", "x", "Authorization", "Bearer key-acme", request.HeaderTenant, "own"); r.status != http.StatusOK {
 			t.Fatalf("got %d %s", r.status, r.body)
 		}
-		if v := <-got; v != "Bearer key-acme" {
-			t.Errorf("got %q, want the credentials of the caller", v)
+		if v := <-got; v != "Bearer key-acme, own" {
+			t.Errorf("got %q, want what the caller sent", v)
 		}
 	})
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -381,9 +381,11 @@
 	if n.Instance != "" {
 		req.Header.Set(n.Instance, tgt.ID)
 	}
-	// The entry may be of an earlier release, which checks no keys.
-	h.view.Snapshot().Tenants.RemoveKey(req.Header)
-	n.SetTenant(req.Header, call.Tenant)
+	if tenants := h.view.Snapshot().Tenants; call.Tenant != "" || tenants.Len() > 0 {
+		// The entry may have an earlier configuration or release, which checks no keys.
+		tenants.RemoveKey(req.Header)
+		n.SetTenant(req.Header, call.Tenant)
+	}
 	return req, id, nil
 }
 
