--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -70,6 +70,8 @@
 	// Returning means that the caller was refused and came back at the time that it
 	// was told.
 	Returning bool
+	// Tenant is the name of the tenant; it may be empty.
+	Tenant string
 }
 
 // Result describes the answer to one request, or its absence.
@@ -123,8 +125,9 @@
 // slotRequest is the state of a request for a slot, which a Ticket refers to. The
 // mutex of the limiter guards it.
 type slotRequest struct {
-	state requestState
-	class string
+	state  requestState
+	class  string
+	tenant string
 	// rank is the position of the request in the order of service; see Order.position.
 	rank     int
 	deadline time.Time
@@ -181,7 +184,7 @@
 	if !now.Before(deadline) {
 		return Decision{Refusal: deadlineRefusal()}
 	}
-	req := &slotRequest{class: o.Class, deadline: deadline, rank: o.position(shed)}
+	req := &slotRequest{class: o.Class, tenant: o.Tenant, deadline: deadline, rank: o.position(shed)}
 	if l.inFlight < l.limit {
 		l.grant(req)
 		return Decision{Verdict: Granted, Ticket: Ticket{req}}
@@ -193,6 +196,9 @@
 	}
 	if l.queue.full(req.rank, l.limit) {
 		victim := l.queue.victim(req.rank, l.limit)
+		if victim == nil {
+			victim, _ = l.queue.crowding(req)
+		}
 		if victim == nil {
 			return Decision{Refusal: l.overloadRefusal(now)}
 		}
@@ -242,6 +248,7 @@
 	defer l.mu.Unlock()
 	l.incarnation++
 	l.inFlight = 0
+	l.queue.tenants = tenantShares{}
 	l.controller.startRamp(now)
 	l.limit = l.limits.ColdSlots
 	l.trimQueue()
@@ -297,6 +304,7 @@
 
 func (l *Limiter) grant(req *slotRequest) {
 	l.inFlight++
+	l.queue.tenants.start(req.tenant)
 	req.state, req.load = stateRunning, l.inFlight
 	req.incarnation, req.generation = l.incarnation, l.controller.generation
 }
@@ -305,6 +313,7 @@
 	req.state = stateEnded
 	if req.incarnation == l.incarnation {
 		l.inFlight--
+		l.queue.tenants.end(req.tenant)
 	}
 }
 
--- a/request/entry/mesh_test.go
+++ b/request/entry/mesh_test.go
@@ -25,6 +25,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request/claim"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/request/tenant"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
@@ -179,6 +180,8 @@
 	entry         []Option
 	// host holds the header names of the upstreams; the zero value means the default.
 	host request.Headers
+	// tenants hold the keys that callers need, except on the route slots.
+	tenants []config.Tenant
 }
 
 func newMesh(t *testing.T, o meshOptions, upstreams ...netip.AddrPort) *mesh {
@@ -199,6 +202,8 @@
 		},
 		Presets: []config.Preset{{Name: "ordinary", RetryPercent: 20, CanaryPercent: 5}},
 	}
+	st.Config.Tenants, st.Config.Routes[0].Public = o.tenants, len(o.tenants) > 0
+	tenants := tenant.New(o.tenants)
 	m := &mesh{metrics: new(metrics.Set), limiter: new(admission.Limiter)}
 	m.limiter.SetLimits(admission.Limits{Slots: o.slots, ColdSlots: o.slots})
 	if o.host == (request.Headers{}) {
@@ -208,7 +213,7 @@
 	var local Local
 	for i, addr := range upstreams {
 		self := membership.Member{Name: "booking-" + strconv.Itoa(i), Zone: "a", Region: "r", Service: "booking", Version: "v1", State: membership.Ready}
-		h := host.New(fixedView{&control.Snapshot{State: st, Self: self, Serving: true}}, m.limiter, host.WithMetrics(m.metrics), host.WithHeaders(o.host))
+		h := host.New(fixedView{&control.Snapshot{State: st, Self: self, Serving: true, Tenants: tenants}}, m.limiter, host.WithMetrics(m.metrics), host.WithHeaders(o.host))
 		if o.upstreamProxy != nil {
 			addr = o.upstreamProxy(addr)
 		}
@@ -237,7 +242,7 @@
 	if o.claims != nil {
 		opts = append(opts, WithClaims(o.claims))
 	}
-	m.entry = New(fixedView{&control.Snapshot{State: st, Table: route.NewTable(st, members, "a", "r"), Serving: true}}, local, opts...)
+	m.entry = New(fixedView{&control.Snapshot{State: st, Table: route.NewTable(st, members, "a", "r"), Serving: true, Tenants: tenants}}, local, opts...)
 	srv := httptest.NewServer(m.entry)
 	t.Cleanup(srv.Close)
 	m.url, m.server = srv.URL, srv
