--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/kingcuppitch/kingcuppitch/connection/caller"
 	"github.com/kingcuppitch/kingcuppitch/connection/listener"
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
+	"github.com/kingcuppitch/kingcuppitch/connection/probe"
 	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/process/decision"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
@@ -166,6 +167,8 @@
 	callers          *caller.Server
 	servers          []*server
 	watch            *watch
+	// probes is nil unless the settings ask for load probes and the socket is bound.
+	probes *probe.Socket
 }
 
 // server is a server on one address.
@@ -261,6 +264,9 @@
 			}
 		}()
 	}
+	if d.probes != nil {
+		go d.probes.Serve()
+	}
 	d.control.Start()
 	if d.platform != nil && d.settings.UpstreamAddress.IsValid() {
 		go d.restoreFromPeers(ctx)
@@ -334,6 +340,7 @@
 		}
 		d.servers = append(d.servers, &s)
 	}
+	d.listenForProbes()
 	return nil
 }
 
@@ -440,6 +447,9 @@
 		if s.name == "peers" {
 			d.entry.Close()
 			errs = append(errs, d.host.Drain(ctx), d.control.Claims().Close(ctx))
+			if d.probes != nil {
+				errs = append(errs, d.probes.Close())
+			}
 		}
 		errs = append(errs, s.Shutdown(ctx))
 	}
--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -130,8 +130,10 @@
 	if !call.Objective.IsZero() {
 		query.WaitRatio = localZoneWaitRatio
 	}
-	if m, ok := snap.State.Move(upstream); ok && m.To == c.UpstreamVersion {
-		query.TrialShare = snap.Shares[m.ID]
+	query.TrialShare = trialShare(snap, upstream, c.UpstreamVersion)
+	reports := 0
+	if e.probes != nil {
+		query.ReportAge = e.loads.countReports(&reports)
 	}
 	for i := range query.Rnd {
 		query.Rnd[i] = mathrand.Float64()
@@ -140,13 +142,16 @@
 	if tr.reserved != nil {
 		// The previous attempt was abandoned in favour of this instance.
 		inst, ok, tr.reserved = *tr.reserved, true, nil
-		c.UpstreamVersion = inst.Version
+		c.UpstreamVersion, reports = inst.Version, enoughReports
 	} else {
 		inst, ok = snap.Table.Pick(query, &e.loads)
 	}
 	if !ok {
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(defaultRetryAfter)}
 	}
+	if e.probes != nil {
+		e.chosen(snap, query, &inst, reports, len(previous) > 0)
+	}
 	attemptDeadline := retry.AttemptDeadline(call, len(previous), now)
 	softDeadline := !call.Objective.IsZero() && attemptDeadline.Before(call.Deadline)
 	if !softDeadline {
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -116,6 +116,7 @@
 	service   atomic.Pointer[string]
 
 	loads    loads
+	probes   *probes // nil unless EnableProbes was called
 	leavers  leavers
 	peers    peer.Pool
 	budgets  sync.Map // upstream name to *retry.Budget
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -53,6 +53,9 @@
 // loads tracks the load of each instance as reported in its answers; it implements
 // route.Loads.
 type loads struct {
+	// probing is set before the first request if reports also arrive with the answers
+	// to probes; see probed_loads.go.
+	probing   bool
 	mu        sync.Mutex
 	instances map[string]*instanceLoad
 	// means holds the mean answer time that instances report, by route.
@@ -63,7 +66,8 @@
 	report      request.Load
 	reportUntil time.Time
 	// ownInFlight counts the calls of this entry that are in flight.
-	ownInFlight         int
+	ownInFlight int
+	probedInstance
 	consecutiveFailures int
 	failingUntil        time.Time
 	saturatedUntil      time.Time
@@ -131,6 +135,9 @@
 	load := in.ownInFlight
 	if now.Before(in.reportUntil) {
 		load = max(load, in.report.InFlight)
+		if l.probing {
+			load = max(load, in.report.InFlight+in.startedSince)
+		}
 	}
 	ratio = float64(load) / float64(limit)
 	if now.Before(in.saturatedUntil) {
@@ -198,7 +205,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if in, ok := l.instances[name]; ok && !in.reportUntil.IsZero() {
-		rateLimit, age = in.report.RateLimit, now.Sub(in.reportUntil.Add(-reportLifetime))
+		rateLimit, age = in.report.RateLimit, now.Sub(in.reportUntil.Add(-l.lifetime()))
 	}
 	return ratio, rateLimit, age
 }
@@ -215,7 +222,9 @@
 func (l *loads) start(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.get(name).ownInFlight++
+	in := l.get(name)
+	in.ownInFlight++
+	in.startedSince++
 }
 
 // finish ends a call that was counted by start, and takes the load report of its answer
@@ -226,7 +235,8 @@
 	in := l.get(name)
 	in.ownInFlight--
 	if ans != nil && ans.Load.Limit > 0 {
-		in.report, in.reportUntil = ans.Load, now.Add(reportLifetime)
+		in.report, in.reportUntil = ans.Load, now.Add(l.lifetime())
+		in.probedInstance.answered()
 		// The report includes the call that has just ended.
 		in.report.InFlight = max(0, in.report.InFlight-1)
 		l.observeMean(in, route, ans.Load.Mean, now)
--- /dev/null
+++ b/request/entry/probes_test.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/control"
+	"github.com/kingcuppitch/kingcuppitch/process/membership"
+	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/route"
+	"github.com/kingcuppitch/kingcuppitch/version/config"
+	"github.com/kingcuppitch/kingcuppitch/version/fold"
+)
+
+// TestProbePlan guards against more probes than requests have earned or than the bound
+// per second allows, against groups of rare requests without probes, and against other
+// zones that are probed without need or often.
+func TestProbePlan(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	t.Run("bounds", func(t *testing.T) {
+		var p probePlan
+		g, sent, requests := probeGroup{"u", "v1"}, 0, 0
+		const seconds = 3
+		for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(5 * time.Millisecond) {
+			for _, o := range p.routed(now, g, 0, true, false) {
+				sent += o.ownZone + o.otherZones
+			}
+			if requests++; sent > probesPerRequest*requests {
+				t.Fatalf("got %d probes for %d requests, want at most %d for each", sent, requests, probesPerRequest)
+			}
+			repeat := p.routed(now, g, enoughReports, true, true)[0].ownZone
+			sent += repeat
+		}
+		if limit := probesPerSecond*seconds + maxProbeBurst; sent > limit {
+			t.Errorf("got %d probes in %d s, want at most %d", sent, seconds, limit)
+		}
+	})
+	t.Run("few reports", func(t *testing.T) {
+		var p probePlan
+		g := probeGroup{"u", "v1"}
+		first := p.routed(start, g, 8, true, false)[0].ownZone
+		p.unused(first)
+		if got := p.routed(start.Add(time.Second), g, enoughReports-1, true, false)[0].ownZone; got <= probesPerRequest {
+			t.Errorf("got %d probes with too few reports and %d saved, want more than usual", got, first)
+		}
+	})
+	t.Run("rare group", func(t *testing.T) {
+		var p probePlan
+		rare, often := probeGroup{"rare", "v1"}, probeGroup{"often", "v1"}
+		p.routed(start, rare, 0, true, false)
+		probes, last := 0, time.Time{}
+		for now := start; now.Before(start.Add(2 * groupLifetime)); now = now.Add(100 * time.Millisecond) {
+			if o := p.routed(now, often, 8, true, false)[1]; o.ownZone > 0 {
+				if o.probeGroup != rare {
+					t.Fatalf("got probes of %v, want of %v", o.probeGroup, rare)
+				}
+				probes, last = probes+o.ownZone, now
+			}
+		}
+		if want := groupProbes * int(groupLifetime/(2*groupProbeInterval)); probes < want {
+			t.Errorf("got %d probes of a rare group, want at least %d", probes, want)
+		}
+		if last.After(start.Add(groupLifetime)) {
+			t.Errorf("got probes of a group that is no longer used, %v after its last request", last.Sub(start))
+		}
+	})
+	t.Run("other zones", func(t *testing.T) {
+		var p probePlan
+		g := probeGroup{"u", "v1"}
+		if got := p.routed(start, g, 8, true, false)[0].otherZones; got != 0 {
+			t.Errorf("got %d probes to other zones while the own one has room, want none", got)
+		}
+		n := 0
+		for i := range 100 {
+			n += p.routed(start.Add(time.Duration(i)*10*time.Millisecond), g, 8, i > 0, false)[0].otherZones
+		}
+		if limit := int(otherZonePeriod/otherZoneInterval) + 1; n == 0 || n > limit {
+			t.Errorf("got %d probes to other zones, want 1 to %d", n, limit)
+		}
+	})
+	t.Run("many groups", func(t *testing.T) {
+		var p probePlan
+		for i := range 10 * maxGroups {
+			p.routed(start.Add(time.Duration(i)*time.Millisecond), probeGroup{"u", string(rune('a' + i))}, 8, true, false)
+		}
+		if got := len(p.groups); got != maxGroups {
+			t.Errorf("got %d groups, want %d", got, maxGroups)
+		}
+	})
+}
+
+// TestObserveReport guards against own calls that are forgotten, so that all calls of
+// an entry go to the instance that was idle at the last report, against reports that are
+// used too long, and against reports of a daemon that has restarted.
+func TestObserveReport(t *testing.T) {
+	l, now := loads{probing: true}, time.Unix(1_800_000_000, 0)
+	idle := request.Load{InFlight: 1, Limit: 10}
+	l.start("i")
+	l.observeReport("i", idle, 5, now)
+	for range 3 {
+		l.start("i")
+	}
+	if got, _ := l.Ratio("i", now); got != 0.4 {
+		t.Errorf("got a load ratio of %v, want 0.4: the report and the calls since", got)
+	}
+	inst := &route.Instance{Name: "i", Incarnation: 5}
+	if _, ok := l.reportAge(inst, now.Add(probedLifetime)); ok {
+		t.Errorf("the report is valid after %v", probedLifetime)
+	}
+	if age, ok := l.reportAge(inst, now.Add(probedLifetime-1)); !ok || age != probedLifetime-1 {
+		t.Errorf("got a report of age %v, %v, want %v", age, ok, probedLifetime-1)
+	}
+	if _, ok := l.reportAge(&route.Instance{Name: "i", Incarnation: 6}, now); ok {
+		t.Error("the report of the earlier incarnation is valid after the restart")
+	}
+	if !l.observeReport("i", request.Load{InFlight: 9, Limit: 10}, 6, now) {
+		t.Error("the report of the new incarnation was dropped")
+	}
+	if l.observeReport("i", idle, 5, now) {
+		t.Error("a late report of the earlier incarnation was taken")
+	}
+	if got, _ := l.Ratio("i", now); got != 0.9 {
+		t.Errorf("got a load ratio of %v, want 0.9 as the new incarnation reports", got)
+	}
+	if !l.observeReport("i", idle, 5, now.Add(probedLifetime)) {
+		t.Error("a daemon whose clock was set back is ignored for ever")
+	}
+}
+
+// TestFalseReport guards against an instance that is chosen on and on because its host
+// reports that it is idle and refuses all calls.
+func TestFalseReport(t *testing.T) {
+	l, now := loads{probing: true}, time.Unix(1_800_000_000, 0)
+	l.start("i")
+	refusal := &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonOverload}
+	l.finish("i", "r", &request.Answer{Load: request.Load{Limit: 10}}, refusal, now)
+	l.observeReport("i", request.Load{Limit: 10}, 1, now)
+	if got, _ := l.Ratio("i", now.Add(saturatedPeriod-1)); got < saturatedRatio {
+		t.Errorf("got a load ratio of %v after a refusal, want a saturated instance", got)
+	}
+}
+
+// recordingProber records the names of the instances that are probed.
+type recordingProber struct{ names map[string]int }
+
+func (r *recordingProber) Probe(name string, _ netip.AddrPort, _ time.Time) bool {
+	r.names[name]++
+	return true
+}
+
+// TestProbedInstances guards against probes to daemons that cannot answer or whose
+// instances must not be used, to the own daemon, and to other zones while the own one has
+// room; and against a zone without room whose entries know of no other instance.
+func TestProbedInstances(t *testing.T) {
+	st := &fold.State{Zones: map[string]fold.Zone{"z2": {Out: true}}}
+	st.Config.Upstreams = []config.Upstream{{Name: "u", Versions: []string{"v1"}, Active: "v1"}}
+	var members []membership.Member
+	add := func(name, zone string, state membership.State) {
+		members = append(members, membership.Member{
+			Name: name, Zone: zone, Region: "r", Service: "u", Version: "v1", State: state, Peer: netip.MustParseAddrPort("127.0.0.1:1"), UpstreamID: name,
+		})
+	}
+	add("self", "z0", membership.Ready)
+	add("near", "z0", membership.Ready)
+	add("suspect", "z0", membership.Suspect)
+	add("draining", "z0", membership.Draining)
+	add("leaver", "z0", membership.Ready)
+	add("other", "z1", membership.Ready)
+	add("out", "z2", membership.Ready)
+	snap := &control.Snapshot{State: st, Table: route.NewTable(st, members, "z0", "r"), Self: membership.Member{Name: "self", Zone: "z0"}}
+	e, p := New(fixedView{snap}, nil, WithName("self")), &recordingProber{names: make(map[string]int)}
+	e.EnableProbes(p, func() (request.Load, uint64) { return request.Load{InFlight: 3, Limit: 9}, 1 })
+	e.leavers.add(&route.Instance{Name: "leaver", UpstreamID: "leaver"}, time.Now())
+	now := time.Unix(1_800_000_000, 0)
+	route20 := func(zone string) {
+		for range 20 {
+			now = now.Add(100 * time.Millisecond)
+			q := route.Query{Upstream: "u", Version: "v1", Leaving: e.leavers.contains, Now: now}
+			e.chosen(snap, q, &route.Instance{Name: "near", Zone: zone}, 0, false)
+		}
+	}
+	route20("z0")
+	if len(p.names) != 1 || p.names["near"] == 0 {
+		t.Errorf("got probes of %v, want of near only", p.names)
+	}
+	if ratio, _ := e.loads.Ratio("self", now); ratio != 3.0/9 {
+		t.Errorf("got a load ratio of %v of the own instance, want that of its host", ratio)
+	}
+	p.names = make(map[string]int)
+	route20("z1")
+	if len(p.names) != 2 || p.names["near"] == 0 || p.names["other"] == 0 {
+		t.Errorf("got probes of %v, want of near and other only", p.names)
+	}
+}
+
+// TestPickReported guards against choices of instances without a report, which look idle,
+// while others have one, and against a choice that is confined to too few instances.
+func TestPickReported(t *testing.T) {
+	st := &fold.State{Zones: make(map[string]fold.Zone)}
+	st.Config.Upstreams = []config.Upstream{{Name: "u", Versions: []string{"v1"}, Active: "v1"}}
+	var members []membership.Member
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		members = append(members, membership.Member{Name: name, Zone: "z0", Region: "r", Service: "u", Version: "v1", State: membership.Ready, Peer: netip.MustParseAddrPort("127.0.0.1:1")})
+	}
+	tbl, now := route.NewTable(st, members, "z0", "r"), time.Unix(1_800_000_000, 0)
+	for _, c := range []struct {
+		name   string
+		loads  map[string]int // requests in flight of 10, by instance
+		choose string         // the instances that may be chosen
+	}{
+		{"two reports", map[string]int{"a": 5, "b": 6}, "ab"},
+		{"one report", map[string]int{"a": 5}, "abcde"},
+		{"one of them has room", map[string]int{"a": 5, "b": 10}, "a"},
+		{"none of them has room", map[string]int{"a": 10, "b": 10}, "cde"},
+	} {
+		l := loads{probing: true}
+		for name, n := range c.loads {
+			l.observeReport(name, request.Load{InFlight: n, Limit: 10}, 1, now)
+		}
+		chosen := make(map[string]bool)
+		for i := range 100 {
+			reports, rnd := 0, float64(i)/100
+			in, _ := tbl.Pick(route.Query{Upstream: "u", Version: "v1", Now: now, Rnd: [4]float64{0, rnd, rnd, rnd}, ReportAge: l.countReports(&reports)}, &l)
+			chosen[in.Name] = true
+			if reports != len(c.loads) {
+				t.Fatalf("%s: got %d reports, want %d", c.name, reports, len(c.loads))
+			}
+		}
+		got := ""
+		for _, m := range members {
+			if chosen[m.Name] {
+				got += m.Name
+			}
+		}
+		if got != c.choose {
+			t.Errorf("%s: got choices of %s, want of %s", c.name, got, c.choose)
+		}
+	}
+}
--- a/request/host/mean_times.go
+++ b/request/host/mean_times.go
@@ -17,6 +17,8 @@
 type meanTimes struct {
 	mu      sync.Mutex
 	byRoute map[string]time.Duration
+	// all is the mean of the answers of all routes; zero before the first.
+	all time.Duration
 }
 
 // reset discards the means of an earlier incarnation.
@@ -24,11 +26,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	clear(m.byRoute)
+	m.all = 0
 }
 
 func (m *meanTimes) observe(route string, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.all == 0 {
+		m.all = took
+	}
+	m.all += time.Duration(meanSampleWeight * float64(took-m.all))
 	old, ok := m.byRoute[route]
 	switch {
 	case ok:
@@ -46,3 +53,9 @@
 	defer m.mu.Unlock()
 	return m.byRoute[route]
 }
+
+func (m *meanTimes) ofAll() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.all
+}
--- /dev/null
+++ b/request/route/probe.go
@@ -0,0 +1,98 @@
+package route
+
+import "math"
+
+const (
+	// minReports is the number of valid reports in reach from which Pick chooses among
+	// the instances with a report.
+	minReports = 2
+	// maxProbeSteps bounds the instances that are considered for one probe, so that the
+	// work does not grow with the number of instances.
+	maxProbeSteps = 8
+)
+
+// indexesByDistance holds the indexes of instances by distance from the daemon.
+type indexesByDistance [distances][]int32
+
+// listProbed lists the instances that may be probed, by distance.
+func (t *Table) listProbed() {
+	t.probed = make(map[versionKey]indexesByDistance, len(t.instances))
+	for k, list := range t.instances {
+		var byDistance indexesByDistance
+		for i := range list {
+			if in := &list[i]; !in.Suspect && in.Peer.IsValid() {
+				byDistance[in.distance] = append(byDistance[in.distance], int32(i)) //nolint:gosec // an index of a member
+			}
+		}
+		t.probed[k] = byDistance
+	}
+}
+
+// ProbeTargets appends up to n random instances that may serve q to buf: those of the
+// daemon's own zone, or of the nearest other zones. Instances that are suspect or leave,
+// and those of a zone that is out, are never among them. claim is asked last and
+// rejects instances that need no probe. intn returns a random number below its argument.
+func (t *Table) ProbeTargets(q Query, ownZone bool, n int, intn func(int) int, claim func(*Instance) bool, buf []*Instance) []*Instance {
+	k := versionKey{q.Upstream, q.Version}
+	all, byDistance := t.instances[k], t.probed[k]
+	list := byDistance[sameZone]
+	if ownZone {
+		list = list[:trialPrefix(all, list, q.TrialShare)]
+	} else if list = byDistance[sameRegion]; len(list) == 0 {
+		list = byDistance[otherRegion]
+	}
+	if len(list) == 0 {
+		return buf
+	}
+	for range n {
+		start := intn(len(list))
+		for step := range min(maxProbeSteps, len(list)) {
+			in := &all[list[(start+step)%len(list)]]
+			if in.onTrial(q.TrialShare) && (q.Leaving == nil || !q.Leaving(&in.Instance)) && claim(&in.Instance) {
+				buf = append(buf, &in.Instance)
+				break
+			}
+		}
+	}
+	return buf
+}
+
+// trialPrefix returns the number of instances of one zone that take part in the trial of
+// their version. They come first, because numberTrialInstances has ordered them; the
+// instances that are not probed leave gaps in the numbers.
+func trialPrefix(all []locatedInstance, list []int32, share float64) int {
+	if len(list) == 0 || share <= 0 || share >= 1 || all[list[0]].trialCount == 0 {
+		return len(list)
+	}
+	n := int(math.Ceil(share / trialLoadShare * float64(all[list[0]].trialCount)))
+	return max(1, min(n, len(list)))
+}
+
+// preferReported returns the instances of list with a valid load report if all has at
+// least minReports of them; otherwise the choice is made among all of list. An
+// instance of which nothing is known looks idle, and at high load it is usually not.
+func (q *Query) preferReported(list, all []candidate) []candidate {
+	if q.ReportAge == nil {
+		return list
+	}
+	reports := 0
+	for i := range all {
+		if all[i].reported {
+			reports++
+		}
+	}
+	if reports < minReports {
+		return list
+	}
+	open := 0
+	for i := range list {
+		if list[i].reported {
+			list[open], list[i] = list[i], list[open]
+			open++
+		}
+	}
+	if open == 0 {
+		return list
+	}
+	return list[:open]
+}
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -47,6 +47,8 @@
 	// UpstreamID and UpstreamIncarnation name the incarnation of the upstream instance.
 	UpstreamID          string
 	UpstreamIncarnation uint64
+	// Incarnation is that of the daemon.
+	Incarnation uint64
 	// Suspect marks an instance whose daemon did not answer its peers.
 	Suspect bool
 }
@@ -58,6 +60,8 @@
 	// routes holds the routes by host; those of any host have an empty one.
 	routes    map[string][]config.Route
 	instances map[versionKey][]locatedInstance
+	// probed holds the indexes in instances of those that may be probed.
+	probed map[versionKey]indexesByDistance
 	// initialVersions holds the versions of upstreams before their first move is done,
 	// for those whose configuration names none.
 	initialVersions map[string]string
@@ -93,7 +97,11 @@
 	// TrialShare is the share of all requests that the version receives while it
 	// is on trial; zero means that it is not on trial. See trialLoadShare.
 	TrialShare float64
-	Now        time.Time
+	// ReportAge returns the age of the valid load report about an instance, or false if
+	// there is none. If it is set, Pick prefers instances with a report; see
+	// preferReported.
+	ReportAge func(in *Instance, now time.Time) (time.Duration, bool)
+	Now       time.Time
 	// Rnd holds random numbers in [0,1): the first for the ramp of a returning
 	// zone, the others for the candidates.
 	Rnd [1 + pickChoices]float64
@@ -130,11 +138,12 @@
 		k := versionKey{m.Service, m.Version}
 		next.instances[k] = append(next.instances[k], locatedInstance{distance: next.distance(m), Instance: Instance{
 			Name: m.Name, Zone: m.Zone, Region: m.Region, Upstream: m.Service, Version: m.Version,
-			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation,
+			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation, Incarnation: m.Incarnation,
 			Suspect: m.State == membership.Suspect,
 		}})
 	}
 	next.numberTrialInstances()
+	next.listProbed()
 	return next
 }
 
@@ -322,6 +331,9 @@
 	ratio float64
 	// cost is the expected answer time as a multiple of the usual one.
 	cost float64
+	// reported says whether there is a valid load report.
+	reported  bool
+	reportAge time.Duration
 }
 
 // loadCostFactor is the relative increase of the cost of an instance from idle to
@@ -365,7 +377,7 @@
 				}
 			}
 			if len(list) > 0 {
-				return leastCost(list, q).Instance, true
+				return leastCost(q.preferReported(list, all), q).Instance, true
 			}
 		}
 	}
@@ -412,7 +424,11 @@
 			if slowness == 0 {
 				slowness = 1
 			}
-			buf = append(buf, candidate{in, ratio, slowness * (1 + loadCostFactor*ratio*ratio)})
+			c := candidate{locatedInstance: in, ratio: ratio, cost: slowness * (1 + loadCostFactor*ratio*ratio)}
+			if q.ReportAge != nil {
+				c.reportAge, c.reported = q.ReportAge(&in.Instance, q.Now)
+			}
+			buf = append(buf, c)
 		}
 	}
 	if add(true); len(buf) == 0 {
