--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -134,6 +134,11 @@
 	reports := 0
 	if e.probes != nil {
 		query.ReportAge = e.loads.countReports(&reports)
+		if tr.reserved == nil {
+			e.probe(snap, query, len(previous) > 0).wait(ctx)
+			now = time.Now()
+			query.Now = now
+		}
 	}
 	for i := range query.Rnd {
 		query.Rnd[i] = mathrand.Float64()
@@ -142,7 +147,7 @@
 	if tr.reserved != nil {
 		// The previous attempt was abandoned in favour of this instance.
 		inst, ok, tr.reserved = *tr.reserved, true, nil
-		c.UpstreamVersion, reports = inst.Version, enoughReports
+		c.UpstreamVersion = inst.Version
 	} else {
 		inst, ok = snap.Table.Pick(query, &e.loads)
 	}
@@ -150,7 +155,7 @@
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(defaultRetryAfter)}
 	}
 	if e.probes != nil {
-		e.chosen(snap, query, &inst, reports, len(previous) > 0)
+		e.chosen(snap, query, &inst, reports)
 	}
 	attemptDeadline := retry.AttemptDeadline(call, len(previous), now)
 	softDeadline := !call.Objective.IsZero() && attemptDeadline.Before(call.Deadline)
--- a/request/entry/probe_model_test.go
+++ b/request/entry/probe_model_test.go
@@ -26,11 +26,17 @@
 	modelSpread = 0.8
 	// modelDelay is the time of a datagram or request to another daemon.
 	modelDelay = 300 * time.Microsecond
+	// modelObjective is the objective of the look-ups.
+	modelObjective = 500 * time.Millisecond
 	// modelLoss is the share of probes whose answer is lost.
 	modelLoss = 0.01
-	// modelWarmup is not measured, modelTime is.
+	// modelWarmup is not measured.
 	modelWarmup = 2 * time.Second
-	modelTime   = 8 * time.Second
+	// modelRequests is the number of requests that are measured, in at least
+	// minModelTime and at most maxModelTime.
+	modelRequests = 40_000
+	minModelTime  = 2 * time.Second
+	maxModelTime  = time.Minute
 )
 
 var modelSpeeds = []float64{0.7, 0.7, 1.7}
@@ -65,8 +71,8 @@
 
 // modelResult counts the requests of the measured time.
 type modelResult struct {
-	requests, known, full, otherZone, probes int
-	age                                      time.Duration
+	requests, known, full, inTime, otherZone, probes int
+	age                                              time.Duration
 	// mostProbes is the largest number of probes of one entry.
 	mostProbes int
 }
@@ -107,6 +113,12 @@
 	return true
 }
 
+// time returns the measured time.
+func (c modelCase) time() time.Duration {
+	seconds := modelRequests / (float64(c.daemons) * c.perSecond)
+	return max(minModelTime, min(maxModelTime, time.Duration(seconds*float64(time.Second))))
+}
+
 // modelCase is a fleet whose entries send requests to upstreams in the given shares.
 type modelCase struct {
 	daemons int
@@ -153,7 +165,7 @@
 			m.schedule(e, snap, u, rates[u]/float64(c.daemons))
 		}
 	}
-	begin, end := m.now.Add(modelWarmup), m.now.Add(modelWarmup+modelTime)
+	begin, end := m.now.Add(modelWarmup), m.now.Add(modelWarmup+c.time())
 	warm := false
 	for m.now.Before(end) {
 		ev := heap.Pop(&m.events).(modelEvent)
@@ -184,6 +196,34 @@
 	for i := range q.Rnd {
 		q.Rnd[i] = m.rnd.Float64()
 	}
+	if e.probes == nil {
+		m.choose(e, snap, q)
+		return
+	}
+	batch := e.probe(snap, q, false)
+	if batch == nil {
+		m.choose(e, snap, q)
+		return
+	}
+	m.waitUntil(batch, now.Add(answerWait), func(now time.Time) {
+		q.Now = now
+		m.choose(e, snap, q)
+	})
+}
+
+// waitUntil calls do once all answers of a batch have arrived, or at the given time.
+func (m *probeModel) waitUntil(b *probeBatch, last time.Time, do func(now time.Time)) {
+	m.after(min(2*modelDelay+time.Microsecond, last.Sub(m.now)), func(now time.Time) {
+		if b.left > 0 && now.Before(last) {
+			m.waitUntil(b, last, do)
+			return
+		}
+		do(now)
+	})
+}
+
+func (m *probeModel) choose(e *Entry, snap *control.Snapshot, q route.Query) {
+	now, upstream := q.Now, q.Upstream
 	reports := 0
 	if e.probes != nil {
 		q.ReportAge = e.loads.countReports(&reports)
@@ -201,7 +241,7 @@
 		m.result.otherZone++
 	}
 	if e.probes != nil {
-		e.chosen(snap, q, &in, reports, false)
+		e.chosen(snap, q, &in, reports)
 	}
 	e.loads.start(in.Name)
 	m.after(modelDelay, func(time.Time) { m.arrive(e, in.Name, upstream) })
@@ -220,6 +260,9 @@
 	}
 	s.inFlight++
 	took := time.Duration(s.speed * float64(modelWork) * math.Exp(modelSpread*m.rnd.NormFloat64()-modelSpread*modelSpread/2))
+	if took <= modelObjective {
+		m.result.inTime++
+	}
 	m.after(took, func(time.Time) {
 		if s.mean == 0 {
 			s.mean = took
@@ -251,17 +294,17 @@
 		t.Run(fmt.Sprintf("daemons=%d/perSecond=%g/load=%g/upstreams=%d", c.daemons, c.perSecond, c.load, len(c.shares)), func(t *testing.T) {
 			t.Parallel()
 			without, with := runProbeModel(c, false), runProbeModel(c, true)
-			t.Logf("known %.3f (without probes %.3f), age %v, without a free slot %.4f (%.4f), other zone %.3f (%.3f), probes for a request %.2f, most of an entry %.0f/s",
-				with.share(with.known), without.share(without.known), (with.age / time.Duration(max(1, with.known))).Round(time.Millisecond),
-				with.share(with.full), without.share(without.full), with.share(with.otherZone), without.share(without.otherZone),
-				with.share(with.probes), float64(with.mostProbes)/modelTime.Seconds())
+			t.Logf("%v known %.3f (without probes %.3f), age %v, without a free slot %.4f (%.4f), in time %.4f (%.4f), other zone %.3f (%.3f), probes for a request %.2f, most of an entry %.0f/s",
+				fmt.Sprint(c.daemons, "@", c.perSecond, " ", c.load, " ", len(c.shares)), with.share(with.known), without.share(without.known), (with.age / time.Duration(max(1, with.known))).Round(time.Millisecond),
+				with.share(with.full), without.share(without.full), with.share(with.inTime), without.share(without.inTime), with.share(with.otherZone), without.share(without.otherZone),
+				with.share(with.probes), float64(with.mostProbes)/c.time().Seconds())
 			if got := with.share(with.known); got < 0.9 {
 				t.Errorf("got %.3f of the choices on a valid report, want 0.9", got)
 			}
 			if got := with.share(with.probes); got > probesPerRequest {
 				t.Errorf("got %.2f probes for a request, want at most %d", got, probesPerRequest)
 			}
-			if got, want := with.mostProbes, int(probesPerSecond*modelTime.Seconds())+maxProbeBurst; got > want {
+			if got, want := with.mostProbes, int(probesPerSecond*c.time().Seconds())+maxProbeBurst; got > want {
 				t.Errorf("got %d probes of one entry, want at most %d", got, want)
 			}
 			if with.full > without.full {
--- a/request/entry/probe_plan.go
+++ b/request/entry/probe_plan.go
@@ -58,16 +58,28 @@
 type groupState struct {
 	probeGroup
 	usedAt, probedAt time.Time
+	// reports is the number of valid reports at the last choice.
+	reports int
 	// otherZonesUntil is until when other zones are probed, and otherZoneAt is when one
 	// was probed last.
 	otherZonesUntil, otherZoneAt time.Time
 }
 
-// routed notes that a request was routed to an instance of a group and returns what to
-// probe for the next choices. reports is the number of valid reports among the instances
-// of the group, ownZone says whether the chosen instance is in the daemon's own zone, and
-// repeated marks a further attempt of a request, which earns no probes.
-func (p *probePlan) routed(now time.Time, g probeGroup, reports int, ownZone, repeated bool) (orders [2]probeOrder) {
+// chosen notes that a request was routed to an instance of a group. reports is the number
+// of valid reports among the instances of the group, and ownZone says whether the chosen
+// instance is in the daemon's own zone.
+func (p *probePlan) chosen(now time.Time, g probeGroup, reports int, ownZone bool) {
+	s := p.use(now, g)
+	s.reports = reports
+	if !ownZone {
+		s.otherZonesUntil = now.Add(otherZonePeriod)
+	}
+}
+
+// route returns what to probe when a request is routed to a group: the group itself, and
+// perhaps another one. repeated marks a further attempt of a request, which earns no
+// probes.
+func (p *probePlan) route(now time.Time, g probeGroup, repeated bool) (orders [2]probeOrder) {
 	if !repeated {
 		p.saved = min(p.saved+probesPerRequest, maxSavedProbes)
 	}
@@ -78,9 +90,6 @@
 	}
 	p.burstAt = now
 	own := p.use(now, g)
-	if !ownZone {
-		own.otherZonesUntil = now.Add(otherZonePeriod)
-	}
 	orders[0].probeGroup = g
 	if other := p.due(now, g); other != nil {
 		if n := p.take(groupProbes); n > 0 {
@@ -93,7 +102,7 @@
 		orders[0].otherZones = p.take(1)
 	}
 	n := probesPerRequest
-	if reports < enoughReports {
+	if own.reports < enoughReports {
 		n = maxSavedProbes
 	}
 	if orders[0].ownZone = p.take(n); orders[0].ownZone > 0 {
--- a/request/entry/probes.go
+++ b/request/entry/probes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	mathrand "math/rand/v2"
 	"net/netip"
 	"sync"
@@ -26,6 +27,8 @@
 
 	mu   sync.Mutex
 	plan probePlan
+	// awaited holds the request that waits for the answer of an instance, by its name.
+	awaited map[string]*probeBatch
 }
 
 // EnableProbes makes the entry probe instances for their load. It is called before the
@@ -41,45 +44,113 @@
 	if !e.loads.observeReport(name, load, incarnation, now) {
 		e.metrics.Add("loads.probesOutdated", 1)
 	}
+	e.probes.answered(name)
 }
 
-// chosen counts the choice of an instance and probes others for the next choices.
-// reports is the number of valid reports among the instances of the same version.
-func (e *Entry) chosen(snap *control.Snapshot, q route.Query, inst *route.Instance, reports int, repeated bool) {
-	e.metrics.Add("loads.choices", 1)
-	if age, ok := e.loads.reportAge(inst, q.Now); ok {
-		e.metrics.Add("loads.choicesKnown", 1)
-		e.metrics.Observe("loads.reportAge", age, q.Upstream, "chosen")
-	}
+// answerWait bounds the time for which a request waits for the reports on which its
+// instance is chosen. It covers a round trip within an availability zone and a busy
+// daemon at the other end. A report that is older than the time between two requests of
+// an entry leaves three to six times as many requests without a free slot.
+const answerWait = time.Millisecond
+
+// probeBatch is the set of probes whose answers a request waits for; probes.mu guards
+// left.
+type probeBatch struct {
+	left int
+	done chan struct{}
+}
+
+// probe sends the probes for the choice of an instance for q, and for rare requests to
+// other upstreams. It returns the answers to wait for; nil if there are none.
+func (e *Entry) probe(snap *control.Snapshot, q route.Query, repeated bool) *probeBatch {
 	p := e.probes
 	p.mu.Lock()
-	orders := p.plan.routed(q.Now, probeGroup{q.Upstream, q.Version}, reports, inst.Zone == snap.Self.Zone, repeated)
+	orders := p.plan.route(q.Now, probeGroup{q.Upstream, q.Version}, repeated)
 	p.mu.Unlock()
 	var buf [2 * maxSavedProbes]*route.Instance
-	targets, ordered := buf[:0], 0
+	targets, awaited, ordered := buf[:0], 0, 0
 	claim := func(in *route.Instance) bool { return e.loads.claimProbe(in, q.Now) }
 	for i, o := range orders {
 		if i > 0 {
-			// The share of a trial is known for the version of the request only.
 			q.Upstream, q.Version, q.TrialShare = o.upstream, o.version, trialShare(snap, o.upstream, o.version)
 		}
 		targets = snap.Table.ProbeTargets(q, true, o.ownZone, p.intn, claim, targets)
+		if i == 0 {
+			awaited = len(targets)
+		}
 		targets = snap.Table.ProbeTargets(q, false, o.otherZones, p.intn, claim, targets)
 		ordered += o.ownZone + o.otherZones
 	}
-	if rest := ordered - len(targets); rest > 0 {
-		p.mu.Lock()
-		p.plan.unused(rest)
-		p.mu.Unlock()
-	}
+	batch := p.await(targets[:awaited], ordered-len(targets))
 	for _, in := range targets {
 		if in.Name == e.name {
 			load, incarnation := p.local()
 			e.ObserveProbe(in.Name, load, incarnation, q.Now)
-			continue
+		} else if !p.prober.Probe(in.Name, in.Peer, q.Now) {
+			p.answered(in.Name)
 		}
-		p.prober.Probe(in.Name, in.Peer, q.Now)
 	}
+	return batch
+}
+
+// await returns a batch of the answers of the given instances, and returns probes that
+// were not needed to the plan.
+func (p *probes) await(targets []*route.Instance, unused int) *probeBatch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plan.unused(unused)
+	if len(targets) == 0 {
+		return nil
+	}
+	if p.awaited == nil {
+		p.awaited = make(map[string]*probeBatch)
+	}
+	b := &probeBatch{left: len(targets), done: make(chan struct{})}
+	for _, in := range targets {
+		p.awaited[in.Name] = b
+	}
+	return b
+}
+
+// answered notes that an instance has answered, or will not.
+func (p *probes) answered(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b, ok := p.awaited[name]
+	if !ok {
+		return
+	}
+	delete(p.awaited, name)
+	if b.left--; b.left == 0 {
+		close(b.done)
+	}
+}
+
+// wait waits until all answers have arrived, but no longer than answerWait.
+func (b *probeBatch) wait(ctx context.Context) {
+	if b == nil {
+		return
+	}
+	timer := time.NewTimer(answerWait)
+	defer timer.Stop()
+	select {
+	case <-b.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// chosen counts the choice of an instance. reports is the number of valid reports among
+// the instances of the same version.
+func (e *Entry) chosen(snap *control.Snapshot, q route.Query, inst *route.Instance, reports int) {
+	e.metrics.Add("loads.choices", 1)
+	if age, ok := e.loads.reportAge(inst, q.Now); ok {
+		e.metrics.Add("loads.choicesKnown", 1)
+		e.metrics.Observe("loads.reportAge", age, "", "chosen")
+	}
+	e.probes.mu.Lock()
+	defer e.probes.mu.Unlock()
+	e.probes.plan.chosen(q.Now, probeGroup{q.Upstream, q.Version}, reports, inst.Zone == snap.Self.Zone)
 }
 
 // trialShare returns the share of all requests that a version on trial receives; zero if
--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -23,14 +23,13 @@
 		g, sent, requests := probeGroup{"u", "v1"}, 0, 0
 		const seconds = 3
 		for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(5 * time.Millisecond) {
-			for _, o := range p.routed(now, g, 0, true, false) {
+			for _, o := range p.route(now, g, false) {
 				sent += o.ownZone + o.otherZones
 			}
 			if requests++; sent > probesPerRequest*requests {
 				t.Fatalf("got %d probes for %d requests, want at most %d for each", sent, requests, probesPerRequest)
 			}
-			repeat := p.routed(now, g, enoughReports, true, true)[0].ownZone
-			sent += repeat
+			sent += p.route(now, g, true)[0].ownZone
 		}
 		if limit := probesPerSecond*seconds + maxProbeBurst; sent > limit {
 			t.Errorf("got %d probes in %d s, want at most %d", sent, seconds, limit)
@@ -39,19 +38,21 @@
 	t.Run("few reports", func(t *testing.T) {
 		var p probePlan
 		g := probeGroup{"u", "v1"}
-		first := p.routed(start, g, 8, true, false)[0].ownZone
+		first := p.route(start, g, false)[0].ownZone
 		p.unused(first)
-		if got := p.routed(start.Add(time.Second), g, enoughReports-1, true, false)[0].ownZone; got <= probesPerRequest {
+		p.chosen(start, g, enoughReports-1, true)
+		if got := p.route(start.Add(time.Second), g, false)[0].ownZone; got <= probesPerRequest {
 			t.Errorf("got %d probes with too few reports and %d saved, want more than usual", got, first)
 		}
 	})
 	t.Run("rare group", func(t *testing.T) {
 		var p probePlan
 		rare, often := probeGroup{"rare", "v1"}, probeGroup{"often", "v1"}
-		p.routed(start, rare, 0, true, false)
+		p.route(start, rare, false)
 		probes, last := 0, time.Time{}
 		for now := start; now.Before(start.Add(2 * groupLifetime)); now = now.Add(100 * time.Millisecond) {
-			if o := p.routed(now, often, 8, true, false)[1]; o.ownZone > 0 {
+			p.chosen(now, often, enoughReports, true)
+			if o := p.route(now, often, false)[1]; o.ownZone > 0 {
 				if o.probeGroup != rare {
 					t.Fatalf("got probes of %v, want of %v", o.probeGroup, rare)
 				}
@@ -68,12 +69,15 @@
 	t.Run("other zones", func(t *testing.T) {
 		var p probePlan
 		g := probeGroup{"u", "v1"}
-		if got := p.routed(start, g, 8, true, false)[0].otherZones; got != 0 {
+		p.chosen(start, g, enoughReports, true)
+		if got := p.route(start, g, false)[0].otherZones; got != 0 {
 			t.Errorf("got %d probes to other zones while the own one has room, want none", got)
 		}
 		n := 0
 		for i := range 100 {
-			n += p.routed(start.Add(time.Duration(i)*10*time.Millisecond), g, 8, i > 0, false)[0].otherZones
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			p.chosen(now, g, enoughReports, i > 0)
+			n += p.route(now, g, false)[0].otherZones
 		}
 		if limit := int(otherZonePeriod/otherZoneInterval) + 1; n == 0 || n > limit {
 			t.Errorf("got %d probes to other zones, want 1 to %d", n, limit)
@@ -82,7 +86,7 @@
 	t.Run("many groups", func(t *testing.T) {
 		var p probePlan
 		for i := range 10 * maxGroups {
-			p.routed(start.Add(time.Duration(i)*time.Millisecond), probeGroup{"u", string(rune('a' + i))}, 8, true, false)
+			p.route(start.Add(time.Duration(i)*time.Millisecond), probeGroup{"u", string(rune('a' + i))}, false)
 		}
 		if got := len(p.groups); got != maxGroups {
 			t.Errorf("got %d groups, want %d", got, maxGroups)
@@ -177,7 +181,8 @@
 		for range 20 {
 			now = now.Add(100 * time.Millisecond)
 			q := route.Query{Upstream: "u", Version: "v1", Leaving: e.leavers.contains, Now: now}
-			e.chosen(snap, q, &route.Instance{Name: "near", Zone: zone}, 0, false)
+			e.probe(snap, q, false)
+			e.chosen(snap, q, &route.Instance{Name: "near", Zone: zone}, enoughReports)
 		}
 	}
 	route20("z0")
--- a/request/route/probe.go
+++ b/request/route/probe.go
@@ -6,6 +6,9 @@
 	// minReports is the number of valid reports in reach from which Pick chooses among
 	// the instances with a report.
 	minReports = 2
+	// newestReports is the number of instances with the newest reports among which Pick
+	// then chooses. What an instance reports changes every 20 ms.
+	newestReports = 3
 	// maxProbeSteps bounds the instances that are considered for one probe, so that the
 	// work does not grow with the number of instances.
 	maxProbeSteps = 8
@@ -68,9 +71,11 @@
 	return max(1, min(n, len(list)))
 }
 
-// preferReported returns the instances of list with a valid load report if all has at
-// least minReports of them; otherwise the choice is made among all of list. An
-// instance of which nothing is known looks idle, and at high load it is usually not.
+// preferReported returns those of list from which an instance is chosen. If all holds
+// at least minReports instances with a valid load report, they are the newestReports of
+// list with the newest reports, those with a free slot before others. Otherwise, or if
+// list has none with a report, they are all of list. An instance of which nothing is known
+// looks idle, and at high load it is usually not.
 func (q *Query) preferReported(list, all []candidate) []candidate {
 	if q.ReportAge == nil {
 		return list
@@ -94,5 +99,31 @@
 	if open == 0 {
 		return list
 	}
-	return list[:open]
+	list = list[:open]
+	free := 0
+	for i := range list {
+		if list[i].ratio < SaturatedRatio {
+			list[free], list[i] = list[i], list[free]
+			free++
+		}
+	}
+	if free > 0 {
+		list = list[:free]
+	}
+	return newest(list)
+}
+
+// newest returns the newestReports candidates with the newest reports.
+func newest(list []candidate) []candidate {
+	if len(list) <= newestReports {
+		return list
+	}
+	for n := range newestReports {
+		for i := n + 1; i < len(list); i++ {
+			if list[i].reportAge < list[n].reportAge {
+				list[n], list[i] = list[i], list[n]
+			}
+		}
+	}
+	return list[:newestReports]
 }
