--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -135,8 +135,7 @@
 	if e.probes != nil {
 		query.ReportAge = e.loads.countReports(&reports)
 		if tr.reserved == nil {
-			e.probe(snap, query, len(previous) > 0).wait(ctx)
-			now = time.Now()
+			now = e.awaitReports(ctx, snap, query, len(previous) > 0)
 			query.Now = now
 		}
 	}
--- a/request/entry/probes.go
+++ b/request/entry/probes.go
@@ -126,18 +126,30 @@
 	}
 }
 
+// awaitReports probes instances for the choice of one for q, waits for the answers, and
+// returns the time of the choice.
+func (e *Entry) awaitReports(ctx context.Context, snap *control.Snapshot, q route.Query, repeated bool) time.Time {
+	if !e.probe(snap, q, repeated).wait(ctx) {
+		e.metrics.Add("loads.waitsExpired", 1)
+	}
+	return time.Now()
+}
+
 // wait waits until all answers have arrived, but no longer than answerWait.
-func (b *probeBatch) wait(ctx context.Context) {
+// It reports whether they have.
+func (b *probeBatch) wait(ctx context.Context) bool {
 	if b == nil {
-		return
+		return true
 	}
 	timer := time.NewTimer(answerWait)
 	defer timer.Stop()
 	select {
 	case <-b.done:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // chosen counts the choice of an instance. reports is the number of valid reports among
--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -243,3 +246,75 @@
 		}
 	}
 }
+
+// TestWaitForReports guards against requests that are held up by lost answers or do not
+// wait for those that arrive, and against an instance whose lost answer stops the probes.
+func TestWaitForReports(t *testing.T) {
+	p := &probes{}
+	targets := []*route.Instance{{Name: "a"}, {Name: "b"}}
+	b := p.await(targets, 0)
+	began := time.Now()
+	if b.wait(t.Context()) {
+		t.Error("got all answers, want a lost one")
+	}
+	// A second allows for a busy machine.
+	if got := time.Since(began); got < answerWait || got > time.Second {
+		t.Errorf("waited for %v, want %v", got, answerWait)
+	}
+	next := p.await(targets[:1], 0)
+	for _, name := range []string{"a", "b", "a", "c"} {
+		p.answered(name)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if !next.wait(t.Context()) {
+		t.Error("got no answers, want that of a")
+	}
+	if p.await(targets, 0).wait(ctx) {
+		t.Error("a request waits although its caller has left")
+	}
+	if p.await(nil, 0) != nil {
+		t.Error("a request waits although it probed nothing")
+	}
+}
+
+// BenchmarkChoice measures the probes and the choice of an entry with 100 instances in
+// each of three zones, without the socket.
+func BenchmarkChoice(b *testing.B) {
+	st := &fold.State{Zones: make(map[string]fold.Zone)}
+	var members []membership.Member
+	for i := range 300 {
+		members = append(members, membership.Member{
+			Name: fmt.Sprint("d", i), Zone: fmt.Sprint("z", i%3), Region: "r", Service: "u", Version: "v1", State: membership.Ready,
+			Peer: netip.MustParseAddrPort("127.0.0.1:1"),
+		})
+	}
+	snap := &control.Snapshot{State: st, Table: route.NewTable(st, members, "z0", "r"), Self: membership.Member{Name: "d0", Zone: "z0"}}
+	for _, probing := range []bool{false, true} {
+		b.Run(fmt.Sprint("probing=", probing), func(b *testing.B) {
+			e := New(fixedView{snap}, nil, WithName("d0"))
+			if probing {
+				e.EnableProbes(&recordingProber{names: make(map[string]int)}, func() (request.Load, uint64) { return request.Load{InFlight: 3, Limit: 9}, 1 })
+			}
+			now := time.Unix(1_800_000_000, 0)
+			for b.Loop() {
+				now = now.Add(17 * time.Millisecond)
+				q, reports := route.Query{Upstream: "u", Version: "v1", Now: now}, 0
+				for i := range q.Rnd {
+					q.Rnd[i] = rand.Float64()
+				}
+				if probing {
+					q.ReportAge = e.loads.countReports(&reports)
+					e.probe(snap, q, false)
+					for name := range e.probes.awaited {
+						e.ObserveProbe(name, request.Load{InFlight: 3, Limit: 9}, 0, now)
+					}
+				}
+				in, _ := snap.Table.Pick(q, &e.loads)
+				if probing {
+					e.chosen(snap, q, &in, reports)
+				}
+			}
+		})
+	}
+}
--- a/request/route/probe.go
+++ b/request/route/probe.go
@@ -1,6 +1,9 @@
 package route
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minReports is the number of valid reports in reach from which Pick chooses among
@@ -71,6 +74,19 @@
 	return max(1, min(n, len(list)))
 }
 
+// noReport is the age of the report about an instance without a valid one.
+const noReport = time.Duration(-1)
+
+// reportAge returns the age of the valid load report about an instance, or noReport.
+func (q *Query) reportAge(in *Instance) time.Duration {
+	if q.ReportAge != nil {
+		if age, ok := q.ReportAge(in, q.Now); ok {
+			return max(0, age)
+		}
+	}
+	return noReport
+}
+
 // preferReported returns those of list from which an instance is chosen. If all holds
 // at least minReports instances with a valid load report, they are the newestReports of
 // list with the newest reports, those with a free slot before others. Otherwise, or if
@@ -82,7 +98,7 @@
 	}
 	reports := 0
 	for i := range all {
-		if all[i].reported {
+		if all[i].reportAge != noReport {
 			reports++
 		}
 	}
@@ -91,7 +107,7 @@
 	}
 	open := 0
 	for i := range list {
-		if list[i].reported {
+		if list[i].reportAge != noReport {
 			list[open], list[i] = list[i], list[open]
 			open++
 		}
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -331,8 +331,7 @@
 	ratio float64
 	// cost is the expected answer time as a multiple of the usual one.
 	cost float64
-	// reported says whether there is a valid load report.
-	reported  bool
+	// reportAge is the age of the valid load report, or noReport.
 	reportAge time.Duration
 }
 
@@ -368,9 +367,13 @@
 		return Instance{}, false
 	}
 	var open [64]candidate
+	scratch := open[:0]
+	if len(all) > cap(scratch) {
+		scratch = make([]candidate, 0, len(all))
+	}
 	for _, share := range []float64{q.TrialShare, 0} {
 		for distance := range distances {
-			list := open[:0]
+			list := scratch
 			for _, c := range all {
 				if c.distance <= distance && c.ratio < q.saturationRatio(c.distance) && c.onTrial(share) {
 					list = append(list, c)
@@ -407,6 +410,9 @@
 // is included regardless, because a refusal would be worse than a fast ramp.
 func (t *Table) candidates(q Query, loads Loads, buf []candidate) []candidate {
 	list := t.instances[versionKey{q.Upstream, q.Version}]
+	if len(list) > cap(buf) {
+		buf = make([]candidate, 0, len(list))
+	}
 	add := func(ramp bool) {
 		for i := range list {
 			in := &list[i]
@@ -424,10 +430,7 @@
 			if slowness == 0 {
 				slowness = 1
 			}
-			c := candidate{locatedInstance: in, ratio: ratio, cost: slowness * (1 + loadCostFactor*ratio*ratio)}
-			if q.ReportAge != nil {
-				c.reportAge, c.reported = q.ReportAge(&in.Instance, q.Now)
-			}
+			c := candidate{locatedInstance: in, ratio: ratio, cost: slowness * (1 + loadCostFactor*ratio*ratio), reportAge: q.reportAge(&in.Instance)}
 			buf = append(buf, c)
 		}
 	}
