--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -135,8 +135,14 @@
 	if !call.Objective.IsZero() {
 		query.WaitRatio = localZoneWaitRatio
 	}
-	if m, ok := snap.State.Move(upstream); ok && m.To == c.UpstreamVersion {
-		query.TrialShare = snap.Shares[m.ID]
+	query.TrialShare = trialShare(snap, upstream, c.UpstreamVersion)
+	reports := 0
+	if e.probes != nil {
+		query.ReportAge = e.loads.countReports(&reports)
+		if tr.reserved == nil {
+			now = e.awaitReports(ctx, snap, query, len(previous) > 0)
+			query.Now = now
+		}
 	}
 	for i := range query.Rnd {
 		query.Rnd[i] = mathrand.Float64()
@@ -157,6 +163,9 @@
 	if !ok {
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(defaultRetryAfter)}
 	}
+	if e.probes != nil {
+		e.chosen(snap, query, &inst, reports)
+	}
 	attemptDeadline := retry.AttemptDeadline(call, len(previous), now)
 	softDeadline := !call.Objective.IsZero() && attemptDeadline.Before(call.Deadline)
 	if !softDeadline {
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -119,6 +119,7 @@
 	// ranks is nil without WithCallRanks.
 	ranks   *ranks
 	loads   loads
+	probes  *probes // nil unless EnableProbes was called
 	leavers leavers
 	peers   peer.Pool
 	budgets sync.Map // upstream name to *retry.Budget
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -47,6 +47,8 @@
 	// UpstreamID and UpstreamIncarnation name the incarnation of the upstream instance.
 	UpstreamID          string
 	UpstreamIncarnation uint64
+	// Incarnation is that of the daemon.
+	Incarnation uint64
 	// Suspect marks an instance whose daemon did not answer its peers.
 	Suspect bool
 }
@@ -58,6 +60,8 @@
 	// routes holds the routes by host; those of any host have an empty one.
 	routes    map[string][]config.Route
 	instances map[versionKey][]locatedInstance
+	// probed holds the indexes in instances of those that may be probed.
+	probed map[versionKey]indexesByDistance
 	// initialVersions holds the versions of upstreams before their first move is done,
 	// for those whose configuration names none.
 	initialVersions map[string]string
@@ -99,7 +103,11 @@
 	// TrialShare is the share of all requests that the version receives while it
 	// is on trial; zero means that it is not on trial. See trialLoadShare.
 	TrialShare float64
-	Now        time.Time
+	// ReportAge returns the age of the valid load report about an instance, or false if
+	// there is none. If it is set, Pick prefers instances with a report; see
+	// preferReported.
+	ReportAge func(in *Instance, now time.Time) (time.Duration, bool)
+	Now       time.Time
 	// Rnd holds random numbers in [0,1): the first for the ramp of a returning
 	// zone, the others for the candidates.
 	Rnd [1 + pickChoices]float64
@@ -136,11 +144,12 @@
 		k := versionKey{m.Service, m.Version}
 		next.instances[k] = append(next.instances[k], locatedInstance{distance: next.distance(m), Instance: Instance{
 			Name: m.Name, Zone: m.Zone, Region: m.Region, Upstream: m.Service, Version: m.Version,
-			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation,
+			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation, Incarnation: m.Incarnation,
 			Suspect: m.State == membership.Suspect,
 		}})
 	}
 	next.numberTrialInstances()
+	next.listProbed()
 	return next
 }
 
@@ -330,6 +339,8 @@
 	cost float64
 	// refuses means that the instance is known not to admit the request.
 	refuses bool
+	// reportAge is the age of the valid load report, or noReport.
+	reportAge time.Duration
 }
 
 // loadCostFactor is the relative increase of the cost of an instance from idle to
@@ -364,16 +375,20 @@
 		return Instance{}, false
 	}
 	var open [64]candidate
+	scratch := open[:0]
+	if len(all) > cap(scratch) {
+		scratch = make([]candidate, 0, len(all))
+	}
 	for _, share := range []float64{q.TrialShare, 0} {
 		for distance := range distances {
-			list := open[:0]
+			list := scratch
 			for _, c := range all {
 				if !c.refuses && c.distance <= distance && c.ratio < q.saturationRatio(c.distance) && c.onTrial(share) {
 					list = append(list, c)
 				}
 			}
 			if len(list) > 0 {
-				return leastCost(list, q).Instance, true
+				return leastCost(q.preferReported(list, all), q).Instance, true
 			}
 		}
 	}
@@ -411,6 +426,9 @@
 // is included regardless, because a refusal would be worse than a fast ramp.
 func (t *Table) candidates(q Query, loads Loads, buf []candidate) []candidate {
 	list := t.instances[versionKey{q.Upstream, q.Version}]
+	if len(list) > cap(buf) {
+		buf = make([]candidate, 0, len(list))
+	}
 	add := func(ramp bool) {
 		for i := range list {
 			in := &list[i]
@@ -428,7 +446,9 @@
 			if slowness == 0 {
 				slowness = 1
 			}
-			buf = append(buf, candidate{in, ratio, slowness * (1 + loadCostFactor*ratio*ratio), q.Admits != nil && !q.Admits(in.Name)})
+			c := candidate{locatedInstance: in, ratio: ratio, cost: slowness * (1 + loadCostFactor*ratio*ratio), reportAge: q.reportAge(&in.Instance)}
+			c.refuses = q.Admits != nil && !q.Admits(in.Name)
+			buf = append(buf, c)
 		}
 	}
 	if add(true); len(buf) == 0 {
