Learn how many concurrent requests an upstream sustains

Cause: where the upstream announces its slots, the gate used all of them, also when the instance gives fewer answers with all slots taken than with half of them.

Change: request/admission/capacity.go compares the times of each route with its usual time and lowers the limit to the middle or half of the slots when more requests yield no more answers; trials of higher limits find the end of a slowdown. The gate uses the lesser of announced and learned slots if learnCapacity is set. Load reports carry limit and capacity; a host starts from what an entry tells it. Gauges host.learnedLimit and host.capacity, a warning in status, a log line for changes of a quarter.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -216,7 +216,11 @@
 	if p := d.platform; p != nil {
 		headers = p.Headers()
 		p.SetMetrics(d.metrics)
-		d.limiter = new(announcedLimiter)
+		announced := new(announcedLimiter)
+		if s.Balancing.LearnCapacity {
+			announced.LearnCapacity()
+		}
+		d.limiter = announced
 		controlOpts = append(controlOpts, control.WithLog(p.Log()), control.WithOutcomes(p.Outcomes()),
 			control.WithDirectory(p.Directory()), control.WithCompactedLog())
 	} else {
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -64,6 +64,8 @@
 	arrivals map[int]*arrivals
 	// timer dispatches the queue when the bounds of the rate allow the next request.
 	timer *time.Timer
+	// learned is the capacity that the instance sustains; nil unless it is learned.
+	learned *capacity
 }
 
 // RateLimit is a limit that the instance names. The zero value means that it names none.
@@ -109,6 +111,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.bounds = b
+	if g.learned != nil {
+		g.learned.setSlots(b.Slots)
+	}
 	g.dispatch(time.Now())
 }
 
@@ -173,6 +178,9 @@
 	g.incarnation++
 	g.inFlight = 0
 	g.rateLimit = RateLimit{}
+	if g.learned != nil {
+		g.learned.reset()
+	}
 	g.dispatch(time.Now())
 }
 
@@ -182,7 +190,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	limit, cold = g.bounds.Slots, g.cold(now)
+	limit, cold = g.slots(), g.cold(now)
 	if rate := g.rate(now); rate > 0 {
 		limit = min(limit, max(minRateBoundLimit, int(rate*g.meanOrInitial())))
 	}
@@ -357,16 +365,16 @@
 // remaining time before a queued request is refused, since the estimate may be
 // wrong.
 func (g *Gate) estimateTolerance() time.Duration {
-	return time.Duration(g.meanOrInitial() / float64(max(1, g.bounds.Slots)) * float64(time.Second))
+	return time.Duration(g.meanOrInitial() / float64(max(1, g.slots())) * float64(time.Second))
 }
 
 func (g *Gate) canGrant(now time.Time) bool {
-	return g.inFlight < g.bounds.Slots && !now.Before(g.nextGrant(now))
+	return g.inFlight < g.slots() && !now.Before(g.nextGrant(now))
 }
 
 func (g *Gate) grant(now time.Time, req *slotRequest) {
 	g.inFlight++
-	req.state, req.incarnation, req.grantedAt = stateRunning, g.incarnation, now
+	req.state, req.incarnation, req.grantedAt, req.load = stateRunning, g.incarnation, now, g.inFlight
 	expired := 0
 	for expired < len(g.grantTimes) && !g.grantTimes[expired].After(now.Add(-coldWindow)) {
 		expired++
@@ -390,6 +398,7 @@
 	if !r.Failed && !r.Expired && !r.Shed {
 		g.meanSeconds = g.meanOrInitial() + meanWeight*(r.Took.Seconds()-g.meanOrInitial())
 	}
+	g.learn(now, t.req, r)
 	g.release(t.req)
 	g.dispatch(now)
 }
@@ -472,7 +481,7 @@
 // throughput returns the number of requests that the instance can answer per
 // second.
 func (g *Gate) throughput(now time.Time) float64 {
-	bySlots := float64(g.bounds.Slots) / g.meanOrInitial()
+	bySlots := float64(g.slots()) / g.meanOrInitial()
 	if rate := g.rate(now); rate > 0 {
 		return min(bySlots, rate)
 	}
@@ -493,7 +502,7 @@
 func (g *Gate) overloadRefusal(now time.Time) *request.Refusal {
 	after := min(max(g.estimateWait(now, g.queue.len()), minRetryAfter), maxRetryAfter)
 	reason, detail := request.ReasonOverload, "all slots of the upstream instance are taken"
-	if limit := g.rateLimit.PerSecond; limit > 0 && g.inFlight < g.bounds.Slots {
+	if limit := g.rateLimit.PerSecond; limit > 0 && g.inFlight < g.slots() {
 		reason, detail = request.ReasonRateLimit, fmt.Sprintf("the upstream instance takes %.4g requests per second", limit)
 	}
 	return &request.Refusal{
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -117,6 +117,9 @@
 	origins   origins
 	// statements logs what the upstream says about itself.
 	statements statements
+	// capacity is what the limiter learns of the upstream, and capacityLog logs it.
+	capacity    CapacityLearner
+	capacityLog capacityLog
 	// unreachable is called when the upstream is gone.
 	unreachable func()
 	// leaving is called when an answer says that the upstream leaves.
@@ -162,6 +165,11 @@
 		opt(h)
 	}
 	h.metrics.Gauge("host.rateLimit", h.rateLimitGauge)
+	h.capacity = noCapacity{}
+	if c, ok := limiter.(CapacityLearner); ok {
+		h.capacity = c
+	}
+	h.addCapacityGauges()
 	return h
 }
 
@@ -218,6 +226,7 @@
 	if n := h.headers.CallerService; n != "" {
 		h.origins.observe(call.Route, call.Header.Get(n))
 	}
+	h.startCapacity(call)
 	order := admission.Order{Class: call.Class, Nested: call.Nested, Returning: call.Returning}
 	ticket, err := h.limiter.Acquire(ctx, order, snap.ShedOrder(time.Now()), h.startBy(call, time.Now()))
 	if err != nil {
@@ -359,6 +368,7 @@
 	case l.RateLimit > 0:
 		l.State = stateLimited
 	}
+	_, l.Capacity = h.capacity.Capacity()
 	return l
 }
 
--- a/request/host/statements.go
+++ b/request/host/statements.go
@@ -110,7 +110,7 @@
 		return fmt.Sprintf("the upstream has named a limit for %v, now %.4g requests per second, last %v ago; %d calls refused for it since the start of the daemon",
 			time.Since(l.Since).Round(time.Second), l.PerSecond, time.Since(l.ConfirmedAt).Round(time.Millisecond), h.metrics.Get("host.refused."+string(request.ReasonRateLimit)))
 	}
-	return ""
+	return h.capacityWarning()
 }
 
 // observeStatement handles what the upstream says about itself in an answer.
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -90,6 +90,7 @@
 		uc.host.limiter.Cancel(now, uc.ticket)
 	} else {
 		uc.host.limiter.Done(now, uc.ticket, uc.result)
+		uc.host.logCapacity(now)
 	}
 	if r := uc.result; !uc.cancelled && !r.Failed && !r.Expired && !r.Shed && uc.answered {
 		uc.host.meanTimes.observe(uc.call.Route, r.Took)
--- a/request/request.go
+++ b/request/request.go
@@ -189,6 +189,10 @@
 	// Tenant is the name of the tenant whose key the caller presented; it may be
 	// empty.
 	Tenant string
+	// KnownLimit and KnownCapacity are the learned limit and the capacity of the
+	// instance that the entry tells a daemon that has restarted; zero means nothing.
+	KnownLimit    int
+	KnownCapacity float64
 
 	fingerprint    uint64
 	hasFingerprint bool
--- a/request/wire.go
+++ b/request/wire.go
@@ -104,6 +104,10 @@
 	if c.Tenant != "" {
 		h.Set(headerTenant, encodeName(c.Tenant))
 	}
+	if c.KnownCapacity > 0 {
+		h.Set(HeaderCapacity, encodeCapacity(c.KnownCapacity))
+		h.Set(HeaderLimit, strconv.Itoa(c.KnownLimit))
+	}
 	if !c.RunBy.IsZero() {
 		h.Set(headerRunBy, strconv.FormatInt(time.Until(c.RunBy).Milliseconds(), 10))
 	}
@@ -146,6 +150,9 @@
 		Nested: r.Header.Get(headerNested) == "true", Returning: r.Header.Get(headerReturning) == "true",
 		Tenant: decodeName(r.Header.Get(headerTenant)),
 	}
+	if limit, err := strconv.Atoi(r.Header.Get(HeaderLimit)); err == nil && limit > 0 {
+		c.KnownLimit, c.KnownCapacity = limit, decodeCapacity(r.Header)
+	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
 	if err != nil || ms <= 0 || c.ID == "" {
 		return nil, errors.New("forwarded call without request id or timeout")
@@ -278,7 +285,7 @@
 		h.Set(HeaderMean, strconv.FormatInt(l.Mean.Milliseconds(), 10))
 	}
 	if l.Capacity > 0 {
-		h.Set(HeaderCapacity, strconv.FormatFloat(l.Capacity, 'f', 1, 64))
+		h.Set(HeaderCapacity, encodeCapacity(l.Capacity))
 	}
 	if l.Admits > 0 {
 		h.Set(HeaderAdmits, strconv.Itoa(l.Admits))
@@ -301,20 +308,28 @@
 	if err != nil {
 		rateLimit = 0 // an instance without a limit sends none
 	}
-	capacity, err := strconv.ParseFloat(h.Get(HeaderCapacity), 64)
-	if err != nil || !(capacity > 0) || math.IsInf(capacity, 0) {
-		capacity = 0 // a host that does not learn it sends none
-	}
 	admits, err := strconv.Atoi(h.Get(HeaderAdmits))
 	if err != nil || admits < 0 {
 		admits = 0 // a host that admits all classes sends none
 	}
 	return Load{
 		InFlight: inFlight, Limit: limit, State: h.Get(HeaderState), RateLimit: rateLimit, Mean: time.Duration(mean) * time.Millisecond,
-		Capacity: capacity, Admits: admits,
+		Capacity: decodeCapacity(h), Admits: admits,
 	}
 }
 
+func encodeCapacity(perSecond float64) string { return strconv.FormatFloat(perSecond, 'f', 1, 64) }
+
+// decodeCapacity returns the capacity in a header; zero if there is none, as from a host
+// that does not learn it.
+func decodeCapacity(h http.Header) float64 {
+	perSecond, err := strconv.ParseFloat(h.Get(HeaderCapacity), 64)
+	if err != nil || !(perSecond > 0) || math.IsInf(perSecond, 0) {
+		return 0
+	}
+	return perSecond
+}
+
 // EncodeRefusal writes a refusal from host to entry.
 func EncodeRefusal(ref *Refusal, h http.Header) {
 	h.Set(headerRefused, "true")
