Choose instances by expected response time where capacities are known

Cause: entries compared instances by requests in flight over announced slots, whatever the instances sustain.

Change: where the load report has a capacity, the cost of an instance is its slowness and the wait for a slot once its limit is reached; otherwise the cost is unchanged. Entries tell a daemon that has restarted the last capacity that they know of its instance.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -127,6 +127,7 @@
 		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Leaving: e.leavers.contains, Now: now,
 		AvailableOnly: call.Attempts > 0 && len(previous) > 0,
 	}
+	query.UsualTime = e.loads.mean(call.Route)
 	if !call.Objective.IsZero() {
 		query.WaitRatio = localZoneWaitRatio
 	}
@@ -173,6 +174,7 @@
 		}}
 		defer timer.start(attemptDeadline).stop()
 	}
+	e.loads.addKnownCapacity(&c, &inst, now)
 	tr.startAttempt(inst, &e.loads, now)
 	e.loads.start(inst.Name)
 	var ans *request.Answer
@@ -189,6 +191,7 @@
 		err = &silent
 	}
 	e.loads.finish(inst.Name, call.Route, ans, err, time.Now())
+	e.loads.observeCapacity(&inst, ans, time.Now())
 	if ans != nil {
 		// A malformed statement was logged by the host.
 		if st, _ := e.headers.Statement(ans.Header); st.Leaving {
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -77,6 +77,8 @@
 	// failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
+	// known is the last capacity that the instance reported.
+	known knownCapacity
 }
 
 // decayedFailureShare returns the share of failed attempts, which decays while no
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -39,6 +39,14 @@
 	Slowness(instance string, now time.Time) float64
 }
 
+// Capacities reports what instances have learned about themselves. Loads may implement
+// it.
+type Capacities interface {
+	// Capacity returns the requests at the instance, its limit, and the answers per
+	// second that it gives at that limit; zero answers mean that they are not known.
+	Capacity(instance string, now time.Time) (inFlight, limit int, perSecond float64)
+}
+
 // Instance is an upstream instance and the daemon beside it.
 type Instance struct {
 	Name, Zone, Region string
@@ -47,6 +55,8 @@
 	// UpstreamID and UpstreamIncarnation name the incarnation of the upstream instance.
 	UpstreamID          string
 	UpstreamIncarnation uint64
+	// Incarnation is that of the daemon.
+	Incarnation uint64
 	// Suspect marks an instance whose daemon did not answer its peers.
 	Suspect bool
 }
@@ -93,7 +103,10 @@
 	// TrialShare is the share of all requests that the version receives while it
 	// is on trial; zero means that it is not on trial. See trialLoadShare.
 	TrialShare float64
-	Now        time.Time
+	// UsualTime is the mean answer time of the route over all instances; zero if
+	// unknown.
+	UsualTime time.Duration
+	Now       time.Time
 	// Rnd holds random numbers in [0,1): the first for the ramp of a returning
 	// zone, the others for the candidates.
 	Rnd [1 + pickChoices]float64
@@ -130,7 +143,7 @@
 		k := versionKey{m.Service, m.Version}
 		next.instances[k] = append(next.instances[k], locatedInstance{distance: next.distance(m), Instance: Instance{
 			Name: m.Name, Zone: m.Zone, Region: m.Region, Upstream: m.Service, Version: m.Version,
-			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation,
+			Peer: m.Peer, UpstreamID: m.UpstreamID, UpstreamIncarnation: m.UpstreamIncarnation, Incarnation: m.Incarnation,
 			Suspect: m.State == membership.Suspect,
 		}})
 	}
@@ -395,6 +408,7 @@
 // is included regardless, because a refusal would be worse than a fast ramp.
 func (t *Table) candidates(q Query, loads Loads, buf []candidate) []candidate {
 	list := t.instances[versionKey{q.Upstream, q.Version}]
+	capacities, _ := loads.(Capacities)
 	add := func(ramp bool) {
 		for i := range list {
 			in := &list[i]
@@ -412,7 +426,13 @@
 			if slowness == 0 {
 				slowness = 1
 			}
-			buf = append(buf, candidate{in, ratio, slowness * (1 + loadCostFactor*ratio*ratio)})
+			c := candidate{in, ratio, slowness * (1 + loadCostFactor*ratio*ratio)}
+			if capacities != nil {
+				if n, limit, perSecond := capacities.Capacity(in.Name, q.Now); perSecond > 0 {
+					c.cost = q.expectedCost(slowness, n, limit, perSecond)
+				}
+			}
+			buf = append(buf, c)
 		}
 	}
 	if add(true); len(buf) == 0 {
@@ -421,6 +441,21 @@
 	return buf
 }
 
+// expectedCost returns the expected response time at an instance that reports its
+// capacity, as a multiple of the usual answer time.
+func (q *Query) expectedCost(slowness float64, inFlight, limit int, perSecond float64) float64 {
+	cost := slowness
+	if excess := inFlight + 1 - limit; excess > 0 {
+		usual := q.UsualTime.Seconds()
+		if usual <= 0 {
+			// The mean time of all its answers, at the usual speed.
+			usual = float64(limit) / perSecond / slowness
+		}
+		cost += float64(excess) / perSecond / usual
+	}
+	return cost
+}
+
 // failingPenalty ranks failing and suspect instances behind all others.
 const failingPenalty = 1e6
 
