--- a/request/entry/backends_test.go
+++ b/request/entry/backends_test.go
@@ -7,7 +7,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,13 +19,6 @@
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
-// changingView is a View whose snapshot can be replaced.
-type changingView struct {
-	snap atomic.Pointer[control.Snapshot]
-}
-
-func (v *changingView) Snapshot() *control.Snapshot { return v.snap.Load() }
-
 // backendHost stands for the daemons of one upstream. It serves at most room calls and
 // refuses all others as not run.
 type backendHost struct {
@@ -97,7 +89,7 @@
 	e := New(view, nil)
 	defer e.Close()
 	for _, share := range []float64{0.1, 0.5} {
-		view.snap.Store(snapshot(1-share, share))
+		view.Store(snapshot(1-share, share))
 		before := *counts(hosts)
 		ok, refused := 0, 0
 		for i := range requests {
--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -81,6 +81,8 @@
 	// failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
+	// known is the last capacity that the instance reported.
+	known knownCapacity
 }
 
 // decayedFailureShare returns the share of failed attempts, which decays while no
@@ -132,14 +134,7 @@
 	if in.report.Limit > 0 {
 		limit = in.report.Limit
 	}
-	load := in.ownInFlight
-	if now.Before(in.reportUntil) {
-		load = max(load, in.report.InFlight)
-		if l.probing {
-			load = max(load, in.report.InFlight+in.startedSince)
-		}
-	}
-	ratio = float64(load) / float64(limit)
+	ratio = float64(l.inFlight(in, now)) / float64(limit)
 	if now.Before(in.saturatedUntil) {
 		ratio = max(ratio, saturatedRatio)
 	}
@@ -149,6 +144,18 @@
 	return ratio, now.Before(in.failingUntil)
 }
 
+// inFlight returns how many requests an instance is known to have in flight.
+func (l *loads) inFlight(in *instanceLoad, now time.Time) int {
+	n := in.ownInFlight
+	if now.Before(in.reportUntil) {
+		n = max(n, in.report.InFlight)
+		if l.probing {
+			n = max(n, in.report.InFlight+in.startedSince)
+		}
+	}
+	return n
+}
+
 // mean returns the mean answer time that instances report for a route; zero if none is
 // known.
 func (l *loads) mean(route string) time.Duration {
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -39,6 +39,14 @@
 	Slowness(instance string, now time.Time) float64
 }
 
+// Capacities reports what instances have learned about themselves. Loads may implement
+// it.
+type Capacities interface {
+	// Capacity returns the requests at the instance, its limit, and the answers per
+	// second that it gives at that limit; zero answers mean that they are not known.
+	Capacity(instance string, now time.Time) (inFlight, limit int, perSecond float64)
+}
+
 // Instance is an upstream instance and the daemon beside it.
 type Instance struct {
 	Name, Zone, Region string
@@ -107,6 +115,9 @@
 	// there is none. If it is set, Pick prefers instances with a report; see
 	// preferReported.
 	ReportAge func(in *Instance, now time.Time) (time.Duration, bool)
+	// UsualTime is the mean answer time of the route over all instances; zero if
+	// unknown.
+	UsualTime time.Duration
 	Now       time.Time
 	// Rnd holds random numbers in [0,1): the first for the ramp of a returning
 	// zone, the others for the candidates.
@@ -429,6 +440,7 @@
 	if len(list) > cap(buf) {
 		buf = make([]candidate, 0, len(list))
 	}
+	capacities, _ := loads.(Capacities)
 	add := func(ramp bool) {
 		for i := range list {
 			in := &list[i]
@@ -448,6 +460,11 @@
 			}
 			c := candidate{locatedInstance: in, ratio: ratio, cost: slowness * (1 + loadCostFactor*ratio*ratio), reportAge: q.reportAge(&in.Instance)}
 			c.refuses = q.Admits != nil && !q.Admits(in.Name)
+			if capacities != nil {
+				if n, limit, perSecond := capacities.Capacity(in.Name, q.Now); perSecond > 0 {
+					c.cost = q.expectedCost(slowness, n, limit, perSecond)
+				}
+			}
 			buf = append(buf, c)
 		}
 	}
@@ -477,6 +494,21 @@
 	return leastCost(list, q).locatedInstance, true
 }
 
+// expectedCost returns the expected response time at an instance that reports its
+// capacity, as a multiple of the usual answer time.
+func (q *Query) expectedCost(slowness float64, inFlight, limit int, perSecond float64) float64 {
+	cost := slowness
+	if excess := inFlight + 1 - limit; excess > 0 {
+		usual := q.UsualTime.Seconds()
+		if usual <= 0 {
+			// The mean time of all its answers, at the usual speed.
+			usual = float64(limit) / perSecond / slowness
+		}
+		cost += float64(excess) / perSecond / usual
+	}
+	return cost
+}
+
 // failingPenalty ranks failing and suspect instances behind all others.
 const failingPenalty = 1e6
 
