Cut no call of a stopping daemon for another attempt

Callers of stopping daemons got 502 for requests at which an instance was at work: the entry abandoned the silent instance for another one, which then refused for lack of capacity.

An entry that stops abandons no instance; the call keeps its time. The test got 502 after two runs before and the answer of the first run after.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -179,8 +179,10 @@
 			abandoned.Store(true)
 			cancel()
 		}, mayAbandon: func() bool {
-			if e.loads.answeredSince(inst.Name, now) {
-				// The instance is working; only this call takes long.
+			if e.loads.answeredSince(inst.Name, now) || e.answerBy.Load() != nil {
+				// The instance is working; only this call takes long. While the entry
+				// stops, a call that is cut has less time for another attempt, and a
+				// planned stop must not fail a request that would have been answered.
 				return false
 			}
 			query.Exclude, query.Now, query.AvailableOnly = append(query.Exclude, inst.Name), time.Now(), true
--- a/request/entry/objective_test.go
+++ b/request/entry/objective_test.go
@@ -175,3 +175,18 @@
 	}
 	_, _ = io.WriteString(io.Discard, got.body)
 }
+
+// TestStoppingDaemonCutsNoCall guards against a planned stop that cuts a call at which
+// the upstream is at work: three requests that stopping daemons had taken got 502 on one
+// day, because their instance was abandoned and the other one had no room.
+func TestStoppingDaemonCutsNoCall(t *testing.T) {
+	slow := newUpstream(t, func(c net.Conn, r *http.Request, body []byte) {
+		time.Sleep(answerWithin * 2 / 3)
+		echo(c, r, body)
+	})
+	m := newMesh(t, meshOptions{}, slow.addr(), slow.addr())
+	m.entry.Leave(time.Now().Add(2 * answerWithin))
+	if got := m.call(t, http.MethodGet, "/timely/slow", ""); got.status != 200 || slow.ran("/timely/slow") != 1 {
+		t.Errorf("got %d after %d runs, want the answer of the first run", got.status, slow.ran("/timely/slow"))
+	}
+}
