Usage reports: counts, lease on the store and reporter

Hosts count the requests of tenants that upstreams begin to run and send totals to three daemons; one holds a lease on a topic of the store, fixes the counts of a window there and reports them.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/kingcuppitch/kingcuppitch/process/metrics"
 	"github.com/kingcuppitch/kingcuppitch/process/settings"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+	"github.com/kingcuppitch/kingcuppitch/process/usage"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/admission"
 	"github.com/kingcuppitch/kingcuppitch/request/entry"
@@ -91,6 +92,10 @@
 	Reload(s settings.Settings)
 	// SetMetrics makes the platform count in the given set.
 	SetMetrics(set *metrics.Set)
+	// UsageTopic keeps the lease of the usage reports.
+	UsageTopic() usage.Topic
+	// UsageService returns the client of the usage service at an address.
+	UsageService(addr netip.AddrPort) usage.Service
 }
 
 // Option configures a Daemon.
@@ -166,6 +171,8 @@
 	callers          *caller.Server
 	servers          []*server
 	watch            *watch
+	// usage reports the requests of tenants; it may be nil.
+	usage *usage.Agent
 }
 
 // server is a server on one address.
@@ -226,10 +233,11 @@
 	buffers := request.NewBuffers(s.BodyMemory())
 	d.metrics.Gauge("bodies.bytes", func() any { return buffers.Used() })
 	d.metrics.Gauge("bodies.refused", func() any { return buffers.Refused() })
-	d.host = host.New(d.control, d.limiter, host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
+	d.usage = d.newUsage()
+	d.host = host.New(d.control, d.limiter, append(d.usageOptions(), host.WithMetrics(d.metrics), host.WithObserver(d.control.Recorder()),
 		host.WithHeaders(headers), host.WithDecisions(d.decisions), host.WithUnreachable(d.upstreamUnreachable),
 		host.WithLeaving(d.upstreamLeaving), host.WithBuffers(buffers),
-		host.WithAnswerLimits(s.Answers.Limits()))
+		host.WithAnswerLimits(s.Answers.Limits()))...)
 	entryOpts := []entry.Option{
 		entry.WithName(s.Name), entry.WithMetrics(d.metrics), entry.WithInternalCallers(internal...),
 		entry.WithHeaders(headers), entry.WithService(s.Service), entry.WithDecisions(d.decisions),
@@ -262,6 +270,9 @@
 		}()
 	}
 	d.control.Start()
+	if d.usage != nil {
+		d.usage.Start()
+	}
 	if d.platform != nil && d.settings.UpstreamAddress.IsValid() {
 		go d.restoreFromPeers(ctx)
 	}
@@ -301,6 +312,7 @@
 	path, ctl := d.control.Handler()
 	peers := http.NewServeMux()
 	peers.Handle(path, ctl)
+	d.handleUsage(peers)
 	var announce http.Handler = http.HandlerFunc(d.serveAnnouncement)
 	if d.platform != nil {
 		announce = d.platform.Announcements(d)
@@ -422,6 +434,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	d.leaving.Store(true)
+	go d.leaveUsage()
 	d.callers.DisableKeepAlives()
 	if d.platform != nil {
 		// The platform first sends new callers elsewhere. Meanwhile the upstream,
@@ -443,6 +456,7 @@
 		}
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	d.closeUsage()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/process/timeline/timeline.go
+++ b/process/timeline/timeline.go
@@ -47,6 +47,7 @@
 	KindQuarantine Kind = "quarantine"
 	KindLog        Kind = "log"
 	KindPause      Kind = "pause"
+	KindUsage      Kind = "usage"
 )
 
 // Time is a hybrid logical clock value.
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -123,6 +123,7 @@
 	leaving func(Upstream)
 	// decisions may be nil.
 	decisions *decision.Log
+	usage     UsageCounter
 }
 
 // Upstream is an incarnation of the upstream instance beside the daemon.
@@ -156,7 +157,7 @@
 	}
 	h := &Host{
 		view: view, limiter: rateLimiter, metrics: new(metrics.Set), observer: noObserver{}, headers: request.DefaultHeaders,
-		unreachable: func() {}, leaving: func(Upstream) {},
+		unreachable: func() {}, leaving: func(Upstream) {}, usage: noUsage{},
 	}
 	for _, opt := range opts {
 		opt(h)
--- a/request/host/upstream_call.go
+++ b/request/host/upstream_call.go
@@ -33,6 +33,8 @@
 	lost, cancelled, answered bool
 	// completed means that the upstream ran the call and did not fail it.
 	completed bool
+	// usageWindow is the window in which the call was counted.
+	usageWindow int64
 }
 
 // exchange sends the call to the upstream and reads the answer.
@@ -44,7 +46,9 @@
 	h.metrics.Add("host.sent", 1)
 	h.observer.Started(call)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	uc.countUsage()
 	ans, err := uc.run(ctx, cancel)
+	uc.takeBackUsage(err)
 	if err != nil || ans.Rest == nil {
 		uc.finish()
 		cancel()
