--- a/process/usage/agent.go
+++ b/process/usage/agent.go
@@ -297,8 +297,8 @@
 	if a.order == nil || !now.Before(a.orderAt.Add(membersPeriod)) {
 		a.order, a.orderAt = candidates(a.fleet.Members()), now
 	}
-	holder, _ := a.lease.Holder()
-	t := turnOf(a.cfg.Name, holder, a.order)
+	// The last holder does not compete, also when it has given the lease back.
+	t := turnOf(a.cfg.Name, a.lease.newest.Holder, a.order)
 	if !t.Candidate && !a.heardAt.IsZero() && now.Before(a.heardAt.Add(heardPeriod)) {
 		// Daemons that know other members take this one for a candidate.
 		t = Turn{Candidate: true, Rank: maxCandidates}
--- a/process/usage/lease_test.go
+++ b/process/usage/lease_test.go
@@ -380,3 +380,20 @@
 		t.Errorf("got grant %+v by a record of an era that is over", g)
 	}
 }
+
+// TestRestoreSeenTooLate guards against a holder that takes the lease again on a restored
+// store after its time: another one may have acted in the part that the store has lost.
+func TestRestoreSeenTooLate(t *testing.T) {
+	s := &modelStore{era: 1}
+	l := &Lease{Name: "a", Process: "a/1", Period: testLease}
+	now := epoch.Add(4 * testLease)
+	driveLease(l, s, Turn{Candidate: true}, epoch, now)
+	s.era, s.records = 2, s.records[:1]
+	l.Read(now, s.newest(), nil)
+	if step := l.Step(now, Turn{Candidate: true}); step.Kind != StepAppend || step.Record.Token <= l.Grant().Token {
+		t.Errorf("got %+v while the lease lasts, want it to be acquired in the new era", step)
+	}
+	if step := l.Step(now.Add(testLease), Turn{Candidate: true}); step.Kind == StepAppend || l.Grant() != nil {
+		t.Errorf("got %+v and grant %+v after the lease, want none", step, l.Grant())
+	}
+}
