--- a/process/usage/agent_test.go
+++ b/process/usage/agent_test.go
@@ -31,6 +31,8 @@
 	storeFault func(name string, write bool) (err error, effect bool) //nolint:revive // the error comes first
 	calls      int
 	service    standin.UsageService
+	// slow is the time of the usage service for an answer.
+	slow time.Duration
 	// truth holds the requests by window and tenant, without those of killed processes.
 	truth map[int64]map[string]int64
 	next  uint64
@@ -235,7 +237,7 @@
 }
 
 // Send implements Service.
-func (ta *testAgent) Send(_ context.Context, r Report) error {
+func (ta *testAgent) Send(ctx context.Context, r Report) error {
 	time.Sleep(time.Millisecond)
 	ta.wait(context.Background()) // a pause between the decision to send and the send
 	if r.Left() <= 0 {
@@ -244,7 +246,16 @@
 	if ta.ctx.Err() != nil {
 		return errors.New("the process is gone")
 	}
-	switch status := ta.m.service.Report(r.Holder, r.Token, r.Window, r.Counts); status {
+	status := ta.m.service.Report(r.Holder, r.Token, r.Window, r.Counts)
+	ta.m.mu.Lock()
+	slow := ta.m.slow
+	ta.m.mu.Unlock()
+	select {
+	case <-time.After(slow):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	switch status {
 	case -1:
 		return errors.New("no answer")
 	case http.StatusOK:
@@ -393,6 +404,17 @@
 			}
 		})
 	})
+	t.Run("service slower than the wait for its answer", func(t *testing.T) {
+		runMesh(t, maxLoss, true, func(m *mesh) {
+			m.mu.Lock()
+			m.slow = sendTimeout + time.Second
+			m.mu.Unlock()
+			time.Sleep(6 * testWindow)
+			m.mu.Lock()
+			m.slow = 0
+			m.mu.Unlock()
+		})
+	})
 	t.Run("store down", func(t *testing.T) {
 		runMesh(t, maxLoss, false, func(m *mesh) {
 			m.mu.Lock()
