--- a/process/usage/agent.go
+++ b/process/usage/agent.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -105,6 +106,8 @@
 	holder      string
 	holderToken int64
 	receivers   map[string]receiver
+	// busy holds the receivers that have not answered yet.
+	busy        map[string]bool
 	leaving     bool
 	released    bool
 	sendCtx     context.Context
@@ -130,7 +133,7 @@
 	a := &Agent{
 		cfg: cfg, windows: windows{cfg.Window}, topic: topic, service: service, fleet: fleet,
 		metrics: new(metrics.Set), events: new(timeline.Timeline), steady: newSteadyClock().now, wall: time.Now,
-		reporter: reporter{perSecond: cfg.PerSecond}, receivers: make(map[string]receiver),
+		reporter: reporter{perSecond: cfg.PerSecond}, receivers: make(map[string]receiver), busy: make(map[string]bool),
 		wakeKeeper: make(chan struct{}, 1), wakeReporter: make(chan struct{}, 1), wakeExchange: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -459,10 +462,10 @@
 	until := a.steady()
 	startUntil := until.Add(maxStart)
 	for a.pause(until, a.wakeExchange) {
-		answered := a.exchangeAll(a.ctx, false)
+		a.exchangeAll(a.ctx, false)
 		now := a.steady()
 		until = now.Add(exchangePeriod)
-		if !answered && now.Before(startUntil) {
+		if now.Before(startUntil) && !a.heardOther() {
 			until = now.Add(startPeriod)
 		}
 		trueNow := a.trueTime(now)
@@ -473,9 +476,10 @@
 	}
 }
 
-// exchangeAll sends what has changed to all that collect counts. It reports false if the
-// daemon has not heard another one though there are some.
-func (a *Agent) exchangeAll(ctx context.Context, final bool) (answered bool) {
+// exchangeAll sends what has changed to all that collect counts, and waits for their
+// answers if these are the last counts. A daemon that has not answered yet is left out, so
+// that one that is down does not delay the others.
+func (a *Agent) exchangeAll(ctx context.Context, final bool) {
 	a.mu.Lock()
 	now := a.steady()
 	a.turn(now)
@@ -488,21 +492,36 @@
 		}
 	}
 	targets = a.addHolder(targets)
+	targets = slices.DeleteFunc(targets, func(m membership.Member) bool { return a.busy[m.Name] && !final })
+	for _, m := range targets {
+		a.busy[m.Name] = true
+	}
 	released := a.released
 	a.released = false
-	alone := len(targets) == 0 && len(a.receivers) > 0
 	a.mu.Unlock()
 	var wg sync.WaitGroup
-	var heard atomic.Bool
 	for _, m := range targets {
-		wg.Go(func() {
-			if a.exchange(ctx, m, released, final) {
-				heard.Store(true)
-			}
-		})
+		wg.Add(1)
+		a.wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer a.wg.Done()
+			a.exchange(ctx, m, released, final)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			delete(a.busy, m.Name)
+		}()
+	}
+	if final {
+		wg.Wait()
 	}
-	wg.Wait()
-	return heard.Load() || alone
+}
+
+// heardOther reports whether another daemon has answered.
+func (a *Agent) heardOther() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.receivers) > 0
 }
 
 // addHolder adds the holder of the lease, which need not be a candidate by the members
@@ -524,9 +543,9 @@
 	return targets
 }
 
-// exchange sends what a receiver lacks and reports whether it is heard. It sends nothing
-// if nothing has changed and the receiver was heard recently.
-func (a *Agent) exchange(ctx context.Context, to membership.Member, released, final bool) bool {
+// exchange sends what a receiver lacks. It sends nothing if nothing has changed and the
+// receiver was heard recently.
+func (a *Agent) exchange(ctx context.Context, to membership.Member, released, final bool) {
 	for range 2 {
 		a.mu.Lock()
 		now := a.steady()
@@ -539,19 +558,18 @@
 		}
 		a.mu.Unlock()
 		if len(list) == 0 && m.Reports == nil && !released && !r.at.IsZero() && now.Before(r.at.Add(contactPeriod)) {
-			return true
+			return
 		}
 		reply, err := a.call(ctx, to, m)
 		if err != nil {
 			a.metrics.Add("usage.exchangeFailures", 1)
-			return false
+			return
 		}
 		if r.incarnation == reply.Incarnation || r.at.IsZero() || final {
-			return true
+			return
 		}
 		// A receiver that was started again lacks what was sent before.
 	}
-	return true
 }
 
 // call makes one exchange.
--- a/process/usage/agent_test.go
+++ b/process/usage/agent_test.go
@@ -69,11 +69,14 @@
 }
 
 // start starts the agent of a daemon, or starts it again as a new process.
-func (m *mesh) start(name string) *testAgent {
+func (m *mesh) start(name string) *testAgent { return m.startSkewed(name, 0) }
+
+// startSkewed is start with an error of the daemon's clock.
+func (m *mesh) startSkewed(name string, skew time.Duration) *testAgent {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.next++
-	ta := &testAgent{m: m, name: name, metrics: new(metrics.Set)}
+	ta := &testAgent{m: m, name: name, metrics: new(metrics.Set), skew: skew}
 	ta.Agent = New(Config{
 		Name: name, Incarnation: m.next, Window: testWindow, Lease: testLease, Due: 10 * time.Second, PerSecond: 50,
 	}, ta, ta, ta, WithPeers(ta), WithMetrics(ta.metrics), WithClocks(func() time.Time { return time.Now().Round(0) }, ta.time))
@@ -492,6 +495,21 @@
 			}
 		})
 	})
+	t.Run("hosts restart with wrong clocks", func(t *testing.T) {
+		runMesh(t, maxLoss, true, func(m *mesh) {
+			h := m.holder()
+			for name, ta := range m.agents {
+				if ta != h {
+					ta.kill()
+					m.startSkewed(name, -7*time.Second)
+					time.Sleep(10 * testWindow)
+					m.agents[name].mu.Lock()
+					m.agents[name].skew = 0
+					m.agents[name].mu.Unlock()
+				}
+			}
+		})
+	})
 	t.Run("graceful stop", func(t *testing.T) {
 		runMesh(t, 0.01, true, func(m *mesh) {
 			h := m.holder()
--- a/process/usage/clock.go
+++ b/process/usage/clock.go
@@ -40,22 +40,26 @@
 func (c *Clock) Observe(peer string, at, wall time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	put(&c.peers, peer, reading{offset: wall.Sub(at), until: at.Add(readingTTL)}, at)
+	c.put(&c.peers, peer, reading{offset: wall.Sub(at), until: at.Add(readingTTL)}, at)
 }
 
 // ObserveEstimate takes the estimate of a peer, which rests on a number of clocks.
 func (c *Clock) ObserveEstimate(peer string, at, estimate time.Time, clocks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	put(&c.estimates, peer, reading{offset: estimate.Sub(at), clocks: clocks, until: at.Add(readingTTL)}, at)
+	c.put(&c.estimates, peer, reading{offset: estimate.Sub(at), clocks: clocks, until: at.Add(readingTTL)}, at)
 }
 
-func put(m *map[string]reading, peer string, r reading, now time.Time) {
+func (c *Clock) put(m *map[string]reading, peer string, r reading, now time.Time) {
 	if *m == nil {
 		*m = make(map[string]reading)
 	}
-	if _, ok := (*m)[peer]; !ok && len(*m) >= maxReadings {
-		expire(*m, now)
+	if _, ok := (*m)[peer]; !ok {
+		// A daemon that has just started knows no other clock.
+		c.validUntil = time.Time{}
+		if len(*m) >= maxReadings {
+			expire(*m, now)
+		}
 		if len(*m) >= maxReadings {
 			return
 		}
