--- a/process/usage/agent_test.go
+++ b/process/usage/agent_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"net/netip"
@@ -33,8 +34,13 @@
 	service    standin.UsageService
 	// slow is the time of the usage service for an answer.
 	slow time.Duration
-	// truth holds the requests by window and tenant, without those of killed processes.
-	truth map[int64]map[string]int64
+	// truth holds the requests by window and tenant, and byHost those of each daemon.
+	truth  map[int64]map[string]int64
+	byHost map[string]map[int64]int64
+	// written holds the counts of windows that are on the topic.
+	written map[int64]map[string]int64
+	// early holds the windows that were reported before they were on the topic.
+	early []int64
 	next  uint64
 	stop  context.CancelFunc
 	ctx   context.Context
@@ -53,12 +59,16 @@
 	// frozen blocks what the daemon does beyond its process while it is set.
 	frozen chan struct{}
 	dead   bool
+	// left means that the daemon has told the others that it leaves.
+	left bool
 	// blind makes the daemon know only itself.
 	blind bool
+	// pauseInSend freezes the daemon for this time when it has decided to send a report.
+	pauseInSend time.Duration
 }
 
 func newMesh(names ...string) *mesh {
-	m := &mesh{agents: make(map[string]*testAgent), truth: make(map[int64]map[string]int64)}
+	m := &mesh{agents: make(map[string]*testAgent), truth: make(map[int64]map[string]int64), byHost: make(map[string]map[int64]int64), written: make(map[int64]map[string]int64)}
 	m.store.era = 1
 	m.service.Lease = testLease
 	m.ctx, m.stop = context.WithCancel(context.Background())
@@ -94,7 +104,6 @@
 
 // traffic counts requests, of which each tenth is taken back shortly after.
 func (ta *testAgent) traffic(ctx context.Context) {
-	own := make(map[int64]map[string]int64)
 	for i := 0; ctx.Err() == nil; i++ {
 		ta.wait(ctx)
 		tenant := fmt.Sprint("t-", i%20)
@@ -105,11 +114,11 @@
 			ta.TakeBack(tenant, id)
 			continue
 		}
-		if own[true64] == nil {
-			own[true64] = make(map[string]int64)
-		}
-		own[true64][tenant]++
 		ta.m.mu.Lock()
+		if ta.m.byHost[ta.name] == nil {
+			ta.m.byHost[ta.name] = make(map[int64]int64)
+		}
+		ta.m.byHost[ta.name][true64]++
 		if ta.m.truth[true64] == nil {
 			ta.m.truth[true64] = make(map[string]int64)
 		}
@@ -165,7 +174,11 @@
 	for name, other := range ta.m.agents {
 		other.mu.Lock()
 		if !other.dead && (!blind || other == ta) {
-			list = append(list, membership.Member{Name: name, Peer: peerAddr(name), State: membership.Ready})
+			state := membership.Ready
+			if other.left {
+				state = membership.Leaving
+			}
+			list = append(list, membership.Member{Name: name, Peer: peerAddr(name), State: state})
 		}
 		other.mu.Unlock()
 	}
@@ -236,13 +249,29 @@
 
 // Append implements Topic.
 func (ta *testAgent) Append(_ context.Context, at Position, data []byte) error {
-	return ta.storeCall(true, func() error { return ta.m.store.append(at, data) })
+	return ta.storeCall(true, func() error {
+		err := ta.m.store.append(at, data)
+		var rec Record
+		if err == nil && json.Unmarshal(data, &rec) == nil {
+			for _, w := range rec.Reports.Pending {
+				ta.m.written[w.Window] = w.Counts
+			}
+		}
+		return err
+	})
 }
 
 // Send implements Service.
 func (ta *testAgent) Send(ctx context.Context, r Report) error {
 	time.Sleep(time.Millisecond)
-	ta.wait(context.Background()) // a pause between the decision to send and the send
+	ta.mu.Lock()
+	pause := ta.pauseInSend
+	ta.pauseInSend = 0
+	ta.mu.Unlock()
+	if pause > 0 {
+		ta.freeze(pause)
+	}
+	ta.wait(context.Background())
 	if r.Left() <= 0 {
 		return ErrNotAllowed
 	}
@@ -251,6 +280,9 @@
 	}
 	status := ta.m.service.Report(r.Holder, r.Token, r.Window, r.Counts)
 	ta.m.mu.Lock()
+	if w, ok := ta.m.written[r.Window]; !ok || !maps.Equal(w, r.Counts) {
+		ta.m.early = append(ta.m.early, r.Window)
+	}
 	slow := ta.m.slow
 	ta.m.mu.Unlock()
 	select {
@@ -317,6 +349,9 @@
 	accepted, _ := m.service.Accepted()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.early) > 0 {
+		t.Errorf("windows %v were reported before their counts were written", m.early)
+	}
 	for id := first; id <= last; id++ {
 		r, ok := accepted[id]
 		if !ok {
@@ -341,13 +376,13 @@
 func windowNow() int64 { return windows{testWindow}.at(time.Now()) }
 
 // runMesh runs five daemons for some time before and after the faults that f injects.
-func runMesh(t *testing.T, lossShare float64, onTime bool, f func(m *mesh)) {
+func runMesh(t *testing.T, lossShare float64, onTime bool, f func(t *testing.T, m *mesh)) {
 	synctest.Test(t, func(t *testing.T) {
 		first := windowNow() + 1
 		m := newMesh("a", "b", "c", "d", "e")
 		m.awaitHolder(t, nil)
 		time.Sleep(3 * testWindow)
-		f(m)
+		f(t, m)
 		time.Sleep(4 * testWindow)
 		last := windowNow() - 3
 		m.check(t, first, last, lossShare, onTime)
@@ -362,7 +397,7 @@
 // under each fault alone.
 func TestReports(t *testing.T) {
 	t.Run("no fault", func(t *testing.T) {
-		runMesh(t, 0.01, true, func(m *mesh) {
+		runMesh(t, 0.01, true, func(t *testing.T, m *mesh) {
 			m.mu.Lock()
 			before := m.calls
 			m.mu.Unlock()
@@ -377,20 +412,19 @@
 	})
 	t.Run("holder paused between check and send", func(t *testing.T) {
 		// A window is lost at most in time, not at all.
-		runMesh(t, maxLoss, false, func(m *mesh) {
+		runMesh(t, maxLoss, false, func(t *testing.T, m *mesh) {
 			for range 3 {
-				h := m.holder()
-				next := m.agents[h.name].windows.end(windowNow())
-				// It stops while the report of the window is on its way.
-				time.Sleep(time.Until(next) + settlePeriod + 4*time.Millisecond)
-				h.freeze(3 * testLease)
+				h := m.awaitHolder(t, nil)
+				h.mu.Lock()
+				h.pauseInSend = 3 * testLease
+				h.mu.Unlock()
 				m.awaitHolder(t, h)
 				time.Sleep(4 * testLease)
 			}
 		})
 	})
 	t.Run("answers of the service lost, 429 and slow", func(t *testing.T) {
-		runMesh(t, maxLoss, false, func(m *mesh) {
+		runMesh(t, maxLoss, false, func(t *testing.T, m *mesh) {
 			n := 0
 			m.service.SetFault(func() int {
 				n++
@@ -408,7 +442,7 @@
 		})
 	})
 	t.Run("service slower than the wait for its answer", func(t *testing.T) {
-		runMesh(t, maxLoss, true, func(m *mesh) {
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
 			m.mu.Lock()
 			m.slow = sendTimeout + time.Second
 			m.mu.Unlock()
@@ -419,7 +453,7 @@
 		})
 	})
 	t.Run("store down", func(t *testing.T) {
-		runMesh(t, maxLoss, false, func(m *mesh) {
+		runMesh(t, maxLoss, false, func(t *testing.T, m *mesh) {
 			m.mu.Lock()
 			m.storeFault = func(string, bool) (error, bool) { return ErrNotWritten, false }
 			m.mu.Unlock()
@@ -433,7 +467,7 @@
 		})
 	})
 	t.Run("answers of the store lost", func(t *testing.T) {
-		runMesh(t, maxLoss, false, func(m *mesh) {
+		runMesh(t, maxLoss, false, func(t *testing.T, m *mesh) {
 			n := 0
 			m.mu.Lock()
 			m.storeFault = func(string, bool) (error, bool) {
@@ -450,7 +484,7 @@
 		})
 	})
 	t.Run("store restored", func(t *testing.T) {
-		runMesh(t, maxLoss, true, func(m *mesh) {
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
 			m.mu.Lock()
 			older := append([][]byte(nil), m.store.records...)
 			m.mu.Unlock()
@@ -462,7 +496,7 @@
 		})
 	})
 	t.Run("holder killed between writing and sending", func(t *testing.T) {
-		runMesh(t, maxLoss, true, func(m *mesh) {
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
 			h := m.holder()
 			for {
 				var rec Record
@@ -483,7 +517,7 @@
 	t.Run("hosts restart", func(t *testing.T) {
 		// What a killed process has counted in its last second is lost: a fifth of the
 		// window of one host of five, for two of them.
-		runMesh(t, maxLoss, true, func(m *mesh) {
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
 			h := m.holder()
 			for name, ta := range m.agents {
 				if ta == h {
@@ -496,7 +530,7 @@
 		})
 	})
 	t.Run("hosts restart with wrong clocks", func(t *testing.T) {
-		runMesh(t, maxLoss, true, func(m *mesh) {
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
 			h := m.holder()
 			for name, ta := range m.agents {
 				if ta != h {
@@ -510,20 +544,55 @@
 			}
 		})
 	})
+	t.Run("all daemons that collect restart", func(t *testing.T) {
+		// What they have counted themselves is lost, and no rule is about that.
+		runMesh(t, 1, false, func(t *testing.T, m *mesh) {
+			time.Sleep(time.Until(windows{testWindow}.end(windowNow())) + testWindow/2)
+			id := windowNow()
+			all := m.agents["a"].Members()
+			lost := make(map[string]bool)
+			for _, c := range candidates(all) {
+				lost[c.Name] = true
+				m.agents[c.Name].kill()
+				m.start(c.Name)
+			}
+			time.Sleep(5 * testWindow)
+			accepted, _ := m.service.Accepted()
+			var got, want int64
+			for _, n := range accepted[id].Counts {
+				got += n
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			for name, counts := range m.byHost {
+				if !lost[name] {
+					want += counts[id]
+				}
+			}
+			if len(lost) != maxCandidates || float64(got) < (1-maxLoss)*float64(want) {
+				t.Errorf("got %d requests in window %d, want at least the %d of the hosts that went on", got, id, want)
+			}
+		})
+	})
 	t.Run("graceful stop", func(t *testing.T) {
-		runMesh(t, 0.01, true, func(m *mesh) {
-			h := m.holder()
-			h.Leave(context.Background())
-			began := time.Now()
-			m.awaitHolder(t, h)
-			if took := time.Since(began); took > testLease/2 {
-				t.Errorf("the next daemon acts %v after the lease was given back", took)
+		runMesh(t, 0.01, true, func(t *testing.T, m *mesh) {
+			for range 3 {
+				h := m.holder()
+				h.Leave(context.Background())
+				h.mu.Lock()
+				h.left = true
+				h.mu.Unlock()
+				began := time.Now()
+				m.awaitHolder(t, h)
+				if took := time.Since(began); took > testLease/2 {
+					t.Errorf("the next daemon acts %v after the lease was given back", took)
+				}
+				time.Sleep(testWindow)
 			}
-			h.cancelTraffic()
 		})
 	})
 	t.Run("clock steps", func(t *testing.T) {
-		runMesh(t, 0.02, true, func(m *mesh) {
+		runMesh(t, 0.02, true, func(t *testing.T, m *mesh) {
 			for i, name := range []string{"a", "c"} {
 				m.agents[name].mu.Lock()
 				m.agents[name].skew = []time.Duration{5 * time.Second, -5 * time.Second}[i]
@@ -542,9 +611,6 @@
 	})
 }
 
-// cancelTraffic ends the process after its last counts are sent.
-func (ta *testAgent) cancelTraffic() { ta.Agent.Close(context.Background()) }
-
 // TestTwoCandidates guards against two daemons that both acquire the lease when they start
 // at the same time and know different members, so that each takes itself for the first.
 func TestTwoCandidates(t *testing.T) {
--- a/process/usage/lease_test.go
+++ b/process/usage/lease_test.go
@@ -54,7 +54,6 @@
 	step             Step
 	sentAt           time.Time
 	effectAt, doneAt time.Time
-	began, effected  bool
 	noEffect, lost   bool
 	newest           Newest
 	err              error
