--- a/process/usage/agent_test.go
+++ b/process/usage/agent_test.go
@@ -547,8 +547,9 @@
 	t.Run("all daemons that collect restart", func(t *testing.T) {
 		// What they have counted themselves is lost, and no rule is about that.
 		runMesh(t, 1, false, func(t *testing.T, m *mesh) {
-			time.Sleep(time.Until(windows{testWindow}.end(windowNow())) + testWindow/2)
-			id := windowNow()
+			// The counts of the window that has just ended do not change any more.
+			time.Sleep(time.Until(windows{testWindow}.end(windowNow())) + testWindow/5)
+			id := windowNow() - 1
 			all := m.agents["a"].Members()
 			lost := make(map[string]bool)
 			for _, c := range candidates(all) {
