--- a/process/usage/agent.go
+++ b/process/usage/agent.go
@@ -48,6 +48,15 @@
 	// maxPendingCounts bounds the counts in a record. At 25 bytes each they take half of
 	// what the store returns at once.
 	maxPendingCounts = 16 << 10
+	// unreachedPeriod is how long the holder has not reached the usage service when it asks
+	// others whether they do, and asidePeriod how long it leaves the lease to them then.
+	unreachedPeriod = 2 * time.Second
+	asidePeriod     = 30 * time.Second
+	// reachTimeout bounds such a check.
+	reachTimeout = 400 * time.Millisecond
+	// alonePeriod is how long a daemon that has just started does not take itself for the
+	// only one.
+	alonePeriod = 2 * time.Second
 	// idlePeriod is the pause of the loops when nothing is due.
 	idlePeriod = time.Second
 	// watchPeriod is the pause of the report loop while the lease is held.
@@ -107,11 +116,15 @@
 	holderToken int64
 	receivers   map[string]receiver
 	// busy holds the receivers that have not answered yet.
-	busy        map[string]bool
-	leaving     bool
-	released    bool
-	sendCtx     context.Context
-	cancelSends context.CancelFunc
+	busy     map[string]bool
+	leaving  bool
+	released bool
+	// unreachedSince is since when no report has reached the usage service, and asideUntil
+	// until when the daemon leaves the lease to others that reach it.
+	unreachedSince, asideUntil time.Time
+	startedAt                  time.Time
+	sendCtx                    context.Context
+	cancelSends                context.CancelFunc
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -149,6 +162,7 @@
 		Name: cfg.Name, Process: cfg.Name + "/" + strconv.FormatUint(cfg.Incarnation, 10), Period: cfg.Lease,
 		Acquired: a.onAcquired, Lost: a.onLost,
 	}
+	a.startedAt = a.steady()
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.sendCtx, a.cancelSends = context.WithCancel(a.ctx)
 	a.metrics.Gauge("usage.holder", func() any {
@@ -287,7 +301,7 @@
 
 func (a *Agent) onAcquired(_ time.Time, token int64) {
 	a.metrics.Add("usage.acquired", 1)
-	a.events.Add(time.Now(), timeline.KindUsage, token, fmt.Sprintf("acquired the lease of usage reports with token %d", token))
+	a.events.Add(time.Now(), timeline.KindUsage, 0, fmt.Sprintf("acquired the lease of usage reports with token %d", token))
 }
 
 func (a *Agent) onLost(_ time.Time, reason string) {
@@ -298,7 +312,11 @@
 // turn returns the daemon's place among the candidates. The caller must hold mu.
 func (a *Agent) turn(now time.Time) Turn {
 	if a.order == nil || !now.Before(a.orderAt.Add(membersPeriod)) {
-		a.order, a.orderAt = candidates(a.fleet.Members()), now
+		members := a.fleet.Members()
+		a.order, a.orderAt = candidates(members), now
+		if len(members) < 2 && now.Before(a.startedAt.Add(alonePeriod)) {
+			a.order = []membership.Member{}
+		}
 	}
 	// The last holder does not compete, also when it has given the lease back.
 	t := turnOf(a.cfg.Name, a.lease.newest.Holder, a.order)
@@ -312,10 +330,14 @@
 	case a.candidateSince.IsZero():
 		a.candidateSince = now
 	}
-	t.Leaving = a.leaving
+	t.Leaving = a.stepsAside(now)
 	return t
 }
 
+// stepsAside reports whether the daemon leaves the lease to others. The caller must hold
+// mu.
+func (a *Agent) stepsAside(now time.Time) bool { return a.leaving || now.Before(a.asideUntil) }
+
 // prepare forgets old windows and, if the daemon holds the lease, fixes the counts of
 // those that are complete and gives up those that are too old. It returns when it is next
 // due. The caller must hold mu.
@@ -339,7 +361,7 @@
 		}
 	}
 	ready := a.candidateSince.Add(collectPeriod)
-	if a.candidateSince.IsZero() || now.Before(ready) || a.leaving {
+	if a.candidateSince.IsZero() || now.Before(ready) || a.stepsAside(now) {
 		return later(ready, now.Add(watchPeriod))
 	}
 	next := max(reports.UpTo+1, oldest+1)
@@ -398,7 +420,7 @@
 		until = now.Add(idlePeriod)
 		if g := a.lease.Grant(); g != nil {
 			until = now.Add(watchPeriod)
-			if !a.mayAct(now) || a.leaving {
+			if !a.mayAct(now) || a.stepsAside(now) {
 				a.stopSends()
 			} else {
 				for {
@@ -453,6 +475,12 @@
 	default:
 		a.metrics.Add("usage.unanswered", 1)
 	}
+	switch unreached := errors.Is(err, ErrNotWritten) && !errors.Is(err, ErrNotAllowed); {
+	case !unreached:
+		a.unreachedSince = time.Time{}
+	case a.unreachedSince.IsZero():
+		a.unreachedSince = now
+	}
 	a.reporter.done(now, w.Window, err == nil, rand.Float64())
 	wake(a.wakeReporter)
 }
@@ -555,6 +583,7 @@
 		if a.mayAct(now) {
 			reports := a.lease.reports.Merge(Reports{})
 			m.Token, m.Reports = a.lease.grant.Token, &reports
+			m.Probe = a.unreached(now)
 		}
 		a.mu.Unlock()
 		if len(list) == 0 && m.Reports == nil && !released && !r.at.IsZero() && now.Before(r.at.Add(contactPeriod)) {
@@ -592,6 +621,11 @@
 	if reply.Token > a.holderToken || reply.Token == a.holderToken && a.holder == "" {
 		a.holder, a.holderToken = reply.Holder, reply.Token
 	}
+	if reply.Reaches && a.mayAct(now) && a.unreached(now) {
+		a.asideUntil, a.unreachedSince = now.Add(asidePeriod), time.Time{}
+		a.metrics.Add("usage.steppedAside", 1)
+		wake(a.wakeKeeper)
+	}
 	r := a.receivers[to.Name]
 	if known := !r.at.IsZero(); known && r.incarnation != reply.Incarnation {
 		r.seq = 0
@@ -606,8 +640,20 @@
 	return reply, nil
 }
 
+// unreached reports whether this daemon has not reached the usage service for some time.
+// The caller must hold mu.
+func (a *Agent) unreached(now time.Time) bool {
+	return !a.unreachedSince.IsZero() && now.Sub(a.unreachedSince) >= unreachedPeriod
+}
+
 // receive takes the counts of another daemon.
-func (a *Agent) receive(m Message) Reply {
+func (a *Agent) receive(ctx context.Context, m Message) Reply {
+	reaches := false
+	if m.Probe {
+		ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+		reaches = a.service.Reach(ctx) == nil
+		cancel()
+	}
 	now, wall := a.steady(), a.wall()
 	a.clock.Observe(m.From, now, time.Unix(0, m.Clock))
 	estimate, clocks := a.clock.Measured(now, wall)
@@ -624,7 +670,7 @@
 	}
 	return Reply{
 		Name: a.cfg.Name, Incarnation: a.cfg.Incarnation, Clock: wall.UnixNano(), Estimate: estimate.UnixNano(), Clocks: clocks,
-		Holder: a.holder, Token: a.holderToken,
+		Holder: a.holder, Token: a.holderToken, Reaches: reaches,
 	}
 }
 
--- a/process/usage/agent_test.go
+++ b/process/usage/agent_test.go
@@ -59,6 +59,8 @@
 	// frozen blocks what the daemon does beyond its process while it is set.
 	frozen chan struct{}
 	dead   bool
+	// cut means that the daemon does not reach the usage service.
+	cut bool
 	// left means that the daemon has told the others that it leaves.
 	left bool
 	// blind makes the daemon know only itself.
@@ -210,7 +212,7 @@
 	if err := json.Unmarshal(data, &copied); err != nil {
 		return reply, err
 	}
-	reply = to.receive(copied)
+	reply = to.receive(ctx, copied)
 	time.Sleep(2 * time.Millisecond)
 	return reply, nil
 }
@@ -275,6 +277,9 @@
 	if r.Left() <= 0 {
 		return ErrNotAllowed
 	}
+	if err := ta.Reach(ctx); err != nil {
+		return errors.Join(ErrNotWritten, err)
+	}
 	if ta.ctx.Err() != nil {
 		return errors.New("the process is gone")
 	}
@@ -300,6 +305,16 @@
 	}
 }
 
+// Reach implements Service.
+func (ta *testAgent) Reach(context.Context) error {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if ta.cut {
+		return errors.New("no route to the usage service")
+	}
+	return nil
+}
+
 // holder returns the agent that may act, or nil.
 func (m *mesh) holder() (found *testAgent) {
 	m.mu.Lock()
@@ -452,6 +467,33 @@
 			m.mu.Unlock()
 		})
 	})
+	t.Run("service out of reach of the holder", func(t *testing.T) {
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
+			h := m.holder()
+			h.mu.Lock()
+			h.cut = true
+			h.mu.Unlock()
+			time.Sleep(6 * testWindow)
+		})
+	})
+	t.Run("service out of reach of all", func(t *testing.T) {
+		runMesh(t, maxLoss, false, func(t *testing.T, m *mesh) {
+			cut := func(on bool) {
+				for _, ta := range m.agents {
+					ta.mu.Lock()
+					ta.cut = on
+					ta.mu.Unlock()
+				}
+			}
+			cut(true)
+			h := m.holder()
+			time.Sleep(4 * testWindow)
+			if m.holder() != h {
+				t.Error("the lease moved though nobody reaches the service")
+			}
+			cut(false)
+		})
+	})
 	t.Run("store down", func(t *testing.T) {
 		runMesh(t, maxLoss, false, func(t *testing.T, m *mesh) {
 			m.mu.Lock()
@@ -644,8 +686,8 @@
 	})
 }
 
-// TestCandidates guards against candidates that cannot collect: those that leave, do not
-// answer or do not reach the store.
+// TestCandidates guards against candidates that cannot collect, since they leave or do not
+// answer, and against ones that do not reach the store while others do.
 func TestCandidates(t *testing.T) {
 	var members []membership.Member
 	for i := range 40 {
@@ -664,6 +706,12 @@
 	if len(list) != maxCandidates {
 		t.Fatalf("got %d candidates, want %d", len(list), maxCandidates)
 	}
+	for i := range members {
+		members[i].LogUnreachable = true
+	}
+	if got := len(candidates(members)); got != maxCandidates {
+		t.Errorf("got %d candidates while the store is down, want %d", got, maxCandidates)
+	}
 	names := make([]string, 0, maxCandidates)
 	for _, m := range list {
 		if m.State != membership.Ready || m.LogUnreachable {
--- a/process/usage/candidates.go
+++ b/process/usage/candidates.go
@@ -14,8 +14,9 @@
 // task is hashed with the names of the members.
 const task = "usage/"
 
-// candidates returns the first members in the order of a hash, among those that answer and
-// reach the store. Daemons that know the same members choose the same ones.
+// candidates returns the first members in the order of a hash, among those that answer.
+// Those that do not reach the store come last. Daemons that know the same members choose
+// the same ones.
 func candidates(members []membership.Member) []membership.Member {
 	type choice struct {
 		member *membership.Member
@@ -28,10 +29,13 @@
 		case membership.Leaving, membership.Suspect, membership.Dead:
 			continue
 		}
-		if m.LogUnreachable || !m.Peer.IsValid() {
+		if !m.Peer.IsValid() {
 			continue
 		}
 		c := choice{m, xxhash.Sum64String(task + m.Name)}
+		if c.weight >>= 1; !m.LogUnreachable {
+			c.weight |= 1 << 63
+		}
 		at, _ := slices.BinarySearchFunc(best, c, func(a, b choice) int {
 			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member.Name, b.member.Name))
 		})
--- a/process/usage/exchange.go
+++ b/process/usage/exchange.go
@@ -37,6 +37,8 @@
 	Reports *Reports `json:"reports,omitempty"`
 	// Released means that the sender has given the lease back.
 	Released bool `json:"released,omitempty"`
+	// Probe asks whether the receiver reaches the usage service.
+	Probe bool `json:"probe,omitempty"`
 }
 
 // Reply is the answer to a Message.
@@ -51,6 +53,8 @@
 	// Holder and Token are the holder of the lease as far as the receiver knows.
 	Holder string `json:"holder,omitempty"`
 	Token  int64  `json:"token,omitempty"`
+	// Reaches answers a probe.
+	Reaches bool `json:"reaches,omitempty"`
 }
 
 // Peers sends messages to other daemons.
@@ -101,5 +105,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(a.receive(m))
+	_ = json.NewEncoder(w).Encode(a.receive(r.Context(), m))
 }
--- a/process/usage/usage.go
+++ b/process/usage/usage.go
@@ -54,8 +54,11 @@
 // Service takes reports.
 type Service interface {
 	// Send sends a report. The error is a *RefusedError for an answer other than an
-	// acceptance; after others the report may have been accepted.
+	// acceptance, and ErrNotWritten if the service could not be reached; after others the
+	// report may have been accepted.
 	Send(ctx context.Context, r Report) error
+	// Reach returns an error if the service cannot be reached. It sends nothing.
+	Reach(ctx context.Context) error
 }
 
 // Fleet lists the members that the daemon knows, including itself.
