A new holder gets the counts that other daemons have collected

TestUsageKilled kills and pauses daemons in processes of their own. It lost all counts of a host in two of 27 windows: the host had taken the next holder for gone, and was killed before it was heard again. Daemons that collect now send a new holder what they have.

--- a/process/usage/agent.go
+++ b/process/usage/agent.go
@@ -36,6 +36,10 @@
 	// collectPeriod is how long a daemon must have been a candidate before it fixes the
 	// counts of a window: hosts send all counts of the last minute within it.
 	collectPeriod = 3 * time.Second
+	// handoverPeriod is the time after the lease was acquired in which other daemons that
+	// collect send the new holder what they have: it may lack the counts of hosts that took
+	// it for gone and have been killed since.
+	handoverPeriod = 700 * time.Millisecond
 	// heardPeriod is how long a daemon that gets counts though it is no candidate by the
 	// members that it knows counts as one.
 	heardPeriod = 5 * time.Second
@@ -114,6 +118,10 @@
 	// holder is the holder of the lease and its token, from the store or from peers.
 	holder      string
 	holderToken int64
+	// handedToken is the token of the last holder that has got the collected counts, and
+	// acquiredAt when this daemon has acquired the lease.
+	handedToken int64
+	acquiredAt  time.Time
 	receivers   map[string]receiver
 	// busy holds the receivers that have not answered yet.
 	busy     map[string]bool
@@ -267,13 +275,21 @@
 		a.stopSends()
 	}
 	if name, token := a.lease.Holder(); token >= a.holderToken {
-		a.holder, a.holderToken = name, token
+		a.noteHolder(name, token)
 	}
 	if g != nil {
 		wake(a.wakeReporter)
 	}
 }
 
+// noteHolder notes the holder of the lease. The caller must hold mu.
+func (a *Agent) noteHolder(name string, token int64) {
+	if token > a.holderToken {
+		wake(a.wakeExchange)
+	}
+	a.holder, a.holderToken = name, token
+}
+
 // append appends the record of a step. Its validity counts from before the call.
 func (a *Agent) append(ctx context.Context, step Step) {
 	sentAt := a.steady()
@@ -299,7 +315,8 @@
 	a.sendCtx, a.cancelSends = context.WithCancel(a.ctx)
 }
 
-func (a *Agent) onAcquired(_ time.Time, token int64) {
+func (a *Agent) onAcquired(now time.Time, token int64) {
+	a.acquiredAt = now
 	a.metrics.Add("usage.acquired", 1)
 	a.events.Add(time.Now(), timeline.KindUsage, 0, fmt.Sprintf("acquired the lease of usage reports with token %d", token))
 }
@@ -360,7 +377,7 @@
 			a.first = min(a.first, w)
 		}
 	}
-	ready := a.candidateSince.Add(collectPeriod)
+	ready := later(a.candidateSince.Add(collectPeriod), a.acquiredAt.Add(handoverPeriod))
 	if a.candidateSince.IsZero() || now.Before(ready) || a.stepsAside(now) {
 		return later(ready, now.Add(watchPeriod))
 	}
@@ -580,13 +597,19 @@
 		r := a.receivers[to.Name]
 		list, seq := a.counter.Since(r.seq)
 		m := Message{From: a.cfg.Name, Incarnation: a.cfg.Incarnation, Seq: seq, Windows: list, Released: released}
-		if a.mayAct(now) {
+		if g := a.lease.Grant(); g != nil && now.Before(g.Until) {
 			reports := a.lease.reports.Merge(Reports{})
-			m.Token, m.Reports = a.lease.grant.Token, &reports
+			m.Token, m.Reports = g.Token, &reports
 			m.Probe = a.unreached(now)
 		}
+		if to.Name == a.holder && a.handedToken < a.holderToken {
+			m.Hosts = slices.DeleteFunc(a.collection.All(), func(h HostTotals) bool {
+				return h.From == a.cfg.Name && h.Incarnation == a.cfg.Incarnation
+			})
+		}
+		token := a.holderToken
 		a.mu.Unlock()
-		if len(list) == 0 && m.Reports == nil && !released && !r.at.IsZero() && now.Before(r.at.Add(contactPeriod)) {
+		if len(list) == 0 && len(m.Hosts) == 0 && m.Reports == nil && !released && !r.at.IsZero() && now.Before(r.at.Add(contactPeriod)) {
 			return
 		}
 		reply, err := a.call(ctx, to, m)
@@ -594,6 +617,11 @@
 			a.metrics.Add("usage.exchangeFailures", 1)
 			return
 		}
+		if len(m.Hosts) > 0 {
+			a.mu.Lock()
+			a.handedToken = max(a.handedToken, token)
+			a.mu.Unlock()
+		}
 		if r.incarnation == reply.Incarnation || r.at.IsZero() || final {
 			return
 		}
@@ -619,7 +647,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if reply.Token > a.holderToken || reply.Token == a.holderToken && a.holder == "" {
-		a.holder, a.holderToken = reply.Holder, reply.Token
+		a.noteHolder(reply.Holder, reply.Token)
 	}
 	if reply.Reaches && a.mayAct(now) && a.unreached(now) {
 		a.asideUntil, a.unreachedSince = now.Add(asidePeriod), time.Time{}
@@ -663,7 +691,13 @@
 	if m.Reports != nil && m.Token >= a.lease.maxToken {
 		a.lease.reports = a.lease.reports.Merge(*m.Reports)
 	}
+	if m.Token > a.holderToken {
+		a.noteHolder(m.From, m.Token)
+	}
 	a.merge(Host{m.From, m.Incarnation}, m.Seq, m.Windows)
+	for _, h := range m.Hosts {
+		a.merge(Host{h.From, h.Incarnation}, h.Seq, h.Windows)
+	}
 	if m.Released {
 		a.lease.Notice()
 		wake(a.wakeKeeper)
--- a/process/usage/agent_test.go
+++ b/process/usage/agent_test.go
@@ -63,8 +63,9 @@
 	cut bool
 	// left means that the daemon has told the others that it leaves.
 	left bool
-	// blind makes the daemon know only itself.
+	// blind makes the daemon know only itself, and lacks makes it not know one daemon.
 	blind bool
+	lacks string
 	// pauseInSend freezes the daemon for this time when it has decided to send a report.
 	pauseInSend time.Duration
 }
@@ -168,14 +169,14 @@
 // Members implements Fleet. A dead member is known as such.
 func (ta *testAgent) Members() []membership.Member {
 	ta.mu.Lock()
-	blind := ta.blind
+	blind, lacks := ta.blind, ta.lacks
 	ta.mu.Unlock()
 	ta.m.mu.Lock()
 	defer ta.m.mu.Unlock()
 	var list []membership.Member
 	for name, other := range ta.m.agents {
 		other.mu.Lock()
-		if !other.dead && (!blind || other == ta) {
+		if !other.dead && (!blind || other == ta) && name != lacks {
 			state := membership.Ready
 			if other.left {
 				state = membership.Leaving
@@ -617,6 +618,31 @@
 			}
 		})
 	})
+	t.Run("next holder was taken for gone", func(t *testing.T) {
+		// The holder dies before the next one, which it did not know, has its counts.
+		runMesh(t, maxLoss, true, func(t *testing.T, m *mesh) {
+			h := m.holder()
+			list := candidates(h.Members())
+			next := list[0].Name
+			if next == h.name {
+				next = list[1].Name
+			}
+			var host *testAgent
+			for _, ta := range m.agents {
+				if ta != h && ta.name != next {
+					host = ta
+				}
+			}
+			host.mu.Lock()
+			host.lacks = next
+			host.mu.Unlock()
+			// Both die when the counts of a window have been sent and are not reported.
+			time.Sleep(time.Until(windows{testWindow}.end(windowNow())) + 1400*time.Millisecond)
+			host.kill()
+			h.kill()
+			m.awaitHolder(t, h)
+		})
+	})
 	t.Run("graceful stop", func(t *testing.T) {
 		runMesh(t, 0.01, true, func(t *testing.T, m *mesh) {
 			for range 3 {
--- a/process/usage/collection.go
+++ b/process/usage/collection.go
@@ -82,6 +82,41 @@
 	return sum
 }
 
+// HostTotals holds the totals of one host as of its seq-th change.
+type HostTotals struct {
+	From        string         `json:"from"`
+	Incarnation uint64         `json:"incarnation"`
+	Seq         uint64         `json:"seq"`
+	Windows     []WindowCounts `json:"windows"`
+}
+
+// All returns the totals of all hosts. The number of the last change of a host that is
+// known holds for all its totals, since each message carries all changes since the last
+// one that has arrived.
+func (c *Collection) All() []HostTotals {
+	byHost := make(map[Host]*HostTotals)
+	for window, hosts := range c.windows {
+		for host, counts := range hosts {
+			h, ok := byHost[host]
+			if !ok {
+				h = &HostTotals{From: host.Name, Incarnation: host.Incarnation}
+				byHost[host] = h
+			}
+			w := WindowCounts{Window: window, Counts: make(map[string]int64, len(counts))}
+			for tenant, t := range counts {
+				w.Counts[tenant] = t.n
+				h.Seq = max(h.Seq, t.seq)
+			}
+			h.Windows = append(h.Windows, w)
+		}
+	}
+	list := make([]HostTotals, 0, len(byHost))
+	for _, h := range byHost {
+		list = append(list, *h)
+	}
+	return list
+}
+
 // First returns the first window with counts.
 func (c *Collection) First() (window int64, ok bool) {
 	for id := range c.windows {
--- a/process/usage/exchange.go
+++ b/process/usage/exchange.go
@@ -35,6 +35,9 @@
 	// Token and Reports are set by the holder: its token and what has been reported.
 	Token   int64    `json:"token,omitempty"`
 	Reports *Reports `json:"reports,omitempty"`
+	// Hosts is sent once to a new holder: the counts of other hosts that the sender has
+	// collected.
+	Hosts []HostTotals `json:"hosts,omitempty"`
 	// Released means that the sender has given the lease back.
 	Released bool `json:"released,omitempty"`
 	// Probe asks whether the receiver reaches the usage service.
