--- a/process/usage/reports.go
+++ b/process/usage/reports.go
@@ -7,7 +7,7 @@
 
 // WindowCounts holds the requests of each tenant in a window.
 type WindowCounts struct {
-	Window int64            `json:"windowId"`
+	Window int64            `json:"window"`
 	Counts map[string]int64 `json:"counts"`
 }
 
