The true time does not fall back after a pause of the process

After a SIGSTOP of 2.5 s, a daemon handled the messages of all peers that had waited and took their clocks for late; it counted some 70 requests two windows too early (TestUsageKilled, two runs of three with the race detector). Of each clock the latest reading of the last seconds counts now, and messages that may have waited over a pause tell no time.

--- a/process/usage/agent.go
+++ b/process/usage/agent.go
@@ -32,7 +32,11 @@
 	// exchangeTimeout bounds one exchange of counts.
 	exchangeTimeout = 800 * time.Millisecond
 	// maxRoundTrip is the longest exchange whose reply tells the time.
-	maxRoundTrip = 300 * time.Millisecond
+	maxRoundTrip = 100 * time.Millisecond
+	// pausePeriod is the gap between two rounds of the exchange after which the process was
+	// paused, and quietPeriod how long messages that may have waited meanwhile tell no time.
+	pausePeriod = 2 * time.Second
+	quietPeriod = time.Second
 	// collectPeriod is how long a daemon must have been a candidate before it fixes the
 	// counts of a window: hosts send all counts of the last minute within it.
 	collectPeriod = 3 * time.Second
@@ -131,8 +135,11 @@
 	// until when the daemon leaves the lease to others that reach it.
 	unreachedSince, asideUntil time.Time
 	startedAt                  time.Time
-	sendCtx                    context.Context
-	cancelSends                context.CancelFunc
+	// roundAt is when the last round of the exchange began, and quietUntil until when
+	// messages tell no time.
+	roundAt, quietUntil time.Time
+	sendCtx             context.Context
+	cancelSends         context.CancelFunc
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -527,6 +534,7 @@
 func (a *Agent) exchangeAll(ctx context.Context, final bool) {
 	a.mu.Lock()
 	now := a.steady()
+	a.noteRound(now)
 	a.turn(now)
 	list, seq := a.counter.Since(0)
 	a.merge(Host{a.cfg.Name, a.cfg.Incarnation}, seq, list)
@@ -562,6 +570,15 @@
 	}
 }
 
+// noteRound notes a round of the exchange, and a pause of the process before it. The caller
+// must hold mu.
+func (a *Agent) noteRound(now time.Time) {
+	if !a.roundAt.IsZero() && now.Sub(a.roundAt) >= pausePeriod {
+		a.quietUntil = now.Add(quietPeriod)
+	}
+	a.roundAt = now
+}
+
 // heardOther reports whether another daemon has answered.
 func (a *Agent) heardOther() bool {
 	a.mu.Lock()
@@ -683,10 +700,12 @@
 		cancel()
 	}
 	now, wall := a.steady(), a.wall()
-	a.clock.Observe(m.From, now, time.Unix(0, m.Clock))
-	estimate, clocks := a.clock.Measured(now, wall)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !now.Before(a.quietUntil) && now.Sub(a.roundAt) < pausePeriod {
+		a.clock.Observe(m.From, now, time.Unix(0, m.Clock))
+	}
+	estimate, clocks := a.clock.Measured(now, wall)
 	a.heardAt = now
 	if m.Reports != nil && m.Token >= a.lease.maxToken {
 		a.lease.reports = a.lease.reports.Merge(*m.Reports)
--- a/process/usage/clock.go
+++ b/process/usage/clock.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,10 @@
 	maxReadings = 512
 	// estimatePeriod is how long the estimate of the true time is kept.
 	estimatePeriod = 500 * time.Millisecond
+	// latestPeriod is the period of which the latest reading of a peer's clock counts. A
+	// message that has waited, at a sender or receiver that was paused, makes the clock
+	// seem late; a pause is mostly shorter.
+	latestPeriod = 8 * time.Second
 )
 
 // reading is the difference of a clock to the steady clock of this daemon.
@@ -22,6 +27,9 @@
 	// clocks is the number of clocks on which an estimate rests.
 	clocks int
 	until  time.Time
+	// newest is the largest offset since began, and before that of the period before.
+	newest, before time.Duration
+	began          time.Time
 }
 
 // Clock estimates the true time as the median of the clocks of many daemons, since each
@@ -36,11 +44,27 @@
 	validUntil       time.Time
 }
 
-// Observe takes a reading of a peer's clock at a time of the steady clock.
+// Observe takes a reading of a peer's clock at a time of the steady clock, which may be
+// later than that of the reading.
 func (c *Clock) Observe(peer string, at, wall time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.put(&c.peers, peer, reading{offset: wall.Sub(at), until: at.Add(readingTTL)}, at)
+	c.put(&c.peers, peer, c.peers[peer].next(at, wall.Sub(at)), at)
+}
+
+// next returns the reading after one more, whose offset is too small if it has waited.
+func (r reading) next(at time.Time, offset time.Duration) reading {
+	age := at.Sub(r.began)
+	switch {
+	case r.began.IsZero() || age >= 2*latestPeriod:
+		r.newest, r.before, r.began = offset, math.MinInt64, at
+	case age >= latestPeriod:
+		r.newest, r.before, r.began = offset, r.newest, at
+	default:
+		r.newest = max(r.newest, offset)
+	}
+	r.offset, r.until = max(r.newest, r.before), at.Add(readingTTL)
+	return r
 }
 
 // ObserveEstimate takes the estimate of a peer, which rests on a number of clocks.
--- a/process/usage/counts_test.go
+++ b/process/usage/counts_test.go
@@ -136,6 +136,37 @@
 	}
 }
 
+// TestClockAfterPause guards against a true time that falls back by the length of a pause,
+// since the messages of all peers have waited until the process went on.
+func TestClockAfterPause(t *testing.T) {
+	var c Clock
+	now := epoch
+	for range 20 {
+		now = now.Add(time.Second)
+		for i := range 5 {
+			c.Observe(fmt.Sprint("p-", i), now, now)
+		}
+	}
+	sent := now.Add(time.Second)
+	now = now.Add(4 * time.Second)
+	for i := range 5 {
+		c.Observe(fmt.Sprint("p-", i), now, sent)
+	}
+	if off := c.Time(now, func() time.Time { return now }).Sub(now); off.Abs() > 50*time.Millisecond {
+		t.Errorf("got an error of %v after messages that had waited for 3 s", off)
+	}
+	// A clock that was set back is followed in the end.
+	for range 20 {
+		now = now.Add(time.Second)
+		for i := range 5 {
+			c.Observe(fmt.Sprint("p-", i), now, now.Add(-time.Second))
+		}
+	}
+	if off := c.Time(now, func() time.Time { return now }).Sub(now); (off + time.Second).Abs() > 50*time.Millisecond {
+		t.Errorf("got an offset of %v though all clocks were set back by 1 s", off)
+	}
+}
+
 // TestReporter guards against two reports of a window in flight, against repeats without a
 // pause, and against more reports than the service takes.
 func TestReporter(t *testing.T) {
