--- a/request/host/host.go
+++ b/request/host/host.go
@@ -134,6 +134,7 @@
 	decisions *decision.Log
 	// learner is nil without WithCallRanks.
 	learner *dependency.Learner
+	usage     UsageCounter
 }
 
 // Upstream is an incarnation of the upstream instance beside the daemon.
@@ -167,7 +168,7 @@
 	}
 	h := &Host{
 		view: view, limiter: rateLimiter, metrics: new(metrics.Set), observer: noObserver{}, headers: request.DefaultHeaders,
-		unreachable: func() {}, leaving: func(Upstream) {},
+		unreachable: func() {}, leaving: func(Upstream) {}, usage: noUsage{},
 	}
 	for _, opt := range opts {
 		opt(h)
