--- a/request/host/host.go
+++ b/request/host/host.go
@@ -134,7 +134,7 @@
 	decisions *decision.Log
 	// learner is nil without WithCallRanks.
 	learner *dependency.Learner
-	usage     UsageCounter
+	usage   UsageCounter
 }
 
 // Upstream is an incarnation of the upstream instance beside the daemon.
