Notice the departure of a caller whose request is the last one of its connection

The reader goes on after such a request, up to 64 KiB that belong to no request, and cancels the request if the caller closes. The end of the response releases it. TestCallerDisconnects fails without the change and passes with it; the package and request/entry also with -race.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -301,7 +301,32 @@
 			return false
 		}
 	}
-	return !w.isFinal()
+	if w.isFinal() {
+		c.awaitDeparture()
+		return false
+	}
+	return true
+}
+
+// maxIgnoredBytes bounds what is read after a request that ends its connection.
+const maxIgnoredBytes = 64 << 10
+
+// awaitDeparture ends the request that is the last one of the connection if the caller
+// closes the connection before the response. What the caller sends meanwhile belongs to
+// no request.
+func (c *conn) awaitDeparture() {
+	c.mu.Lock()
+	ending := c.closed || !c.endBy.IsZero()
+	c.readByLocked(time.Time{})
+	c.mu.Unlock()
+	if ending {
+		return
+	}
+	_, err := io.CopyN(io.Discard, c.br, maxIgnoredBytes)
+	var ne net.Error
+	if err != nil && (!errors.As(err, &ne) || !ne.Timeout()) {
+		c.cancel()
+	}
 }
 
 // headerSize returns the approximate size of a header in bytes.
--- a/connection/caller/caller_test.go
+++ b/connection/caller/caller_test.go
@@ -70,6 +70,11 @@
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 
+// getLast returns a request that ends its connection.
+func getLast(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+}
+
 func readResponse(t *testing.T, br *bufio.Reader) (*http.Response, string) {
 	t.Helper()
 	res, err := http.ReadResponse(br, nil)
@@ -141,25 +146,30 @@
 }
 
 // TestCallerDisconnects guards against a closed connection that is not detected
-// while the first request runs and further ones are already in the buffer.
+// while the first request runs and further ones are already in the buffer, or while a
+// request runs that is the last one of its connection.
 func TestCallerDisconnects(t *testing.T) {
-	for _, ahead := range []int{0, 1, 3} {
+	for _, c := range []struct {
+		ahead int
+		last  string
+	}{{0, get("/")}, {1, get("/")}, {3, get("/")}, {0, getLast("/")}, {2, getLast("/")}} {
+		ahead := c.ahead
 		started, ended := make(chan struct{}, 10), make(chan struct{}, 10)
 		r := newTestServer(t, func(_ http.ResponseWriter, req *http.Request) {
 			started <- struct{}{}
 			<-req.Context().Done()
 			ended <- struct{}{}
 		})
-		c, _ := r.dial(strings.Repeat(get("/"), ahead+1))
+		conn, _ := r.dial(strings.Repeat(get("/"), ahead) + c.last)
 		for range ahead + 1 {
 			<-started
 		}
-		_ = c.Close()
+		_ = conn.Close()
 		for i := range ahead + 1 {
 			select {
 			case <-ended:
 			case <-time.After(5 * time.Second):
-				t.Fatalf("%d pipelined requests: request %d still runs after the caller closed the connection", ahead, i)
+				t.Fatalf("%d pipelined requests before %q: request %d still runs after the caller closed the connection", ahead, c.last, i)
 			}
 		}
 	}
--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -268,8 +268,9 @@
 	if err := w.bw.Flush(); err != nil {
 		return err
 	}
-	if w.closeAfter.Load() {
-		// The reader may be waiting for a request that is no longer accepted.
+	if w.isFinal() {
+		// The reader may be waiting for a request that is no longer accepted, or for the
+		// departure of the caller.
 		w.conn.endReading()
 	}
 	return nil
