Count requests of less urgent classes as free capacity

An entry limited the new requests of a class for up to a second after one refusal by the upstream, while it admitted less urgent ones without a limit. Requests of less urgent classes that are served now end the limit like new ones of the class.

--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -92,8 +92,9 @@
 	// hosts give the lowest request in the queue all the same.
 	refusedPeriod = 2 * time.Second
 	lowestShare   = 0.04
-	// freeAfter is the number of new requests served since the last refusal by the
-	// upstream that shows that capacity is free.
+	// freeAfter is the number of new requests of the class, and requests of less urgent
+	// ones, served since the last refusal by the upstream that shows that capacity is
+	// free.
 	freeAfter = 5
 	// minBurst is the least number of new requests that may arrive together, and
 	// burstPeriod is the time whose requests may.
@@ -194,8 +195,8 @@
 	// tokens is the number of new requests that may be admitted, as of tokensAt.
 	tokens   float64
 	tokensAt time.Time
-	// shedAt is the time of the last refusal by the upstream, and servedSince the
-	// number of new requests served since. refusedAt is the time of the last refusal,
+	// shedAt is the time of the last refusal by the upstream, and servedSince the number
+	// of new requests, and requests of less urgent classes, served since. refusedAt is the time of the last refusal,
 	// also by the entry.
 	shedAt, refusedAt time.Time
 	servedSince       int
@@ -248,6 +249,12 @@
 	} else {
 		st.servedSince++
 	}
+	// Capacity that a less urgent request gets is free for the more urgent ones.
+	for _, o := range s.upstreams[k.Upstream] {
+		if o.key.Rank > k.Rank {
+			o.servedSince++
+		}
+	}
 	if p, ok := s.promises[c]; ok && a.Early && p.stream == st {
 		s.release(c, p)
 	}
--- a/request/returns/returns_test.go
+++ b/request/returns/returns_test.go
@@ -230,25 +230,30 @@
 	}
 	nested := key
 	nested.Nested = true
+	lessUrgent, moreUrgent := key, key
+	lessUrgent.Class, lessUrgent.Rank = "less", key.Rank-1
+	moreUrgent.Class, moreUrgent.Rank = "more", key.Rank+1
 	for _, c := range []struct {
-		name         string
-		after        time.Duration
-		served       int
-		refused, key Key
-		want         bool
+		name                    string
+		after                   time.Duration
+		served                  int
+		refused, servedKey, key Key
+		want                    bool
 	}{
-		{"limited", 0, 0, key, key, true},
-		{"servedSince", 0, freeAfter, key, key, false},
-		{"notRefusedLately", shedPeriod, 0, key, key, false},
-		{"nested", 0, 0, nested, nested, false},
-		{"otherClass", 0, 0, key, Key{Upstream: "u", Class: "d"}, false},
+		{"limited", 0, 0, key, key, key, true},
+		{"servedSince", 0, freeAfter, key, key, key, false},
+		{"lessUrgentServedSince", 0, freeAfter, key, lessUrgent, key, false},
+		{"moreUrgentServedSince", 0, freeAfter, key, moreUrgent, key, true},
+		{"notRefusedLately", shedPeriod, 0, key, key, key, false},
+		{"nested", 0, 0, nested, nested, nested, false},
+		{"otherClass", 0, 0, key, key, Key{Upstream: "u", Class: "d"}, false},
 	} {
 		s, now := trained(epoch)
 		for i := range 100 {
 			s.Refuse(now, c.refused, Caller{Fingerprint: uint64(i)}, Refusal{Deadline: deadline})
 		}
 		for range c.served {
-			s.Served(now, c.key, Caller{}, Arrival{})
+			s.Served(now, c.servedKey, Caller{}, Arrival{})
 		}
 		if got := limited(s, now.Add(c.after), c.key); got > 0 != c.want {
 			t.Errorf("%s: got %d of 30 new requests refused, want any: %v", c.name, got, c.want)
