Keep the limits of routes when there are many others

Shares dropped all routes whenever an entry saw a 65th one, so with more routes in use no limit lasted. Now a route that is not limited makes room. TestManyRoutes (1,000 other routes) failed before: the route was not limited.

--- a/request/dependency/dependency_test.go
+++ b/request/dependency/dependency_test.go
@@ -330,3 +330,27 @@
 		t.Errorf("got a least share of %v, want at most 0.5", got)
 	}
 }
+
+// TestManyRoutes guards against a limit that is lost because requests of many other routes
+// arrive, against a state that grows without bound, and against a route that is never
+// limited because others were there before. Load: 1,000 routes beside one whose runs fail.
+func TestManyRoutes(t *testing.T) {
+	var s Shares
+	other := 0
+	for at := 0.0; at < 4; at += 0.05 {
+		for i := range 3 {
+			s.Observe(instant(at), "look", 2, fmt.Sprint(i), 0.5)
+		}
+		limited := !s.Admit(instant(at), "look", 0)
+		if want := at > settleFor.Seconds()+0.15; at > 0.1 && limited != want && (at < 0.9 || want) {
+			t.Fatalf("after %.2f s: got limited %v, want %v", at, limited, want)
+		}
+		for range 1000 {
+			other++
+			s.Observe(instant(at), fmt.Sprint("other", other%1000), 1, "0", 0)
+		}
+	}
+	if got := len(s.routes); got > maxShares {
+		t.Errorf("got %d routes, want at most %d", got, maxShares)
+	}
+}
--- a/request/dependency/shares.go
+++ b/request/dependency/shares.go
@@ -34,7 +34,7 @@
 	minShare = 0.25
 	// evaluateEvery bounds how often reports are compared.
 	evaluateEvery = 100 * time.Millisecond
-	// maxShares bounds the routes of Shares.
+	// maxShares bounds the routes of Shares. Routes that are limited are kept.
 	maxShares = 64
 )
 
@@ -76,8 +76,8 @@
 	defer s.mu.Unlock()
 	sh := s.routes[route]
 	if sh == nil {
-		if len(s.routes) >= maxShares {
-			clear(s.routes)
+		if len(s.routes) >= maxShares && !s.removeUnlimited(now) {
+			return
 		}
 		if s.routes == nil {
 			s.routes = make(map[string]*share)
@@ -93,6 +93,23 @@
 	sh.next = (sh.next + 1) % maxReports
 }
 
+// removeUnlimited removes a route that is not limited, preferably one without a valid
+// report, and reports whether there was one.
+func (s *Shares) removeUnlimited(now time.Time) bool {
+	removed, found := "", false
+	for route, sh := range s.routes {
+		if now.Sub(sh.loweredAt) < forgottenFor || !sh.belowSince.IsZero() && now.Sub(sh.belowAt) < reportTime {
+			continue
+		}
+		removed, found = route, true
+		if newest := &sh.reports[(sh.next-1+maxReports)%maxReports]; now.Sub(newest.at) >= reportTime {
+			break
+		}
+	}
+	delete(s.routes, removed)
+	return found
+}
+
 // Admit reports whether to admit a new request of a route; rnd is in [0, 1).
 func (s *Shares) Admit(now time.Time, route string, rnd float64) bool {
 	s.mu.Lock()
