Keep promises when upstreams come and go

At 1,024 pairs of upstream and class an entry dropped its whole schedule, so that promised callers counted as new ones. Now idle schedules are removed first. TestManyUpstreams failed before: the promise of a round in which the bound was reached was lost.

--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -31,6 +31,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,8 +40,8 @@
 const (
 	// MaxPromises bounds the callers that a schedule remembers.
 	MaxPromises = 4096
-	// maxStreams bounds the pairs of upstream and class, which configurations add and
-	// remove over time.
+	// maxStreams bounds the keys, which configurations add and remove over time. Idle
+	// ones are removed first.
 	maxStreams = 1024
 	// promisedShare is the share of the rate that is promised. The rest absorbs the
 	// variation of the work times, and goes to new requests, which let the rate of an
@@ -319,6 +320,9 @@
 func (s *Schedule) stream(now time.Time, k Key) *stream {
 	st, ok := s.streams[k]
 	if !ok {
+		if len(s.streams) >= maxStreams {
+			s.removeIdle(now)
+		}
 		if s.streams == nil || len(s.streams) >= maxStreams {
 			s.streams, s.upstreams, s.promises = make(map[Key]*stream), make(map[string][]*stream), nil
 			s.count.Store(0)
@@ -331,6 +335,24 @@
 	return st
 }
 
+// removeIdle removes the streams without a promise or a recent refusal whose rate is
+// unknown: they decide like new ones.
+func (s *Schedule) removeIdle(now time.Time) {
+	for k, st := range s.streams {
+		s.advance(st, now)
+		if len(st.slots) > 0 || st.served.perSecond(now) > 0 || now.Sub(st.last) <= idlePeriod || now.Sub(st.refusedAt) <= idlePeriod {
+			continue
+		}
+		delete(s.streams, k)
+		rest := slices.DeleteFunc(s.upstreams[k.Upstream], func(o *stream) bool { return o == st })
+		if len(rest) == 0 {
+			delete(s.upstreams, k.Upstream)
+			continue
+		}
+		s.upstreams[k.Upstream] = rest
+	}
+}
+
 // broken returns the share of the returning callers that are refused again.
 func (st *stream) broken(now time.Time) float64 {
 	if st.brokenShare == 0 {
--- a/request/returns/returns_test.go
+++ b/request/returns/returns_test.go
@@ -284,6 +284,33 @@
 	}
 }
 
+// TestManyUpstreams guards against promises that are lost because upstreams come and go,
+// and against schedules of upstreams that are gone. Load: 400 new upstreams every minute.
+func TestManyUpstreams(t *testing.T) {
+	s, now := trained(epoch)
+	id := Caller{Fingerprint: 7}
+	for round := range 10 {
+		now = now.Add(time.Minute)
+		at, promised := s.Refuse(now, key, id, Refusal{Deadline: now.Add(time.Minute), Rnd: 0.99})
+		if !promised {
+			t.Fatalf("round %d: no time is promised", round)
+		}
+		for i := range 400 {
+			s.Served(now, Key{Upstream: fmt.Sprint(round, "/", i), Class: "c"}, Caller{}, Arrival{})
+		}
+		if got := s.Arrive(at, key, id); !got.Returning {
+			t.Errorf("round %d: got %+v, want a returning caller", round, got)
+		}
+		byUpstream := 0
+		for _, list := range s.upstreams {
+			byUpstream += len(list)
+		}
+		if got := len(s.streams); got > maxStreams || got != byUpstream {
+			t.Errorf("round %d: got %d schedules, %d by upstream, want as many and at most %d", round, got, byUpstream, maxStreams)
+		}
+	}
+}
+
 // TestMonotonic guards against promises that a step of the wall clock moves: a time
 // without a monotonic reading is compared by the wall clock.
 func TestMonotonic(t *testing.T) {
