Take the rank of a class from admission.Position

The entry computed the position in the shed order by itself for the schedule of return times. No change of behaviour; TestReturnTimes passes.

--- a/request/entry/returns.go
+++ b/request/entry/returns.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
 	"github.com/kingcuppitch/kingcuppitch/request/returns"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
@@ -25,11 +25,7 @@
 	if e.returns == nil {
 		return e.runAttempts(ctx, call, upstream, tr)
 	}
-	shed := e.view.Snapshot().ShedOrder(time.Now())
-	rank := slices.Index(shed, call.Class)
-	if rank < 0 {
-		rank = len(shed)
-	}
+	rank := admission.Position(call.Class, e.view.Snapshot().ShedOrder(time.Now()))
 	key := returns.Key{Upstream: upstream, Class: call.Class, Rank: rank, Nested: call.Nested}
 	caller, identified := returns.Caller{}, false
 	if e.returns.Promises() > 0 {
