Limit no new request while an instance reports a free slot

The schedule of return times limits new requests of a class for up to a second after a refusal, also if other instances have capacity by their load reports. No request may be refused then.

--- a/request/entry/loads.go
+++ b/request/entry/loads.go
@@ -156,6 +156,14 @@
 	return n
 }
 
+// reportsFree reports whether an instance has a free slot by a valid report.
+func (l *loads) reportsFree(name string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in, ok := l.instances[name]
+	return ok && now.Before(in.reportUntil) && l.inFlight(in, now) < in.report.Limit
+}
+
 // mean returns the mean answer time that instances report for a route; zero if none is
 // known.
 func (l *loads) mean(route string) time.Duration {
--- a/request/entry/returns.go
+++ b/request/entry/returns.go
@@ -32,6 +32,9 @@
 		caller, identified = callerOf(call), true
 	}
 	arrival := e.returns.Arrive(time.Now(), key, caller)
+	if arrival.Limited && e.knowsFree(upstream, time.Now()) {
+		arrival.Limited = false
+	}
 	if arrival.Early {
 		e.metrics.Add("returns.early", 1)
 	}
@@ -79,6 +82,17 @@
 	return nil, &scheduled
 }
 
+// knowsFree reports whether an instance of the upstream has a free slot by its last valid
+// report. The schedule does not see reports.
+func (e *Entry) knowsFree(upstream string, now time.Time) bool {
+	table := e.view.Snapshot().Table
+	_, ok := table.Pick(route.Query{
+		Upstream: upstream, Version: table.InForce(upstream), Leaving: e.leavers.contains, Now: now, AvailableOnly: true,
+		Admits: func(name string) bool { return e.loads.reportsFree(name, now) },
+	}, &e.loads)
+	return ok
+}
+
 func callerOf(call *request.Call) returns.Caller {
 	return returns.Caller{Fingerprint: call.Fingerprint(), Tenant: call.Tenant}
 }
--- a/request/entry/returns_test.go
+++ b/request/entry/returns_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
+	"github.com/kingcuppitch/kingcuppitch/request/returns"
 )
 
 // TestReturnTimes guards against a caller that returns when it was told and is taken for
@@ -93,3 +95,36 @@
 		m.close()
 	}
 }
+
+// TestNotLimitedWhileFree guards against a new request that is refused in favour of
+// promised ones although an instance reports a free slot. Load: 20 requests at once after
+// the upstream has refused 100 callers that were promised times.
+func TestNotLimitedWhileFree(t *testing.T) {
+	for _, free := range []bool{false, true} {
+		up := newUpstream(t, echo)
+		m := newMesh(t, meshOptions{entry: []Option{WithReturnTimes()}}, up.addr(), up.addr())
+		snap := m.entry.view.Snapshot()
+		rt, _ := snap.Table.Match("", http.MethodGet, "/slots/1")
+		key := returns.Key{Upstream: "booking", Class: rt.Class, Rank: admission.Position(rt.Class, snap.ShedOrder(time.Now()))}
+		refused := 0
+		for i := range 20 {
+			now := time.Now()
+			for j := range 5 {
+				m.entry.returns.Refuse(now, key, returns.Caller{Fingerprint: uint64(5*i + j)}, returns.Refusal{Deadline: now.Add(time.Minute)})
+			}
+			for name, load := range map[string]request.Load{"booking-0": {InFlight: 20, Limit: 10}, "booking-1": {InFlight: 20, Limit: 10}} {
+				if free && name == "booking-1" {
+					load.InFlight = 5
+				}
+				m.entry.loads.start(name)
+				m.entry.loads.finish(name, "slots", &request.Answer{Load: load}, nil, now)
+			}
+			if got := m.call(t, http.MethodGet, fmt.Sprintf("/slots/%d", i), ""); got.status != http.StatusOK {
+				refused++
+			}
+		}
+		if got := int(m.metrics.Get("returns.limited")); got != refused || free != (refused == 0) {
+			t.Errorf("free %v: got %d requests refused, %d of them limited", free, refused, got)
+		}
+	}
+}
