Keep the routes that only upstreams call when there are many others

An entry dropped all it knew of such routes at each 257th route, so that calls of upstreams lost their precedence, and regained it only after answers of two instances. Now a route of callers makes room. TestManyNestedRoutes (10,000 other routes) failed before.

--- a/request/entry/nested.go
+++ b/request/entry/nested.go
@@ -17,7 +17,8 @@
 	// callerSeenTime is how long a route is not taken for one that only upstreams call
 	// after a request that the upstream beside the daemon cannot have made.
 	callerSeenTime = 30 * time.Second
-	// maxNestedRoutes bounds the routes that are known.
+	// maxNestedRoutes bounds the routes that are known. Those that only upstreams call
+	// are kept.
 	maxNestedRoutes = 256
 )
 
@@ -48,9 +49,12 @@
 	defer n.mu.Unlock()
 	r, ok := n.routes[route]
 	if !ok {
-		if n.routes == nil || len(n.routes) >= maxNestedRoutes {
+		if n.routes == nil {
 			n.routes = make(map[string]*nestedRoute)
 		}
+		if len(n.routes) >= maxNestedRoutes && !n.removeUnmarked(now) {
+			return
+		}
 		r = &nestedRoute{}
 		n.routes[route] = r
 	}
@@ -58,6 +62,18 @@
 	r.next = (r.next + 1) % nestedReports
 }
 
+// removeUnmarked removes a route whose last answer is not a valid mark, and reports whether
+// there was one. Without the route, its requests are not nested either.
+func (n *nestedRoutes) removeUnmarked(now time.Time) bool {
+	for route, r := range n.routes {
+		if last := r.reports[(r.next-1+nestedReports)%nestedReports]; !last.marked || !now.Before(last.until) {
+			delete(n.routes, route)
+			return true
+		}
+	}
+	return false
+}
+
 // isNested reports whether a new request on a route is a call of the upstream beside the
 // daemon; running says whether that may be making calls at all.
 func (n *nestedRoutes) isNested(now time.Time, route string, running bool) bool {
--- a/request/entry/ranks_test.go
+++ b/request/entry/ranks_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// TestManyNestedRoutes guards against calls of an upstream that lose their precedence
+// because requests of many other routes arrive, and against a state that grows without
+// bound. Load: 10,000 routes of callers beside one that only upstreams call.
+func TestManyNestedRoutes(t *testing.T) {
+	now := time.Now()
+	var n nestedRoutes
+	n.observe(now, "ledger", "a", true)
+	n.observe(now, "ledger", "b", true)
+	for i := range 10_000 {
+		n.observe(now, fmt.Sprint("route", i), "a", false)
+	}
+	if !n.isNested(now, "ledger", true) {
+		t.Error("a call of the upstream does not count as nested")
+	}
+	if got := len(n.routes); got > maxNestedRoutes {
+		t.Errorf("got %d routes, want at most %d", got, maxNestedRoutes)
+	}
+	later := now.Add(nestedReportTime)
+	for i := range maxNestedRoutes + 1 {
+		n.observe(later, fmt.Sprint("call", i), "a", true)
+	}
+	if _, ok := n.routes["ledger"]; ok {
+		t.Error("a route without a valid answer was kept")
+	}
+}
+
 // TestReportedAdmission guards against an instance that is not tried because of a stale
 // report, and against one that is tried although it refuses the class.
 func TestReportedAdmission(t *testing.T) {
