Abandon no silent instance in favour of one that refuses the class

With callRanks the alternative to a silent instance was chosen without regard to the classes that it admits, so a running attempt could be cut for a refusal. TestNotGivenUpForRefusal failed before: the other instance got the request.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -186,6 +186,9 @@
 				return false
 			}
 			query.Exclude, query.Now, query.AvailableOnly = append(query.Exclude, inst.Name), time.Now(), true
+			if e.ranks != nil {
+				query.Admits = e.admits(call, snap, query.Now)
+			}
 			other, ok := snap.Table.Pick(query, &e.loads)
 			if !ok || !reserveRetry() {
 				return false
--- a/request/entry/objective_test.go
+++ b/request/entry/objective_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 )
 
 func failWith(code int) func(net.Conn, *http.Request, []byte) {
@@ -69,6 +70,32 @@
 	}
 }
 
+// TestNotGivenUpForRefusal guards against a silent instance that is abandoned in favour of
+// one that says that it refuses the class.
+func TestNotGivenUpForRefusal(t *testing.T) {
+	slow := newUpstream(t, func(c net.Conn, r *http.Request, body []byte) {
+		time.Sleep(answerWithin * 2 / 3)
+		echo(c, r, body)
+	})
+	other := newUpstream(t, echo)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(new(dependency.Learner))}}, slow.addr(), other.addr())
+	report := func() {
+		m.entry.loads.start("booking-1")
+		m.entry.loads.finish("booking-1", "timely", &request.Answer{Load: request.Load{InFlight: 10, Limit: 10, Admits: 2}}, nil, time.Now())
+	}
+	for range 40 {
+		m.entry.budget("booking").RequestRanked(time.Now(), 20, 0, 1, 0)
+	}
+	report()
+	// The report must be valid when the attempt at the slow instance has lasted for half of
+	// the time.
+	again := time.AfterFunc(answerWithin/2-reportLifetime/2, report)
+	defer again.Stop()
+	if got := m.call(t, http.MethodGet, "/timely/1", ""); got.status != 200 || slow.ran("/timely/1") != 1 || other.ran("/timely/1") != 0 {
+		t.Errorf("got %d after %d runs and %d at the other instance, want one run", got.status, slow.ran("/timely/1"), other.ran("/timely/1"))
+	}
+}
+
 // TestGivenUpForAnother guards against a silent instance that is abandoned in favour of
 // another one which is then not tried, because it has become saturated.
 func TestGivenUpForAnother(t *testing.T) {
--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -113,7 +113,7 @@
 // pickRanked chooses an instance that admits the class of the call. The refusal is set if
 // all instances say that they do not.
 func (e *Entry) pickRanked(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot, tr *requestTrace) (inst route.Instance, ok bool, ref *request.Refusal) {
-	k := admittance{position: admission.Position(call.Class, snap.ShedOrder(q.Now)), precedes: call.Nested || call.Returning}
+	k := admittanceOf(call, snap, q.Now)
 	wait := maxReturnTime
 	q.Admits = func(name string) bool {
 		admits, after := e.loads.admits(name, k, q.Now)
@@ -180,6 +180,20 @@
 	precedes bool
 }
 
+func admittanceOf(call *request.Call, snap *control.Snapshot, now time.Time) admittance {
+	return admittance{position: admission.Position(call.Class, snap.ShedOrder(now)), precedes: call.Nested || call.Returning}
+}
+
+// admits returns a function for route.Query that reports whether an instance may admit the
+// call.
+func (e *Entry) admits(call *request.Call, snap *control.Snapshot, now time.Time) func(instance string) bool {
+	k := admittanceOf(call, snap, now)
+	return func(instance string) bool {
+		admits, _ := e.loads.admits(instance, k, now)
+		return admits
+	}
+}
+
 // admits reports whether an instance may admit a request: it says so in a valid report,
 // or there is none. If not, wait is the time after which the requests that wait at the
 // instance will have been granted.
