Admit callers that return at a promised time although their route is limited

With callRanks and returnTimes, the share of new requests of a route whose runs cannot finish was applied before a returning caller was recognised, so promises were broken without being counted.

--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -52,8 +52,8 @@
 }
 
 // rankCall finds out whether the upstream beside the daemon made the request, and raises
-// the class of such a call to that of the runs that need it. It refuses a request if the
-// runs of its route cannot finish.
+// the class of such a call to that of the runs that need it. It refuses a new request if
+// the runs of its route cannot finish.
 func (e *Entry) rankCall(call *request.Call, snap *control.Snapshot, tr *requestTrace) error {
 	k := e.ranks
 	if k == nil {
@@ -70,7 +70,7 @@
 		}
 		k.learner.StartCall(now, call.Route)
 	}
-	if k.shares.Admit(now, call.Route, mathrand.Float64()) {
+	if k.shares.Admit(now, call.Route, mathrand.Float64()) || e.isDue(call, now) {
 		return nil
 	}
 	e.metrics.Add("entry.refusedDependency", 1)
--- a/request/entry/ranks_test.go
+++ b/request/entry/ranks_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/admission"
 	"github.com/kingcuppitch/kingcuppitch/request/dependency"
 	"github.com/kingcuppitch/kingcuppitch/request/host"
+	"github.com/kingcuppitch/kingcuppitch/request/returns"
 	"github.com/kingcuppitch/kingcuppitch/version/fold"
 )
 
@@ -290,6 +292,55 @@
 	}
 }
 
+// TestReturningNotLimited guards against a caller that returns when it was told and is
+// refused because the runs of the route cannot finish, and against a
+// promise that holds twice. Load: 20 such callers while a quarter of the requests are admitted.
+func TestReturningNotLimited(t *testing.T) {
+	up := newUpstream(t, echo)
+	m := newMesh(t, meshOptions{entry: []Option{WithCallRanks(new(dependency.Learner)), WithReturnTimes()}}, up.addr())
+	limit := func() {
+		for i := 30; i >= 0; i-- {
+			at := time.Now().Add(-time.Duration(i) * 50 * time.Millisecond)
+			for _, name := range []string{"a", "b", "c"} {
+				m.entry.ranks.shares.Observe(at, "slots", 0, name, 0.01)
+			}
+			m.entry.ranks.shares.Admit(at, "slots", 0)
+		}
+	}
+	snap := m.entry.view.Snapshot()
+	rt, _ := snap.Table.Match("", http.MethodGet, "/slots/1")
+	key := returns.Key{Upstream: "booking", Class: rt.Class, Rank: admission.Position(rt.Class, snap.ShedOrder(time.Now()))}
+	now := time.Now()
+	for range 500 {
+		m.entry.returns.Served(now, key, returns.Caller{}, returns.Arrival{})
+	}
+	served := func() (n int) {
+		for i := range 20 {
+			if got := m.call(t, http.MethodGet, fmt.Sprintf("/slots/%d", i), ""); got.status == http.StatusOK {
+				n++
+			}
+		}
+		return n
+	}
+	last := now
+	for i := range 20 {
+		caller := callerOf(&request.Call{Method: http.MethodGet, Path: fmt.Sprintf("/slots/%d", i)})
+		at, promised := m.entry.returns.Refuse(now, key, caller, returns.Refusal{Deadline: now.Add(time.Minute)})
+		if !promised || at.Sub(now) > time.Second/2 {
+			t.Fatalf("got promise %v after %v", promised, at.Sub(now))
+		}
+		last = at
+	}
+	limit()
+	time.Sleep(time.Until(last))
+	if got := served(); got != 20 {
+		t.Errorf("got %d of 20 returning callers served", got)
+	}
+	if got := served(); got == 20 {
+		t.Error("all new requests are served, want a quarter")
+	}
+}
+
 // TestNestedCallsFound guards against calls of an upstream that no entry recognises, and
 // against requests of callers that count as such, over the wire. Load: callers read slots
 // at the daemons of two services, and only the upstream of one of them reads /timely.
--- a/request/entry/returns.go
+++ b/request/entry/returns.go
@@ -82,6 +82,11 @@
 	return nil, &scheduled
 }
 
+// isDue reports whether a caller was promised that it may return now.
+func (e *Entry) isDue(call *request.Call, now time.Time) bool {
+	return e.returns != nil && e.returns.Promises() > 0 && e.returns.Due(now, callerOf(call))
+}
+
 // knowsFree reports whether an instance of the upstream has a free slot by its last valid
 // report. The schedule does not see reports.
 func (e *Entry) knowsFree(upstream string, now time.Time) bool {
--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -207,6 +207,15 @@
 // Arrive needs no fingerprint.
 func (s *Schedule) Promises() int { return int(s.count.Load()) }
 
+// Due reports whether a caller that arrives now was promised this time. Arrive decides
+// whether the promise is for the upstream and class of the request.
+func (s *Schedule) Due(now time.Time, c Caller) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.promises[c]
+	return ok && !now.Before(p.at.Add(-earlyTolerance)) && !now.After(p.at.Add(lateTolerance))
+}
+
 // Arrive decides on a request. Unless it is limited, it is followed by Served, by Refuse
 // or, if it ended in another way, by nothing.
 func (s *Schedule) Arrive(now time.Time, k Key, c Caller) Arrival {
