Recognise no caller later than a second after its time

Times in whole seconds are not in the order of the refusals, and a promise was forgotten only after those made before it, so its caller was recognised up to a second longer. TestLateWholeSeconds failed before.

--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -164,7 +164,7 @@
 	seq int
 }
 
-// slot is a promised time in the order of the schedule.
+// slot is a promised time in the schedule.
 type slot struct {
 	caller Caller
 	at     time.Time
@@ -182,8 +182,10 @@
 	// not all return at the same moment.
 	last  time.Time
 	phase float64
-	// slots holds the promises that may still be kept, in the order of their times;
-	// the number of the first is base. Those before held are promiseHold past their
+	// slots holds the promises that may still be kept, in the order in which they were
+	// made. This is the order of their times but for whole seconds, which are up to a
+	// second late, so that a slot may be counted as due, and forgotten, up to a second
+	// late. The number of the first is base. Those before held are promiseHold past their
 	// time, those before due have reached it.
 	slots           []slot
 	base, held, due int
@@ -213,7 +215,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, ok := s.promises[c]
-	return ok && !now.Before(p.at.Add(-earlyTolerance)) && !now.After(p.at.Add(lateTolerance))
+	return ok && p.due(now)
+}
+
+// due reports whether the caller is recognised if it arrives now.
+func (p *promise) due(now time.Time) bool {
+	return !now.Before(p.at.Add(-earlyTolerance)) && !now.After(p.at.Add(lateTolerance))
 }
 
 // Arrive decides on a request. Unless it is limited, it is followed by Served, by Refuse
@@ -224,13 +231,13 @@
 	st := s.stream(now, k)
 	a := Arrival{}
 	if p, ok := s.promises[c]; ok && p.stream == st {
-		if !now.Before(p.at.Add(-earlyTolerance)) {
+		if p.due(now) {
 			s.release(c, p)
 			st.tokens = max(st.tokens-1, -st.burst(now))
 			a.Returning = true
 			return a
 		}
-		a.Early = true
+		a.Early = now.Before(p.at)
 	}
 	if !k.Nested && st.limits(now) {
 		need := 1 + float64(st.waiting)
--- a/request/returns/returns_test.go
+++ b/request/returns/returns_test.go
@@ -215,6 +215,30 @@
 	}
 }
 
+// TestLateWholeSeconds guards against a caller that is recognised too late because another
+// one, which was refused before, was told a later time: whole seconds are counted from the
+// refusal.
+func TestLateWholeSeconds(t *testing.T) {
+	s, now := trained(epoch)
+	refuse := func(i uint64) time.Time {
+		at, _ := s.Refuse(now, key, Caller{Fingerprint: i}, Refusal{Deadline: now.Add(time.Minute), WholeSeconds: true})
+		return at
+	}
+	first := uint64(0)
+	for refuse(first).Sub(now) < 2*time.Second {
+		first++
+	}
+	firstAt := now.Add(2 * time.Second)
+	now = now.Add(200 * time.Millisecond)
+	at := refuse(first + 1)
+	if !at.Before(firstAt) {
+		t.Fatalf("got %v, want a time before that of the caller refused before, %v", at, firstAt)
+	}
+	if got := s.Arrive(at.Add(lateTolerance+time.Millisecond), key, Caller{Fingerprint: first + 1}); got.Returning || got.Early {
+		t.Errorf("got %+v, want a new request", got)
+	}
+}
+
 // TestLimited guards against new requests that compete with callers that return, and
 // against ones refused although capacity is free, no time is promised, or the request
 // is a call of an upstream.
