--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -82,13 +82,19 @@
 func (b *Budget) Request(now time.Time, percent int, burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	earned := b.count(now, percent, burst)
+	b.tokens = max(b.tokens, min(b.capacity(), b.tokens+earned))
+}
+
+// count counts a new request and returns the part of a token that it earns. The caller
+// holds mu.
+func (b *Budget) count(now time.Time, percent int, burst float64) (earned float64) {
 	b.burst = burst
 	b.advance(now)
 	b.requests += 1 - b.requests/decayRequests
 	b.demands -= b.demands / decayRequests
-	share := float64(min(max(percent, 0), 100)) / 100 * min(1, math.Pow((1-b.retryShare())/fullEarningShare, 2))
-	b.tokens = max(b.tokens, min(b.capacity(), b.tokens+share))
 	b.staleTokens = min(maxStaleTokens, b.staleTokens+1)
+	return float64(min(max(percent, 0), 100)) / 100 * min(1, math.Pow((1-b.retryShare())/fullEarningShare, 2))
 }
 
 // Take takes the tokens for a retry and reports whether there were enough.
--- a/request/retry/ranked.go
+++ b/request/retry/ranked.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// rankedSlackShare is the part of the retry slack that the bursts of all entries may
@@ -24,15 +21,10 @@
 func (b *Budget) RequestRanked(now time.Time, percent int, slack float64, entries int, repeatShare float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.burst = Share(rankedSlackShare*slack, entries)
-	b.advance(now)
-	b.requests += 1 - b.requests/decayRequests
-	b.demands -= b.demands / decayRequests
-	earned := float64(min(max(percent, 0), 100)) / 100 * min(1, math.Pow((1-b.retryShare())/fullEarningShare, 2))
+	earned := b.count(now, percent, Share(rankedSlackShare*slack, entries))
 	repeatShare = min(max(repeatShare, 0), 1)
 	most := b.capacity()
 	b.tokens = max(min(b.tokens, -most), min(most, b.tokens+earned*(1-repeatShare)-repeatShare))
-	b.staleTokens = min(maxStaleTokens, b.staleTokens+1)
 }
 
 // takeRanked takes the tokens for a retry and reports whether there were enough. A
