Do not tell a restarted daemon the limit of a cold start or a named rate

While a rate bounds an instance, the limit and the capacity in its load reports follow from that rate. An entry stored them as the last known capacity and sent them to the daemon after a restart, which then started its upstream with half of its slots.

observeCapacity keeps the earlier values in that case, and only notes that the daemon knows a capacity. host.StateCold is exported for it.

TestKnownCapacityOfBoundedInstance failed before (got limit 1 and capacity 5, want 9 and 30, or none) and passes now.

--- a/request/entry/capacities.go
+++ b/request/entry/capacities.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
+	"github.com/kingcuppitch/kingcuppitch/request/host"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
 )
 
@@ -40,7 +41,9 @@
 }
 
 // observeCapacity stores the capacity in the answer of an instance. An answer without
-// one means that the daemon has restarted, if it reported one before.
+// one means that the daemon has restarted, if it reported one before. Where a rate bounds
+// the instance, in a cold start or under a limit that it names, the limit and the capacity
+// in the answer follow from the rate and are not stored.
 func (l *loads) observeCapacity(inst *route.Instance, ans *request.Answer, now time.Time) {
 	if ans == nil || ans.Load.Limit == 0 {
 		return
@@ -52,6 +55,10 @@
 		in.known.lost = true
 		return
 	}
+	if ans.Load.State == host.StateCold || ans.Load.RateLimit > 0 {
+		in.known.incarnation, in.known.lost = inst.Incarnation, false
+		return
+	}
 	in.known = knownCapacity{
 		limit: ans.Load.Limit, perSecond: ans.Load.Capacity, until: now.Add(knownLifetime),
 		incarnation: inst.Incarnation, upstream: inst.UpstreamIncarnation,
--- a/request/entry/capacities_test.go
+++ b/request/entry/capacities_test.go
@@ -112,3 +112,38 @@
 		}
 	}
 }
+
+// TestKnownCapacityOfBoundedInstance guards against a daemon that restarts and starts its
+// upstream with half of the slots, because the last report came from a cold start or from
+// the time of a named rate limit. The limit in such a report follows from the rate.
+func TestKnownCapacityOfBoundedInstance(t *testing.T) {
+	now := time.Now()
+	before := &route.Instance{Name: "i", Incarnation: 1, UpstreamIncarnation: 1}
+	after := &route.Instance{Name: "i", Incarnation: 2, UpstreamIncarnation: 1}
+	sustained := request.Load{Limit: 9, Capacity: 30, State: "warm"}
+	for name, bounded := range map[string]request.Load{
+		"cold start": {Limit: 1, Capacity: 5, State: "cold"},
+		"rate limit": {Limit: 1, Capacity: 5, State: "limited", RateLimit: 5},
+	} {
+		var l loads
+		l.observeCapacity(before, &request.Answer{Load: bounded}, now)
+		var c request.Call
+		l.addKnownCapacity(&c, after, now)
+		if c.KnownLimit != 0 || c.KnownCapacity != 0 {
+			t.Errorf("%s: got limit %d and capacity %v in the call, want none", name, c.KnownLimit, c.KnownCapacity)
+		}
+		l.observeCapacity(before, &request.Answer{Load: sustained}, now)
+		l.observeCapacity(before, &request.Answer{Load: bounded}, now)
+		l.addKnownCapacity(&c, after, now)
+		if c.KnownLimit != 9 || c.KnownCapacity != 30 {
+			t.Errorf("%s: got limit %d and capacity %v in the call, want those of the report before, 9 and 30", name, c.KnownLimit, c.KnownCapacity)
+		}
+		// The restarted daemon knows a capacity again.
+		l.observeCapacity(after, &request.Answer{Load: bounded}, now)
+		c = request.Call{}
+		l.addKnownCapacity(&c, after, now)
+		if c.KnownLimit != 0 || c.KnownCapacity != 0 {
+			t.Errorf("%s: got limit %d and capacity %v in a later call, want none", name, c.KnownLimit, c.KnownCapacity)
+		}
+	}
+}
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -376,7 +376,7 @@
 	l := request.Load{InFlight: inFlight + queued, Limit: limit, State: stateWarm, RateLimit: h.limiter.RateLimit().PerSecond}
 	switch {
 	case cold:
-		l.State = stateCold
+		l.State = StateCold
 	case l.RateLimit > 0:
 		l.State = stateLimited
 	}
--- a/request/host/warmup.go
+++ b/request/host/warmup.go
@@ -21,7 +21,8 @@
 // States of a load report.
 const (
 	stateWarm = "warm"
-	stateCold = "cold"
+	// StateCold is the state in cold start.
+	StateCold = "cold"
 	// stateLimited is the state while the upstream names a rate limit.
 	stateLimited = "limited"
 )
@@ -53,7 +54,7 @@
 func (w *warmup) classify(now time.Time, load request.Load, r admission.Result) (excluded, untimed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	cold := load.State == stateCold
+	cold := load.State == StateCold
 	if cold && !w.cold {
 		w.untimedUntil = now.Add(fallbackExclusion)
 	}
