Keep the number of reports of the last choice after an abandoned attempt

An attempt that follows an abandoned one uses the reserved instance and counts no reports.

Such an attempt now counts only in the metrics (countChoice); the plan is told of choices by Pick alone. BenchmarkChoice calls both, as attempt does.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -149,7 +149,8 @@
 		query.Rnd[i] = mathrand.Float64()
 	}
 	inst, ok := route.Instance{}, false
-	if tr.reserved != nil {
+	reserved := tr.reserved != nil
+	if reserved {
 		// The previous attempt was abandoned in favour of this instance.
 		inst, ok, tr.reserved = *tr.reserved, true, nil
 		c.UpstreamVersion = inst.Version
@@ -165,7 +166,10 @@
 		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(defaultRetryAfter)}
 	}
 	if e.probes != nil {
-		e.chosen(snap, query, &inst, reports)
+		e.countChoice(&inst, query.Now)
+		if !reserved {
+			e.chosen(snap, query, &inst, reports)
+		}
 	}
 	attemptDeadline := retry.AttemptDeadline(call, len(previous), now)
 	softDeadline := !call.Objective.IsZero() && attemptDeadline.Before(call.Deadline)
--- a/request/entry/probes.go
+++ b/request/entry/probes.go
@@ -152,14 +152,19 @@
 	return false
 }
 
-// chosen counts the choice of an instance. reports is the number of valid reports among
-// the instances of the same version.
-func (e *Entry) chosen(snap *control.Snapshot, q route.Query, inst *route.Instance, reports int) {
+// countChoice counts the choice of an instance in the metrics.
+func (e *Entry) countChoice(inst *route.Instance, now time.Time) {
 	e.metrics.Add("loads.choices", 1)
-	if age, ok := e.loads.reportAge(inst, q.Now); ok {
+	if age, ok := e.loads.reportAge(inst, now); ok {
 		e.metrics.Add("loads.choicesKnown", 1)
 		e.metrics.Observe("loads.reportAge", age, "", "chosen")
 	}
+}
+
+// chosen tells the plan which instance was chosen. reports is the number of valid reports
+// among the instances of the same version. It is not called for an instance that was
+// reserved, because its reports were not counted.
+func (e *Entry) chosen(snap *control.Snapshot, q route.Query, inst *route.Instance, reports int) {
 	e.probes.mu.Lock()
 	defer e.probes.mu.Unlock()
 	e.probes.plan.chosen(q.Now, probeGroup{q.Upstream, q.Version}, reports, inst.Zone == snap.Self.Zone)
--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -278,6 +280,33 @@
 	}
 }
 
+// TestReportsOfReservedInstance guards against probes that are sent in excess because the
+// attempt that follows an abandoned one, for which no instance is chosen anew, counts as
+// a choice without reports.
+func TestReportsOfReservedInstance(t *testing.T) {
+	silent := newUpstream(t, func(net.Conn, *http.Request, []byte) {})
+	good := newUpstream(t, echo)
+	for i := range 20 {
+		m := newMesh(t, meshOptions{}, silent.addr(), good.addr())
+		m.entry.EnableProbes(&recordingProber{names: make(map[string]int)}, nil)
+		for _, name := range []string{"booking-0", "booking-1"} {
+			m.entry.loads.observeReport(name, request.Load{Limit: 100}, 1, time.Now())
+		}
+		path := fmt.Sprintf("/timely/%d", i)
+		if got := m.call(t, http.MethodGet, path, ""); got.status != http.StatusOK {
+			t.Fatalf("%s: got %d %s", path, got.status, got.reason())
+		}
+		if silent.ran(path) == 0 {
+			continue
+		}
+		if got := m.entry.probes.plan.groups[0].reports; got != 2 {
+			t.Errorf("got %d reports at the last choice, want 2", got)
+		}
+		return
+	}
+	t.Error("the silent instance received no request, so the test does not exercise the fault")
+}
+
 // BenchmarkChoice measures the probes and the choice of an entry with 100 instances in
 // each of three zones, without the socket.
 func BenchmarkChoice(b *testing.B) {
@@ -312,6 +341,7 @@
 				}
 				in, _ := snap.Table.Pick(q, &e.loads)
 				if probing {
+					e.countChoice(&in, now)
 					e.chosen(snap, q, &in, reports)
 				}
 			}
