Correct comments on probes and on the gate

maxGroups evicts the least recently used group, not the one used last. At the bound of 200 a second, 64 outstanding probes are reached by a burst, not by missing answers of a third of a second, since an answer counts for 250 ms only. The gate also goes below the announced slots after LearnCapacity. awaited holds batches, and keeps them after a lost answer. No change of behaviour.

--- a/connection/probe/probe.go
+++ b/connection/probe/probe.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	// maxOutstanding is the number of probes without an answer, a power of two. At 200
-	// probes a second it is reached if all answers of a third of a second are missing.
+	// maxOutstanding bounds the probes without an answer; it is a power of two. At 200
+	// probes a second, 50 are sent within answerTimeout; a burst adds up to 20.
 	maxOutstanding = 64
 	// answerTimeout is the time after which an answer no longer counts. The report in it
 	// would be older than the answer time of most requests.
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -35,9 +35,9 @@
 
 // Gate bounds the requests of an instance that announces how many requests it
 // runs concurrently and how long it is in cold start, and may name a limit of
-// requests per second in its answers. Unlike Limiter, it never reduces the load
-// below these bounds. Requests beyond them are refused by rank and by the latest
-// time at which a start is useful.
+// requests per second in its answers. Unlike Limiter, it reduces the load below these
+// bounds only after LearnCapacity. Requests beyond them are refused by rank and by the
+// latest time at which a start is useful.
 //
 // The zero value refuses all requests until SetBounds. It is safe for concurrent
 // use.
--- a/request/entry/probe_plan.go
+++ b/request/entry/probe_plan.go
@@ -26,8 +26,8 @@
 	groupProbes = 2
 	// groupLifetime is how long a group without requests is probed.
 	groupLifetime = 10 * time.Second
-	// maxGroups bounds the groups; the request that adds another one forgets the group
-	// that was used last.
+	// maxGroups bounds the groups; the request that adds another one removes the least
+	// recently used group.
 	maxGroups = 16
 	// otherZoneInterval is the least time between probes of one group to other zones,
 	// whose bytes are expensive.
--- a/request/entry/probes.go
+++ b/request/entry/probes.go
@@ -27,7 +27,8 @@
 
 	mu   sync.Mutex
 	plan probePlan
-	// awaited holds the request that waits for the answer of an instance, by its name.
+	// awaited holds the batch that the answer of an instance belongs to, by the name of
+	// the instance. If the answer is lost, it stays until the next probe of the instance.
 	awaited map[string]*probeBatch
 }
 
