Count the reports of a ranked choice once

If no instance admits a request, pickRanked calls Pick again with the instances of a returning zone. Both calls added to the number of reports, so one report counted as two and the next request sent fewer probes than it should.

The counter is reset before the second call.

--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -156,7 +156,7 @@
 		c.UpstreamVersion = inst.Version
 	} else if e.ranks != nil {
 		var ref *request.Refusal
-		if inst, ok, ref = e.pickRanked(query, call, previous, snap, tr); ref != nil {
+		if inst, ok, ref = e.pickRanked(query, call, previous, snap, tr, &reports); ref != nil {
 			return nil, "", ref
 		}
 	} else {
--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -307,6 +307,29 @@
 	t.Error("the silent instance received no request, so the test does not exercise the fault")
 }
 
+// TestReportsOfRankedChoice guards against reports that are counted twice, so that too few
+// probes are sent, if Pick is called again because no instance admits the request at first.
+func TestReportsOfRankedChoice(t *testing.T) {
+	now := time.Now()
+	st := &fold.State{Zones: map[string]fold.Zone{"returning": {RampFrom: now.Add(-time.Minute), RampUntil: now.Add(time.Minute)}}}
+	st.Config.Upstreams = []config.Upstream{{Name: "u", Versions: []string{"v1"}, Active: "v1"}}
+	var members []membership.Member
+	for name, zone := range map[string]string{"full": "own", "unknown": "returning"} {
+		members = append(members, membership.Member{Name: name, Zone: zone, Region: "r", Service: "u", Version: "v1", State: membership.Ready})
+	}
+	snap := &control.Snapshot{State: st, Table: route.NewTable(st, members, "own", "r")}
+	e := New(fixedView{snap}, nil)
+	e.loads.observeReport("full", request.Load{InFlight: 30, Limit: 10, Admits: 1}, 1, now)
+	reports := 0
+	q := route.Query{Upstream: "u", Version: "v1", Now: now, ReportAge: e.loads.countReports(&reports)}
+	// The first call of Pick leaves out the returning zone.
+	q.Rnd[0] = 0.9
+	in, ok, _ := e.pickRanked(q, &request.Call{}, nil, snap, nil, &reports)
+	if !ok || in.Name != "unknown" || reports != 1 {
+		t.Errorf("got instance %q and %d reports, want the one in the returning zone and 1", in.Name, reports)
+	}
+}
+
 // BenchmarkChoice measures the probes and the choice of an entry with 100 instances in
 // each of three zones, without the socket.
 func BenchmarkChoice(b *testing.B) {
--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -111,8 +111,9 @@
 }
 
 // pickRanked chooses an instance that admits the class of the call. The refusal is set if
-// all instances say that they do not.
-func (e *Entry) pickRanked(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot, tr *requestTrace) (inst route.Instance, ok bool, ref *request.Refusal) {
+// all instances say that they do not. reports is the counter of q.ReportAge, which then
+// holds the number of reports at the call of Pick that chose the instance.
+func (e *Entry) pickRanked(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot, tr *requestTrace, reports *int) (inst route.Instance, ok bool, ref *request.Refusal) {
 	k := admittance{position: admission.Position(call.Class, snap.ShedOrder(q.Now)), precedes: call.Nested || call.Returning}
 	wait := maxReturnTime
 	q.Admits = func(name string) bool {
@@ -133,7 +134,7 @@
 		return inst, true, nil
 	}
 	// An instance in a zone that is returning may have room.
-	q.Rnd[0] = 0
+	q.Rnd[0], *reports = 0, 0
 	if inst, ok = snap.Table.Pick(q, &e.loads); ok {
 		return inst, true, nil
 	}
