--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -278,6 +280,56 @@
 	}
 }
 
+// TestReportsOfReservedInstance guards against probes that are sent in excess because the
+// attempt that follows an abandoned one, for which no instance is chosen anew, counts as
+// a choice without reports.
+func TestReportsOfReservedInstance(t *testing.T) {
+	silent := newUpstream(t, func(net.Conn, *http.Request, []byte) {})
+	good := newUpstream(t, echo)
+	for i := range 20 {
+		m := newMesh(t, meshOptions{}, silent.addr(), good.addr())
+		m.entry.EnableProbes(&recordingProber{names: make(map[string]int)}, nil)
+		for _, name := range []string{"booking-0", "booking-1"} {
+			m.entry.loads.observeReport(name, request.Load{Limit: 100}, 1, time.Now())
+		}
+		path := fmt.Sprintf("/timely/%d", i)
+		if got := m.call(t, http.MethodGet, path, ""); got.status != http.StatusOK {
+			t.Fatalf("%s: got %d %s", path, got.status, got.reason())
+		}
+		if silent.ran(path) == 0 {
+			continue
+		}
+		if got := m.entry.probes.plan.groups[0].reports; got != 2 {
+			t.Errorf("got %d reports at the last choice, want 2", got)
+		}
+		return
+	}
+	t.Error("the silent instance received no request, so the test does not exercise the fault")
+}
+
+// TestReportsOfRankedChoice guards against reports that are counted twice, so that too few
+// probes are sent, if Pick is called again because no instance admits the request at first.
+func TestReportsOfRankedChoice(t *testing.T) {
+	now := time.Now()
+	st := &fold.State{Zones: map[string]fold.Zone{"returning": {RampFrom: now.Add(-time.Minute), RampUntil: now.Add(time.Minute)}}}
+	st.Config.Upstreams = []config.Upstream{{Name: "u", Versions: []string{"v1"}, Active: "v1"}}
+	var members []membership.Member
+	for name, zone := range map[string]string{"full": "own", "unknown": "returning"} {
+		members = append(members, membership.Member{Name: name, Zone: zone, Region: "r", Service: "u", Version: "v1", State: membership.Ready})
+	}
+	snap := &control.Snapshot{State: st, Table: route.NewTable(st, members, "own", "r")}
+	e := New(fixedView{snap}, nil)
+	e.loads.observeReport("full", request.Load{InFlight: 30, Limit: 10, Admits: 1}, 1, now)
+	reports := 0
+	q := route.Query{Upstream: "u", Version: "v1", Now: now, ReportAge: e.loads.countReports(&reports)}
+	// The first call of Pick leaves out the returning zone.
+	q.Rnd[0] = 0.9
+	in, ok, _ := e.pickRanked(q, &request.Call{}, nil, snap, nil, &reports)
+	if !ok || in.Name != "unknown" || reports != 1 {
+		t.Errorf("got instance %q and %d reports, want the one in the returning zone and 1", in.Name, reports)
+	}
+}
+
 // BenchmarkChoice measures the probes and the choice of an entry with 100 instances in
 // each of three zones, without the socket.
 func BenchmarkChoice(b *testing.B) {
@@ -312,6 +364,7 @@
 				}
 				in, _ := snap.Table.Pick(q, &e.loads)
 				if probing {
+					e.countChoice(&in, now)
 					e.chosen(snap, q, &in, reports)
 				}
 			}
