Remove keys of tenants that stand beside or without the scheme

On a public route, a value such as "Basic abc, Bearer KEY" (two headers that a proxy has joined), or a key without the scheme Bearer, was passed on to the upstream. Such values are removed now. TestRemoveKey failed for all four new cases before.

--- a/request/tenant/tenant.go
+++ b/request/tenant/tenant.go
@@ -134,15 +134,33 @@
 	return len(value) >= len(scheme) && strings.EqualFold(value[:len(scheme)], scheme)
 }
 
-// RemoveKey removes the key from a header that is passed on. Other credentials stay. If
-// there are no tenants, it does nothing.
+// carriesKey reports whether a value of the header Authorization must not be passed on: one
+// of its credentials is of the scheme of keys, or one of its words is a key of a tenant. A
+// proxy may have joined several headers to one value, separated by commas.
+func (x *Index) carriesKey(value string) bool {
+	for credential := range strings.SplitSeq(value, ",") {
+		if isBearer(strings.TrimLeft(credential, " \t")) {
+			return true
+		}
+	}
+	isSeparator := func(r rune) bool { return strings.ContainsRune(" \t,;\"", r) }
+	for word := range strings.FieldsFuncSeq(value, isSeparator) {
+		if _, ok := x.Lookup(word); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// RemoveKey removes the values with a key from a header that is passed on. Other
+// credentials stay. If there are no tenants, it does nothing.
 func (x *Index) RemoveKey(h http.Header) {
 	values := h[headerAuthorization]
-	if x == nil || !slices.ContainsFunc(values, isBearer) {
+	if x == nil || !slices.ContainsFunc(values, x.carriesKey) {
 		return
 	}
 	// The values may be shared with other headers.
-	values = slices.DeleteFunc(slices.Clone(values), isBearer)
+	values = slices.DeleteFunc(slices.Clone(values), x.carriesKey)
 	if len(values) == 0 {
 		delete(h, headerAuthorization)
 		return
--- a/request/tenant/tenant_test.go
+++ b/request/tenant/tenant_test.go
@@ -74,6 +74,10 @@
 		{New(list), []string{"bearer"}, nil},
 		{New(list), []string{"Basic abc", "BEARER unknown"}, []string{"Basic abc"}},
 		{New(list), []string{"Basic abc"}, []string{"Basic abc"}},
+		{New(list), []string{"Basic abc, bearer k-acme"}, nil},
+		{New(list), []string{"Basic abc,Bearer unknown"}, nil},
+		{New(list), []string{"k-acme"}, nil},
+		{New(list), []string{"Token  \"k-acme\"", "Basic abc"}, []string{"Basic abc"}},
 		{New(nil), []string{"Bearer k-acme"}, []string{"Bearer k-acme"}},
 	} {
 		before := fmt.Sprint(tt.values)
