Forget the report of a window that is given up in flight

If a report was in flight when its window was given up, or a window was settled by another daemon, the state of its repeats was kept forever: up to one entry for each window while the usage service does not answer. The reporter now keeps only windows that are pending or in flight.

--- a/process/usage/agent.go
+++ b/process/usage/agent.go
@@ -423,7 +423,6 @@
 	for _, w := range a.lease.reports.Pending {
 		if trueNow.Sub(a.windows.end(w.Window)) > a.cfg.Due+givenUpAfter {
 			a.lease.reports.settle(w.Window)
-			a.reporter.forget(w.Window)
 			a.metrics.Add("usage.late", 1)
 		}
 	}
--- a/process/usage/counts_test.go
+++ b/process/usage/counts_test.go
@@ -167,6 +167,26 @@
 	}
 }
 
+// TestReporterForgets guards against memory that grows with each window whose report was in
+// flight when it was given up, as when the usage service does not answer for hours.
+func TestReporterForgets(t *testing.T) {
+	var r reporter
+	now := epoch
+	for id := range int64(100) {
+		now = now.Add(retryMax)
+		if _, _, ok := r.start(now, []WindowCounts{{Window: id}}); !ok {
+			t.Fatalf("window %d is not sent", id)
+		}
+		// The window is given up before the answer.
+		r.start(now, nil)
+		r.done(now, id, false, 0)
+	}
+	r.start(now, nil)
+	if got, want := len(r.tries), 0; got != want {
+		t.Errorf("got %d windows that are kept, want %d", got, want)
+	}
+}
+
 // TestReporter guards against two reports of a window in flight, against repeats without a
 // pause, and against more reports than the service takes.
 func TestReporter(t *testing.T) {
--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -1,6 +1,8 @@
 package usage
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -36,6 +38,7 @@
 // start returns the next report that is to be sent now. Otherwise it returns the time at
 // which one is, if that is known.
 func (r *reporter) start(now time.Time, pending []WindowCounts) (w WindowCounts, at time.Time, ok bool) {
+	r.forget(pending)
 	if r.inFlight >= maxSends {
 		return w, at, false
 	}
@@ -87,9 +90,10 @@
 	t.next = now.Add(t.pause + time.Duration(rnd*float64(t.pause)/2))
 }
 
-// forget drops a window that is given up.
-func (r *reporter) forget(window int64) {
-	if t := r.tries[window]; t != nil && !t.inFlight {
-		delete(r.tries, window)
-	}
+// forget drops the windows that are no longer pending: reports given up, or settled by
+// another daemon. One that is in flight is dropped after its end.
+func (r *reporter) forget(pending []WindowCounts) {
+	maps.DeleteFunc(r.tries, func(window int64, t *try) bool {
+		return !t.inFlight && !slices.ContainsFunc(pending, func(w WindowCounts) bool { return w.Window == window })
+	})
 }
