Check a status after many spaces in the status line

peekStatus gave up after 32 bytes and left the line to http.ReadResponse, which skips any number of spaces: a status 600 after 40 spaces counted as an answer with the outcome ran, and the caller got an empty 502 without a reason after it was forwarded. Such a line is a mismatch now. TestMalformedStatusOfUpstream failed for this line on both paths before.

--- a/connection/instance/status.go
+++ b/connection/instance/status.go
@@ -11,16 +11,18 @@
 const maxStatusEnd = 32
 
 // peekStatus returns the status in the next status line, or its first digits if it is too
-// long, without reading it. The result is false if the line has no status or cannot be
-// read; http.ReadResponse reports that. peekStatus waits for no byte that
-// http.ReadResponse would not wait for.
+// long, without reading it. The text is empty if no status ends within maxStatusEnd. The
+// result is false if the line has no status or cannot be read; http.ReadResponse reports
+// that. peekStatus waits for no byte that http.ReadResponse would not wait for.
 func (c *conn) peekStatus() (text string, ok bool) {
+	found := false
 	for n := 1; n <= maxStatusEnd; n++ {
 		line, err := c.br.Peek(n)
 		if err != nil {
 			return "", false
 		}
-		_, rest, found := bytes.Cut(line, []byte(" "))
+		var rest []byte
+		_, rest, found = bytes.Cut(line, []byte(" "))
 		rest = bytes.TrimLeft(rest, " ")
 		end := bytes.IndexAny(rest, " \r\n")
 		switch {
@@ -32,7 +34,8 @@
 			return "", false
 		}
 	}
-	return "", false
+	// http.ReadResponse skips any number of spaces before a status.
+	return "", found
 }
 
 // hasMalformedStatus reports whether the next status line has a status that is none of an
--- a/request/entry/status_test.go
+++ b/request/entry/status_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 // none and that reaches the caller as an answer.
 func TestMalformedStatusOfUpstream(t *testing.T) {
 	runLocalAndForwarded(t, func(t *testing.T, local bool) {
-		for _, status := range append([]string{"", "abc", "2x0", "+20", "-20"}, malformedStatuses...) {
+		for _, status := range append([]string{"", "abc", "2x0", "+20", "-20", strings.Repeat(" ", 40) + "600"}, malformedStatuses...) {
 			up := newUpstream(t, raw("HTTP/1.1 "+status+" X\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nok"))
 			m := newMesh(t, meshOptions{local: local}, up.addr())
 			checkMalformed(t, m, status, m.call(t, http.MethodPost, "/reserve/1", "x"))
