Choose the port of TestProbePortInUse among those that are free for TCP

The test took a port that the system chose for UDP. That port may be in use for TCP, and the daemon then cannot listen for peers: seen once on a busy machine (listen tcp 127.0.0.1:41448: address already in use). freeAddr gives a port that is free for TCP.

--- a/process/daemon/probes_test.go
+++ b/process/daemon/probes_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -52,7 +51,8 @@
 // TestProbePortInUse guards against a daemon that does not start because another process
 // uses the UDP port, and against a missing or repeated warning.
 func TestProbePortInUse(t *testing.T) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	// A port that the system chooses for UDP may be in use for TCP.
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(freeAddr(t)))
 	if err != nil {
 		t.Fatal(err)
 	}
