Probe no instance that the request has already tried

ProbeTargets did not regard Query.Exclude: a further attempt spent probes on instances that it cannot choose, and waited up to 1 ms for their answers. The addition to TestProbedInstances failed before and passes now.

--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -198,6 +198,12 @@
 		t.Errorf("got a load ratio of %v of the own instance, want that of its host", ratio)
 	}
 	p.names = make(map[string]int)
+	now = now.Add(time.Second)
+	e.probe(snap, route.Query{Upstream: "u", Version: "v1", Exclude: []string{"near"}, Now: now}, true)
+	if p.names["near"] != 0 {
+		t.Error("an instance that the request has tried was probed for its next attempt")
+	}
+	p.names = make(map[string]int)
 	route20("z1")
 	if len(p.names) != 2 || p.names["near"] == 0 || p.names["other"] == 0 {
 		t.Errorf("got probes of %v, want of near and other only", p.names)
--- a/request/route/probe.go
+++ b/request/route/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -35,8 +36,8 @@
 }
 
 // ProbeTargets appends up to n random instances that may serve q to buf: those of the
-// daemon's own zone, or of the nearest other zones. Instances that are suspect or leave,
-// and those of a zone that is out, are never among them. claim is asked last and
+// daemon's own zone, or of the nearest other zones. Instances that are excluded, suspect
+// or leave, and those of a zone that is out, are never among them. claim is asked last and
 // rejects instances that need no probe. intn returns a random number below its argument.
 func (t *Table) ProbeTargets(q Query, ownZone bool, n int, intn func(int) int, claim func(*Instance) bool, buf []*Instance) []*Instance {
 	k := versionKey{q.Upstream, q.Version}
@@ -54,7 +55,7 @@
 		start := intn(len(list))
 		for step := range min(maxProbeSteps, len(list)) {
 			in := &all[list[(start+step)%len(list)]]
-			if in.onTrial(q.TrialShare) && (q.Leaving == nil || !q.Leaving(&in.Instance)) && claim(&in.Instance) {
+			if in.onTrial(q.TrialShare) && !slices.Contains(q.Exclude, in.Name) && (q.Leaving == nil || !q.Leaving(&in.Instance)) && claim(&in.Instance) {
 				buf = append(buf, &in.Instance)
 				break
 			}
