Explain the choice of an instance for a request

Table.Pick fills an explanation if the query asks for one, and Entry.Explain makes the decisions of a request with the same code, without side effects.

--- a/request/dependency/shares.go
+++ b/request/dependency/shares.go
@@ -105,6 +105,20 @@
 	return rnd >= sh.reduction
 }
 
+// Share returns the share of new requests of a route that Admit admits. It changes
+// nothing.
+func (s *Shares) Share(now time.Time, route string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sh := s.routes[route]
+	if sh == nil {
+		return 1
+	}
+	evaluated := *sh
+	s.evaluate(now, &evaluated)
+	return 1 - evaluated.reduction
+}
+
 // Limited returns the share of new requests that is admitted, of the route with the
 // least one.
 func (s *Shares) Limited(now time.Time) float64 {
--- a/request/entry/attempt.go
+++ b/request/entry/attempt.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/process/control"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/retry"
 	"github.com/kingcuppitch/kingcuppitch/request/route"
@@ -126,17 +127,8 @@
 	c.Version = snap.State.Version
 	c.Upstream = upstream
 	c.Repeat = e.ranks != nil && (call.Repeat || retry.IsRepeat(previous))
-	share := func(m fold.Move) float64 { return snap.Share(m, call.Route) }
-	c.UpstreamVersion = snap.Table.Version(upstream, share, mathrand.Float64())
-	query := route.Query{
-		Upstream: upstream, Version: c.UpstreamVersion, Exclude: tried, Leaving: e.leavers.contains, Now: now,
-		AvailableOnly: call.Attempts > 0 && len(previous) > 0,
-	}
-	query.UsualTime = e.loads.mean(call.Route)
-	if !call.Objective.IsZero() {
-		query.WaitRatio = localZoneWaitRatio
-	}
-	query.TrialShare = trialShare(snap, upstream, c.UpstreamVersion)
+	query := e.newQuery(call, upstream, tried, snap, now)
+	c.UpstreamVersion = query.Version
 	reports := 0
 	if e.probes != nil {
 		query.ReportAge = e.loads.countReports(&reports)
@@ -145,24 +137,20 @@
 			query.Now = now
 		}
 	}
-	for i := range query.Rnd {
-		query.Rnd[i] = mathrand.Float64()
-	}
-	inst, ok := route.Instance{}, false
+	var inst route.Instance
 	if tr.reserved != nil {
 		// The previous attempt was abandoned in favour of this instance.
-		inst, ok, tr.reserved = *tr.reserved, true, nil
+		inst, tr.reserved = *tr.reserved, nil
 		c.UpstreamVersion = inst.Version
-	} else if e.ranks != nil {
+	} else {
 		var ref *request.Refusal
-		if inst, ok, ref = e.pickRanked(query, call, previous, snap, tr); ref != nil {
+		if inst, ref = e.pick(query, call, previous, snap); ref != nil {
+			if ref.Reason == request.ReasonOverload {
+				e.metrics.Add("entry.refusedNotAdmitted", 1)
+				tr.refusedBy = refusedNotAdmitted
+			}
 			return nil, "", ref
 		}
-	} else {
-		inst, ok = snap.Table.Pick(query, &e.loads)
-	}
-	if !ok {
-		return nil, "", &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", upstream, c.UpstreamVersion), RetryAt: now.Add(defaultRetryAfter)}
 	}
 	if e.probes != nil {
 		e.chosen(snap, query, &inst, reports)
@@ -235,6 +223,38 @@
 	return ans, inst.Name, err
 }
 
+// newQuery returns the query for the instance of one attempt of a call, with the version
+// and the random numbers of the choice. tried lists the instances of earlier attempts.
+func (e *Entry) newQuery(call *request.Call, upstream string, tried []string, snap *control.Snapshot, now time.Time) route.Query {
+	share := func(m fold.Move) float64 { return snap.Share(m, call.Route) }
+	q := route.Query{
+		Upstream: upstream, Version: snap.Table.Version(upstream, share, mathrand.Float64()), Exclude: tried, Leaving: e.leavers.contains, Now: now,
+		AvailableOnly: call.Attempts > 0 && len(tried) > 0, UsualTime: e.loads.mean(call.Route),
+	}
+	if !call.Objective.IsZero() {
+		q.WaitRatio = localZoneWaitRatio
+	}
+	q.TrialShare = trialShare(snap, upstream, q.Version)
+	for i := range q.Rnd {
+		q.Rnd[i] = mathrand.Float64()
+	}
+	return q
+}
+
+// pick chooses the instance for an attempt, or refuses the call.
+func (e *Entry) pick(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot) (inst route.Instance, ref *request.Refusal) {
+	ok := false
+	if e.ranks == nil {
+		inst, ok = snap.Table.Pick(q, &e.loads)
+	} else if inst, ok, ref = e.pickRanked(q, call, previous, snap); ref != nil {
+		return inst, ref
+	}
+	if !ok {
+		ref = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoInstance, Detail: fmt.Sprintf("upstream %s has no instance of version %s in service", q.Upstream, q.Version), RetryAt: q.Now.Add(defaultRetryAfter)}
+	}
+	return inst, ref
+}
+
 // silenceTimer abandons an attempt whose instance has been silent for too long,
 // provided that another attempt is allowed. It has no effect after stop.
 type silenceTimer struct {
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -190,13 +190,12 @@
 func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, tr *requestTrace) (*request.Answer, error) {
 	now := tr.start
 	snap := e.view.Snapshot()
-	if !snap.Serving {
-		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNotReady, Detail: "this daemon has no current configuration", RetryAt: now.Add(defaultRetryAfter)}
+	if snap.Serving {
+		tr.version = snap.State.Version
 	}
-	tr.version = snap.State.Version
-	rt, ok := snap.Table.Match(hostName(r.Host), r.Method, r.URL.Path)
-	if !ok {
-		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoRoute, Status: http.StatusNotFound, Detail: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
+	rt, err := match(snap, r, now)
+	if err != nil {
+		return nil, err
 	}
 	if rt.Internal && !e.isInternal(r.RemoteAddr) {
 		return nil, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonInternalRoute, Status: http.StatusForbidden, Detail: fmt.Sprintf("route %s is internal", rt.Name)}
@@ -242,6 +241,18 @@
 	return e.serveKeyed(ctx, call, rt.Split(mathrand.Float64()), scopeKey(call, r.Method+" "+r.URL.Path+"\n"+key), tr)
 }
 
+// match returns the route of a request; an error is a *request.Refusal.
+func match(snap *control.Snapshot, r *http.Request, now time.Time) (config.Route, error) {
+	if !snap.Serving {
+		return config.Route{}, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNotReady, Detail: "this daemon has no current configuration", RetryAt: now.Add(defaultRetryAfter)}
+	}
+	rt, ok := snap.Table.Match(hostName(r.Host), r.Method, r.URL.Path)
+	if !ok {
+		return rt, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoRoute, Status: http.StatusNotFound, Detail: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
+	}
+	return rt, nil
+}
+
 // hostName returns a host without its port, in lower case.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/request/entry/ranks.go
+++ b/request/entry/ranks.go
@@ -75,9 +75,14 @@
 	}
 	e.metrics.Add("entry.refusedDependency", 1)
 	tr.refusedBy = refusedDependency
+	return refuseDependency(call.Route, now)
+}
+
+// refuseDependency refuses a request whose run cannot finish.
+func refuseDependency(route string, now time.Time) *request.Refusal {
 	return &request.Refusal{
 		Outcome: request.NotRun, Reason: request.ReasonOverload,
-		Detail:  fmt.Sprintf("the upstreams that route %s needs lack the capacity", call.Route),
+		Detail:  fmt.Sprintf("the upstreams that route %s needs lack the capacity", route),
 		RetryAt: now.Add(time.Duration(float64(dependencyReturnTime) * (1 + mathrand.Float64()))),
 	}
 }
@@ -112,7 +117,7 @@
 
 // pickRanked chooses an instance that admits the class of the call. The refusal is set if
 // all instances say that they do not.
-func (e *Entry) pickRanked(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot, tr *requestTrace) (inst route.Instance, ok bool, ref *request.Refusal) {
+func (e *Entry) pickRanked(q route.Query, call *request.Call, previous []retry.Attempt, snap *control.Snapshot) (inst route.Instance, ok bool, ref *request.Refusal) {
 	k := admittance{position: admission.Position(call.Class, snap.ShedOrder(q.Now)), precedes: call.Nested || call.Returning}
 	wait := maxReturnTime
 	q.Admits = func(name string) bool {
@@ -137,12 +142,10 @@
 	if inst, ok = snap.Table.Pick(q, &e.loads); ok {
 		return inst, true, nil
 	}
-	q.Admits = nil
+	q.Admits, q.Explanation = nil, nil
 	if _, ok = snap.Table.Pick(q, &e.loads); !ok {
 		return inst, false, nil
 	}
-	e.metrics.Add("entry.refusedNotAdmitted", 1)
-	tr.refusedBy = refusedNotAdmitted
 	after := max(wait, minReturnTime)
 	return inst, false, &request.Refusal{
 		Outcome: request.NotRun, Reason: request.ReasonOverload,
--- a/request/entry/returns.go
+++ b/request/entry/returns.go
@@ -25,12 +25,7 @@
 	if e.returns == nil {
 		return e.runAttempts(ctx, call, upstream, tr)
 	}
-	shed := e.view.Snapshot().ShedOrder(time.Now())
-	rank := slices.Index(shed, call.Class)
-	if rank < 0 {
-		rank = len(shed)
-	}
-	key := returns.Key{Upstream: upstream, Class: call.Class, Rank: rank, Nested: call.Nested}
+	key := returnKey(call, upstream, e.view.Snapshot().ShedOrder(time.Now()))
 	caller, identified := returns.Caller{}, false
 	if e.returns.Promises() > 0 {
 		caller, identified = callerOf(call), true
@@ -44,10 +39,7 @@
 	var err error
 	if arrival.Limited {
 		e.metrics.Add("returns.limited", 1)
-		err = &request.Refusal{
-			Outcome: request.NotRun, Reason: request.ReasonOverload,
-			Detail: fmt.Sprintf("the capacity of upstream %s is promised to callers that return", upstream),
-		}
+		err = refusePromised(upstream)
 	} else {
 		ans, err = e.runAttempts(ctx, call, upstream, tr)
 	}
@@ -83,6 +75,23 @@
 	return nil, &scheduled
 }
 
+// refusePromised refuses a new caller for whom there is no room.
+func refusePromised(upstream string) *request.Refusal {
+	return &request.Refusal{
+		Outcome: request.NotRun, Reason: request.ReasonOverload,
+		Detail: fmt.Sprintf("the capacity of upstream %s is promised to callers that return", upstream),
+	}
+}
+
+// returnKey returns the key of a call in the schedule.
+func returnKey(call *request.Call, upstream string, shed []string) returns.Key {
+	rank := slices.Index(shed, call.Class)
+	if rank < 0 {
+		rank = len(shed)
+	}
+	return returns.Key{Upstream: upstream, Class: call.Class, Rank: rank, Nested: call.Nested}
+}
+
 func callerOf(call *request.Call) returns.Caller {
 	return returns.Caller{Fingerprint: call.Fingerprint(), Tenant: call.Tenant}
 }
--- a/request/returns/returns.go
+++ b/request/returns/returns.go
@@ -222,7 +222,7 @@
 		a.Early = true
 	}
 	if !k.Nested && st.limits(now) {
-		need := 1 + float64(st.waiting)
+		need := st.need()
 		if a.Early {
 			// Its room is reserved, so that coming often gives no advantage over
 			// callers that wait.
@@ -360,10 +360,7 @@
 // advance adds the tokens of the time passed and forgets the promises that can no longer
 // be kept.
 func (s *Schedule) advance(st *stream, now time.Time) {
-	if dt := now.Sub(st.tokensAt).Seconds(); dt > 0 {
-		st.tokens = min(st.tokens+dt*st.admitted(now), st.burst(now))
-		st.tokensAt = now
-	}
+	st.earn(now)
 	for ; st.due-st.base < len(st.slots) && !st.slots[st.due-st.base].at.After(now); st.due++ {
 		if !st.slots[st.due-st.base].done {
 			st.waiting++
@@ -388,6 +385,31 @@
 	}
 }
 
+// earn adds the tokens of the time passed.
+func (st *stream) earn(now time.Time) {
+	if dt := now.Sub(st.tokensAt).Seconds(); dt > 0 {
+		st.tokens = min(st.tokens+dt*st.admitted(now), st.burst(now))
+		st.tokensAt = now
+	}
+}
+
+// Limited reports whether Arrive would refuse a new caller now. It changes nothing, so it
+// counts promises as of the last request.
+func (s *Schedule) Limited(now time.Time, k Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, ok := s.streams[k]
+	if !ok || k.Nested {
+		return false
+	}
+	current := *st
+	current.earn(now)
+	return current.limits(now) && current.tokens < current.need()
+}
+
+// need returns the number of tokens that a new caller needs.
+func (st *stream) need() float64 { return 1 + float64(st.waiting) }
+
 // release ends a promise that was kept, or whose caller was served otherwise.
 func (s *Schedule) release(c Caller, p promise) {
 	st := p.stream
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -119,6 +119,8 @@
 	// unknown.
 	UsualTime time.Duration
 	Now       time.Time
+	// Explanation, if it is set, receives how Pick decides.
+	Explanation *Explanation
 	// Rnd holds random numbers in [0,1): the first for the ramp of a returning
 	// zone, the others for the candidates.
 	Rnd [1 + pickChoices]float64
@@ -382,6 +384,9 @@
 func (t *Table) Pick(q Query, loads Loads) (Instance, bool) {
 	var buf [64]candidate
 	all := t.candidates(q, loads, buf[:0])
+	if q.Explanation != nil {
+		q.Explanation.reset(t, &q, all)
+	}
 	if len(all) == 0 {
 		return Instance{}, false
 	}
@@ -394,12 +399,15 @@
 		for distance := range distances {
 			list := scratch
 			for _, c := range all {
-				if !c.refuses && c.distance <= distance && c.ratio < q.saturationRatio(c.distance) && c.onTrial(share) {
+				if c.distance <= distance && c.onTrial(share) && q.obstacle(&c) == "" {
 					list = append(list, c)
 				}
 			}
 			if len(list) > 0 {
-				return leastCost(q.preferReported(list, all), q).Instance, true
+				list = q.preferReported(list, all)
+				best := leastCost(list, q).Instance
+				q.Explanation.choose(&best, list, RuleLeastCost, distance, share)
+				return best, true
 			}
 		}
 	}
@@ -408,6 +416,7 @@
 			if c == nil || q.AvailableOnly && !q.AnyAdmitting {
 				return Instance{}, false
 			}
+			q.Explanation.choose(&c.Instance, nil, RuleAdmitting, otherRegion, 0)
 			return c.Instance, true
 		}
 	}
@@ -420,6 +429,7 @@
 			best = c
 		}
 	}
+	q.Explanation.choose(&best.Instance, nil, RuleLeastLoad, otherRegion, 0)
 	return best.Instance, true
 }
 
@@ -444,10 +454,7 @@
 	add := func(ramp bool) {
 		for i := range list {
 			in := &list[i]
-			if slices.Contains(q.Exclude, in.Name) || ramp && q.Rnd[0] >= t.weight(in.Zone, q.Now) {
-				continue
-			}
-			if q.Leaving != nil && q.Leaving(&in.Instance) {
+			if t.exclusion(in, &q, ramp) != "" {
 				continue
 			}
 			ratio, failing := loads.Ratio(in.Name, q.Now)
