Add the command explain

Operators could not see why a daemon chose an instance or refused a request. The daemon serves the explanation on its peer address; the command prints it.

--- a/process/client/client.go
+++ b/process/client/client.go
@@ -180,7 +180,7 @@
 	flags.DurationVar(&timeout, "timeout", defaultTimeout, "time limit of the command; a watch has none unless it is given")
 	root.AddCommand(
 		a.newValidate(), a.newTrace(), a.newPublish(), a.newStatus(), a.newWatch(), a.newPreset(),
-		a.newZone(), a.newMove(), a.newTimeline(), a.newKey(),
+		a.newZone(), a.newMove(), a.newTimeline(), a.newKey(), a.newExplain(),
 	)
 	root.CompletionOptions.HiddenDefaultCmd = true
 	return root
--- /dev/null
+++ b/process/client/explain.go
@@ -0,0 +1,177 @@
+package client
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/kingcuppitch/kingcuppitch/request/entry"
+	"github.com/spf13/cobra"
+)
+
+// maxExplanation bounds the explanation that is read.
+const maxExplanation = 16 << 20
+
+func (a *app) newExplain() *cobra.Command {
+	var keyFile string
+	cmd := &cobra.Command{
+		Use:   "explain METHOD URL",
+		Short: "Show where a daemon would send a request now, and why",
+		Long: `explain asks one daemon where it would send a request of a new caller now. The
+request is not sent, and nothing changes.
+
+URL is https://HOST/PATH, HOST/PATH or /PATH. The key of a tenant is read from the
+file of --key-file. Several instances may be possible: the daemon chooses with
+random numbers, so repeated commands may show different instances.`,
+		Example: `  kingcuppitch --daemon 10.0.1.5:7402 explain GET /slots/today
+  kingcuppitch explain POST https://booking.example/reserve/7 --key-file acme.key`,
+		Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			req, err := parseExplained(args[0], args[1])
+			if err != nil {
+				return err
+			}
+			key, err := readKeyFile(keyFile)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.commandContext(cmd.Context())
+			defer cancel()
+			x, err := a.explain(ctx, req, key)
+			if err != nil {
+				return err
+			}
+			a.print(x, func(p *printer) { writeExplanation(p, x) })
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&keyFile, "key-file", "", "`FILE` with the key of a tenant")
+	return cmd
+}
+
+// parseExplained returns the request for a method and a URL, of which the scheme and the
+// host may be omitted.
+func parseExplained(method, text string) (req entry.ExplainRequest, err error) {
+	if !strings.HasPrefix(text, "/") && !strings.Contains(text, "://") {
+		text = "http://" + text
+	}
+	u, err := url.Parse(text)
+	if err != nil {
+		return req, err
+	}
+	return entry.ExplainRequest{Method: strings.ToUpper(method), Host: u.Host, Path: u.RequestURI()}, nil
+}
+
+// readKeyFile returns the key in a file, or an empty one if no file is named.
+func readKeyFile(name string) (key string, err error) {
+	if name == "" {
+		return "", nil
+	}
+	f, err := os.Open(name) //nolint:gosec // the operator names the file
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = f.Close() }()
+	return readKey(f)
+}
+
+// explain asks the daemons in order and returns the first explanation.
+func (a *app) explain(ctx context.Context, req entry.ExplainRequest, key string) (x entry.Explanation, err error) {
+	var errs []error
+	for _, d := range a.tryOrder() {
+		if x, err = d.explain(ctx, req, key); err == nil {
+			return x, nil
+		}
+		errs = append(errs, fmt.Errorf("explanation of %v: %w", d.addr, err))
+	}
+	return x, exitf(ExitUnreachable, "no daemon answered: %w", errors.Join(errs...))
+}
+
+func (d *daemon) explain(ctx context.Context, req entry.ExplainRequest, key string) (x entry.Explanation, err error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	body, err := json.Marshal(req)
+	if err != nil {
+		return x, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.addr.String()+entry.ExplainPath, bytes.NewReader(body))
+	if err != nil {
+		return x, err
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	res, err := d.transport.RoundTrip(r)
+	if err != nil {
+		return x, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxExplanation))
+	switch {
+	case err != nil:
+		return x, err
+	case res.StatusCode != http.StatusOK:
+		return x, fmt.Errorf("status %d: %.200s", res.StatusCode, strings.TrimSpace(string(data)))
+	}
+	return x, json.Unmarshal(data, &x)
+}
+
+func writeExplanation(p *printer, x entry.Explanation) {
+	p.line("daemon %s in zone %s, configuration version %d", x.Daemon, x.Zone, x.Version)
+	if x.Route != "" {
+		internal := ""
+		if x.Internal {
+			internal = " (internal: callers outside of the mesh get 403)"
+		}
+		p.line("route %s, class %s, tenant %s%s", x.Route, cmp.Or(x.Class, "-"), cmp.Or(x.Tenant, "-"), internal)
+	}
+	for _, name := range slices.Sorted(maps.Keys(x.Backends)) {
+		p.line("backend %s: %.1f%% of the requests", name, 100*x.Backends[name])
+	}
+	if x.Upstream != "" {
+		p.line("upstream %s, version %s", x.Upstream, cmp.Or(x.UpstreamVersion, "-"))
+	}
+	if x.AdmittedShare > 0 && x.AdmittedShare < 1 {
+		p.line("%.0f%% of the requests are admitted, because upstreams that they need lack the capacity", 100*x.AdmittedShare)
+	}
+	switch {
+	case x.Refusal != nil:
+		p.line("refused with %d, outcome %s, reason %s: %s", x.Refusal.Status, x.Refusal.Outcome, x.Refusal.Reason, x.Refusal.Detail)
+	case x.Possible > 1:
+		p.line("chosen: %s, one of %d possible (rule %s)", x.Chosen, x.Possible, x.Rule)
+	default:
+		p.line("chosen: %s, the only one possible (rule %s)", x.Chosen, x.Rule)
+	}
+	if len(x.Instances) == 0 {
+		return
+	}
+	rows := [][]string{{"INSTANCE", "ZONE", "IN FLIGHT", "LIMIT", "PER SECOND", "REPORT AGE", "COST", "NOT A CHOICE"}}
+	for _, in := range x.Instances {
+		age, limit, capacity, cost := "-", "-", "-", "-"
+		if in.ReportAgeMs != nil {
+			age = strconv.FormatFloat(*in.ReportAgeMs, 'f', 0, 64) + "ms"
+		}
+		if in.Limit > 0 {
+			limit = strconv.Itoa(in.Limit)
+		}
+		if in.Capacity > 0 {
+			capacity = strconv.FormatFloat(in.Capacity, 'f', 1, 64)
+		}
+		if in.Cost > 0 {
+			cost = strconv.FormatFloat(in.Cost, 'f', 2, 64)
+		}
+		rows = append(rows, []string{in.Instance, in.Zone, strconv.Itoa(in.InFlight), limit, capacity, age, cost, string(in.Obstacle)})
+	}
+	p.table(rows)
+}
--- a/request/dependency/dependency_test.go
+++ b/request/dependency/dependency_test.go
@@ -330,3 +330,32 @@
 		t.Errorf("got a least share of %v, want at most 0.5", got)
 	}
 }
+
+// TestShareIsThatOfAdmit guards against a share that differs from that by which requests
+// are admitted, and against asking for it changing that: the share falls, settles and
+// recovers.
+func TestShareIsThatOfAdmit(t *testing.T) {
+	var asked, other Shares
+	lowered := false
+	for at := 0.0; at < 30; at += 0.05 {
+		for i := range 6 {
+			finishes := 0.5
+			if at > 10 {
+				finishes = 1
+			}
+			asked.Observe(instant(at), "look", 2, fmt.Sprint(i), finishes)
+			other.Observe(instant(at), "look", 2, fmt.Sprint(i), finishes)
+		}
+		got := asked.Share(instant(at), "look")
+		lowered = lowered || got < 1
+		for _, rnd := range []float64{1 - got - 1e-9, 1 - got + 1e-9} {
+			admitted := asked.Admit(instant(at), "look", rnd)
+			if want := rnd >= 1-got; admitted != want || admitted != other.Admit(instant(at), "look", rnd) {
+				t.Fatalf("after %.2f s: got %v for %v with a share of %v", at, admitted, rnd, got)
+			}
+		}
+	}
+	if !lowered {
+		t.Error("got a share of 1 at all times, want a lower one")
+	}
+}
--- a/request/returns/returns_test.go
+++ b/request/returns/returns_test.go
@@ -326,3 +326,33 @@
 		}
 	}
 }
+
+// TestLimitedIsThatOfArrive guards against a schedule that says that it limits new callers
+// and admits the next one, or the reverse, and against asking it changing what it decides.
+// Load: 40 new callers a second, of which nearly all are refused.
+func TestLimitedIsThatOfArrive(t *testing.T) {
+	var asked, other Schedule
+	k := Key{Upstream: "booking", Class: "book", Rank: 1}
+	start := time.Unix(0, 0)
+	limited := 0
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * 25 * time.Millisecond)
+		c := Caller{Fingerprint: uint64(i)}
+		// Both schedules have forgotten the promises that have expired.
+		asked.stream(now, k)
+		want := asked.Limited(now, k)
+		a, o := asked.Arrive(now, k, c), other.Arrive(now, k, c)
+		if a != o || a.Limited != want {
+			t.Fatalf("request %d: got %+v and %+v, announced as limited: %v", i, a, o, want)
+		}
+		if a.Limited {
+			limited++
+		}
+		r := Refusal{Arrival: a, Deadline: now.Add(10 * time.Second), Rnd: 0.5}
+		asked.Refuse(now, k, c, r)
+		other.Refuse(now, k, c, r)
+	}
+	if limited == 0 || limited == 400 {
+		t.Errorf("got %d limited callers of 400, want some", limited)
+	}
+}
--- a/request/route/explain.go
+++ b/request/route/explain.go
@@ -55,7 +55,7 @@
 	Instance string `json:"instance"`
 	Zone     string `json:"zone"`
 	// Ratio is the ratio of load to limit, and Cost the expected answer time as a multiple
-	// of the usual one.
+	// of the usual one; zero for an instance that fails or is excluded.
 	Ratio float64 `json:"ratio"`
 	Cost  float64 `json:"cost"`
 	// Obstacle is empty if the instance is a choice.
@@ -101,12 +101,12 @@
 	*x = Explanation{Candidates: make([]Candidate, 0, len(all))}
 	for i := range all {
 		c := &all[i]
-		ratio := c.ratio
+		ratio, cost := c.ratio, c.cost
 		if ratio >= failingPenalty {
-			ratio -= failingPenalty
+			ratio, cost = ratio-failingPenalty, 0
 		}
 		x.Candidates = append(x.Candidates, Candidate{
-			Instance: c.Name, Zone: c.Zone, Ratio: ratio, Cost: min(c.cost, failingPenalty), Obstacle: q.obstacle(c),
+			Instance: c.Name, Zone: c.Zone, Ratio: ratio, Cost: cost, Obstacle: q.obstacle(c),
 			in: c.locatedInstance, load: c.ratio,
 		})
 	}
