--- a/request/entry/explain_test.go
+++ b/request/entry/explain_test.go
@@ -105,6 +105,13 @@
 	if last.Instance != "i3" || last.Obstacle != "draining" {
 		t.Errorf("got %+v, want i3 to drain", last)
 	}
+	for i := range 3 {
+		e.loads.observeReport(fmt.Sprint("i", i), request.Load{InFlight: 9, Limit: 9, Capacity: 40, Admits: 1}, 1, now)
+	}
+	x = explained(t, e, "/reserve", "key-zeta", now)
+	if x.Refusal == nil || x.Refusal.Reason != request.ReasonOverload || x.Chosen != "" || x.Possible != 0 || x.Instances[0].Obstacle != route.ObstacleNotAdmits {
+		t.Errorf("got %+v, want a refusal because no instance admits the class", x)
+	}
 	if got := explained(t, e, "/split", "", now).Backends; got["booking"] != 0.75 || got["empty"] != 0.25 {
 		t.Errorf("got backends %v, want 0.75 and 0.25", got)
 	}
