--- a/process/client/explain.go
+++ b/process/client/explain.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -38,17 +37,18 @@
   kingcuppitch explain POST https://booking.example/reserve/7 --key-file acme.key`,
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			req, err := parseExplained(args[0], args[1])
-			if err != nil {
-				return err
+			target := args[1]
+			if !strings.HasPrefix(target, "/") && !strings.Contains(target, "://") {
+				target = "http://" + target
 			}
+			query := url.Values{"method": {strings.ToUpper(args[0])}, "url": {target}}
 			key, err := readKeyFile(keyFile)
 			if err != nil {
 				return err
 			}
 			ctx, cancel := a.commandContext(cmd.Context())
 			defer cancel()
-			x, err := a.explain(ctx, req, key)
+			x, err := a.explain(ctx, query, key)
 			if err != nil {
 				return err
 			}
@@ -60,19 +60,6 @@
 	return cmd
 }
 
-// parseExplained returns the request for a method and a URL, of which the scheme and the
-// host may be omitted.
-func parseExplained(method, text string) (req entry.ExplainRequest, err error) {
-	if !strings.HasPrefix(text, "/") && !strings.Contains(text, "://") {
-		text = "http://" + text
-	}
-	u, err := url.Parse(text)
-	if err != nil {
-		return req, err
-	}
-	return entry.ExplainRequest{Method: strings.ToUpper(method), Host: u.Host, Path: u.RequestURI()}, nil
-}
-
 // readKeyFile returns the key in a file, or an empty one if no file is named.
 func readKeyFile(name string) (key string, err error) {
 	if name == "" {
@@ -87,10 +74,10 @@
 }
 
 // explain asks the daemons in order and returns the first explanation.
-func (a *app) explain(ctx context.Context, req entry.ExplainRequest, key string) (x entry.Explanation, err error) {
+func (a *app) explain(ctx context.Context, query url.Values, key string) (x entry.Explanation, err error) {
 	var errs []error
 	for _, d := range a.tryOrder() {
-		if x, err = d.explain(ctx, req, key); err == nil {
+		if x, err = d.explain(ctx, query, key); err == nil {
 			return x, nil
 		}
 		errs = append(errs, fmt.Errorf("explanation of %v: %w", d.addr, err))
@@ -98,14 +85,10 @@
 	return x, exitf(ExitUnreachable, "no daemon answered: %w", errors.Join(errs...))
 }
 
-func (d *daemon) explain(ctx context.Context, req entry.ExplainRequest, key string) (x entry.Explanation, err error) {
+func (d *daemon) explain(ctx context.Context, query url.Values, key string) (x entry.Explanation, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	body, err := json.Marshal(req)
-	if err != nil {
-		return x, err
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.addr.String()+entry.ExplainPath, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr.String()+entry.ExplainPath+"?"+query.Encode(), http.NoBody)
 	if err != nil {
 		return x, err
 	}
@@ -158,20 +141,22 @@
 	}
 	rows := [][]string{{"INSTANCE", "ZONE", "IN FLIGHT", "LIMIT", "PER SECOND", "REPORT AGE", "COST", "NOT A CHOICE"}}
 	for _, in := range x.Instances {
-		age, limit, capacity, cost := "-", "-", "-", "-"
+		age := "-"
 		if in.ReportAgeMs != nil {
-			age = strconv.FormatFloat(*in.ReportAgeMs, 'f', 0, 64) + "ms"
-		}
-		if in.Limit > 0 {
-			limit = strconv.Itoa(in.Limit)
-		}
-		if in.Capacity > 0 {
-			capacity = strconv.FormatFloat(in.Capacity, 'f', 1, 64)
+			age = fmt.Sprintf("%.0fms", *in.ReportAgeMs)
 		}
-		if in.Cost > 0 {
-			cost = strconv.FormatFloat(in.Cost, 'f', 2, 64)
-		}
-		rows = append(rows, []string{in.Instance, in.Zone, strconv.Itoa(in.InFlight), limit, capacity, age, cost, string(in.Obstacle)})
+		rows = append(rows, []string{
+			in.Instance, in.Zone, strconv.Itoa(in.InFlight), known(float64(in.Limit), "%.0f"), known(in.Capacity, "%.1f"),
+			age, known(in.Cost, "%.2f"), string(in.Obstacle),
+		})
 	}
 	p.table(rows)
 }
+
+// known formats a number that is zero if it is not known.
+func known(v float64, format string) string {
+	if v == 0 {
+		return "-"
+	}
+	return fmt.Sprintf(format, v)
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -333,7 +333,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(path, ctl)
 	d.handleUsage(peers)
-	peers.HandleFunc("POST "+entry.ExplainPath, d.entry.ServeExplanation)
+	peers.HandleFunc("GET "+entry.ExplainPath, d.entry.ServeExplanation)
 	var announce http.Handler = http.HandlerFunc(d.serveAnnouncement)
 	if d.platform != nil {
 		announce = d.platform.Announcements(d)
--- a/request/entry/explain.go
+++ b/request/entry/explain.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	mathrand "math/rand/v2"
@@ -15,22 +14,9 @@
 	"github.com/kingcuppitch/kingcuppitch/request/route"
 )
 
-const (
-	// ExplainPath is the path on the peer address at which a daemon explains where its
-	// entry would send a request.
-	ExplainPath = "/explain"
-	// maxExplained bounds the text of an ExplainRequest.
-	maxExplained = 64 << 10
-)
-
-// ExplainRequest names the request to explain. The key of a tenant is in the header
-// Authorization, as in the request itself.
-type ExplainRequest struct {
-	Method string `json:"method"`
-	// Host is the host name that the request has; empty means any.
-	Host string `json:"host,omitempty"`
-	Path string `json:"path"`
-}
+// ExplainPath is the path on the peer address at which a daemon explains where its entry
+// would send a request.
+const ExplainPath = "/explain"
 
 // Explanation tells where the entry would send a request now. The choices of backend,
 // version and instance are made with random numbers, as for a request.
@@ -83,17 +69,15 @@
 	if snap.State != nil {
 		x.Version = snap.State.Version
 	}
-	if err := e.explain(&x, r, now); err != nil {
-		var ref *request.Refusal
-		if !errors.As(err, &ref) {
-			ref = &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: err.Error()}
-		}
+	var ref *request.Refusal
+	if errors.As(e.explain(&x, r, now), &ref) {
 		x.Refusal = &ExplainedRefusal{Status: request.StatusOf(ref), Outcome: ref.Outcome, Reason: ref.Reason, Detail: ref.Detail}
 	}
 	return x
 }
 
-// explain makes the decisions of serve, runScheduled and the first attempt.
+// explain makes the decisions of serve, runScheduled and the first attempt. An error is a
+// *request.Refusal.
 func (e *Entry) explain(x *Explanation, r *http.Request, now time.Time) error {
 	snap := e.view.Snapshot()
 	rt, err := match(snap, r, now)
@@ -105,11 +89,11 @@
 	for _, b := range rt.Backends {
 		sum += b.Weight
 	}
+	x.Backends = make(map[string]float64, len(rt.Backends))
 	for _, b := range rt.Backends {
-		if x.Backends == nil {
-			x.Backends = make(map[string]float64, len(rt.Backends))
+		if b.Weight > 0 {
+			x.Backends[b.Upstream] += b.Weight / sum
 		}
-		x.Backends[b.Upstream] += b.Weight / max(sum, 1e-9)
 	}
 	tnt, err := snap.Tenants.Check(r.Header, rt.Public)
 	if err != nil {
@@ -185,33 +169,16 @@
 	return x
 }
 
-// ServeExplanation is the HTTP handler of ExplainPath.
+// ServeExplanation is the HTTP handler of ExplainPath. The request to explain has the
+// method and the URL of the query, and the header of r.
 func (e *Entry) ServeExplanation(w http.ResponseWriter, r *http.Request) {
-	explained, err := readExplained(r.Context(), w, r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	query := r.URL.Query()
+	u, err := url.ParseRequestURI(query.Get("url"))
+	if err != nil || !strings.HasPrefix(u.Path, "/") || query.Get("method") == "" {
+		http.Error(w, "the query needs a method, and a url with a path", http.StatusBadRequest)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	explained := &http.Request{Method: query.Get("method"), Host: u.Host, URL: u, Header: r.Header}
 	_ = json.NewEncoder(w).Encode(e.Explain(explained, time.Now()))
 }
-
-// readExplained returns the request that is to be explained.
-func readExplained(ctx context.Context, w http.ResponseWriter, r *http.Request) (out *http.Request, err error) {
-	var in ExplainRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplained)).Decode(&in); err != nil {
-		return nil, err
-	}
-	if in.Method == "" || !strings.HasPrefix(in.Path, "/") {
-		return nil, errors.New("a request needs a method and a path that begins with a slash")
-	}
-	u, err := url.ParseRequestURI(in.Path)
-	if err != nil {
-		return nil, err
-	}
-	out = (&http.Request{Method: in.Method, Host: in.Host, URL: u, Header: http.Header{}}).WithContext(ctx)
-	if values := r.Header["Authorization"]; values != nil {
-		out.Header["Authorization"] = values
-	}
-	return out, nil
-}
