--- a/request/entry/probes_test.go
+++ b/request/entry/probes_test.go
@@ -330,7 +330,7 @@
 	q := route.Query{Upstream: "u", Version: "v1", Now: now, ReportAge: e.loads.countReports(&reports)}
 	// The first call of Pick leaves out the returning zone.
 	q.Rnd[0] = 0.9
-	in, ok, _ := e.pickRanked(q, &request.Call{}, nil, snap, nil, &reports)
+	in, ok, _ := e.pickRanked(q, &request.Call{}, nil, snap, &reports)
 	if !ok || in.Name != "unknown" || reports != 1 {
 		t.Errorf("got instance %q and %d reports, want the one in the returning zone and 1", in.Name, reports)
 	}
--- a/request/entry/returns.go
+++ b/request/entry/returns.go
@@ -25,8 +25,7 @@
 	if e.returns == nil {
 		return e.runAttempts(ctx, call, upstream, tr)
 	}
-	rank := admission.Position(call.Class, e.view.Snapshot().ShedOrder(time.Now()))
-	key := returns.Key{Upstream: upstream, Class: call.Class, Rank: rank, Nested: call.Nested}
+	key := returnKey(call, upstream, e.view.Snapshot().ShedOrder(time.Now()))
 	caller, identified := returns.Caller{}, false
 	if e.returns.Promises() > 0 {
 		caller, identified = callerOf(call), true
@@ -43,10 +42,7 @@
 	var err error
 	if arrival.Limited {
 		e.metrics.Add("returns.limited", 1)
-		err = &request.Refusal{
-			Outcome: request.NotRun, Reason: request.ReasonOverload,
-			Detail: fmt.Sprintf("the capacity of upstream %s is promised to callers that return", upstream),
-		}
+		err = refusePromised(upstream)
 	} else {
 		ans, err = e.runAttempts(ctx, call, upstream, tr)
 	}
@@ -98,6 +94,19 @@
 	return ok
 }
 
+// refusePromised refuses a new caller for whom there is no room.
+func refusePromised(upstream string) *request.Refusal {
+	return &request.Refusal{
+		Outcome: request.NotRun, Reason: request.ReasonOverload,
+		Detail: fmt.Sprintf("the capacity of upstream %s is promised to callers that return", upstream),
+	}
+}
+
+// returnKey returns the key of a call in the schedule.
+func returnKey(call *request.Call, upstream string, shed []string) returns.Key {
+	return returns.Key{Upstream: upstream, Class: call.Class, Rank: admission.Position(call.Class, shed), Nested: call.Nested}
+}
+
 func callerOf(call *request.Call) returns.Caller {
 	return returns.Caller{Fingerprint: call.Fingerprint(), Tenant: call.Tenant}
 }
