--- a/review/meshcheck/sameid.go
+++ b/review/meshcheck/sameid.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -12,7 +13,10 @@
 	// drainBound is drainMs of the small deployments.
 	drainBound = 2 * time.Second
 	// clockStep is by how much the time of day jumps.
-	clockStep = 2400 * time.Millisecond
+	clockStep       = 2400 * time.Millisecond
+	machinesPerZone = 3
+	// machinePause is the time between two machines.
+	machinePause = 8 * time.Second
 )
 
 func init() { cases["sameid"] = caseSameID }
@@ -22,8 +26,9 @@
 func caseSameID(m *mesh) (v verdict, err error) {
 	work := func() time.Duration { return time.Duration(40+rand.IntN(80)) * time.Millisecond }
 	for _, zone := range zones {
-		m.addMachine("sidecar-"+zone+"-1", zone, "catalogue", 12, work)
-		m.addMachine("sidecar-"+zone+"-2", zone, "catalogue", 12, work)
+		for n := range machinesPerZone {
+			m.addMachine(fmt.Sprintf("sidecar-%s-%d", zone, n+1), zone, "catalogue", 12, work)
+		}
 	}
 	m.publish(7, []string{"catalogue"}, 47, route{"r-reserve", "hire.example", "/reserve/", "catalogue", "non_idempotent", 1000, 250, 1})
 	if err := m.startAll(); err != nil {
@@ -50,28 +55,24 @@
 	}
 	var drains []drain
 	var mu sync.Mutex
-	for i := 0; i < len(m.servers); i += 2 {
-		// The two machines of a zone go through it at the same time.
-		var pair sync.WaitGroup
-		errs := make([]error, 2)
-		for k := range 2 {
-			pair.Go(func() {
-				s, d := m.servers[i+k], m.daemons[i+k]
-				at, ok, err := m.crashAndDrain(s, d)
-				if errs[k] = err; ok {
-					mu.Lock()
-					drains = append(drains, drain{s.drained, d.name, at})
-					mu.Unlock()
-				}
-			})
-		}
-		pair.Wait()
-		for _, err := range errs {
-			if err != nil {
-				return v, err
+	var all sync.WaitGroup
+	errs := make([]error, len(m.servers))
+	for i, s := range m.servers {
+		// One machine after the other has its clock set and its server crash.
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * machinePause)
+			d := m.daemons[i]
+			at, ok, err := m.crashAndDrain(s, d)
+			if errs[i] = err; ok {
+				mu.Lock()
+				drains = append(drains, drain{s.drained, d.name, at})
+				mu.Unlock()
 			}
-		}
-		time.Sleep(4 * time.Second)
+		})
+	}
+	all.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return v, err
 	}
 	end.Store(true)
 	wg.Wait()
@@ -117,7 +118,7 @@
 		return at, false, err
 	}
 	m.note("%s: server %s has crashed and starts again under its id, born %d", d.name, s.name(), s.born.UnixMilli())
-	time.Sleep(7 * time.Second)
+	time.Sleep(4500 * time.Millisecond)
 	s.setState("draining")
 	at, err = s.beat()
 	m.note("%s: server %s reports that it drains: %v", d.name, s.name(), err)
