--- a/review/meshcheck/store.go
+++ b/review/meshcheck/store.go
@@ -18,6 +18,7 @@
 type store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
+	down   bool
 	ln     net.Listener
 }
 
@@ -38,6 +39,13 @@
 
 func (s *store) addr() string { return s.ln.Addr().String() }
 
+// setDown makes the store answer 503, or serve again.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 func (s *store) topic(name string) *topic {
 	t, ok := s.topics[name]
 	if !ok {
@@ -73,6 +81,13 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /kingcuppitch/log-append":
 		s.serveAppend(w, r)
