Log crashes, quarantines and what clears a request of crashes

By the logs one could not tell whether its crashes were missed, reported late, forgiven by a completion or timed out: no line named the requests in flight at a crash, and none told when a quarantine began or ended.

The lines on crashes name the fingerprints, with a bound. New are a line when a quarantine begins or ends, one when a completion clears a request of crashes, and the counters quarantine.begun and quarantine.cleared. A crash report lists each fingerprint once.

--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -39,6 +39,8 @@
 	evidence move.Evidence
 	verdicts map[int64]move.Verdict
 	crashes  *quarantine.Set
+	// quarantined holds the quarantined fingerprints that the timeline tells.
+	quarantined map[uint64]time.Time
 	// appendAfter holds when the end of a move may be appended again.
 	appendAfter map[int64]time.Time
 	// progress holds the timed moves and reportAfter when their states are next
@@ -98,6 +100,7 @@
 		d.decideAfter = now.Add(timedDecidePeriod)
 	}
 	d.crashes.Expire(now)
+	c.noteQuarantine(now)
 	d.pruneProgress(c.state)
 	c.reportMoves(now)
 	d.evidence.Retain(func(id int64) bool { return c.running(id) })
@@ -197,8 +200,9 @@
 
 func (c *core) onCrash(now time.Time, rnd float64, crash quarantine.Crash) {
 	c.decisions.crashes.Merge(crash)
+	c.noteQuarantine(now)
 	c.metrics.Add("control.crashes", 1)
-	c.event(now, timeline.KindUpstream, 0, "upstream beside %s crashed with %d requests in flight", crash.Instance, len(crash.Fingerprints))
+	c.event(now, timeline.KindUpstream, 0, "upstream beside %s crashed with %d requests in flight%s", crash.Instance, len(crash.Fingerprints), listFingerprints(crash.Fingerprints))
 	c.gossipOwn(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{crashToWire(crash)}})
 }
 
@@ -223,7 +227,8 @@
 			continue
 		}
 		d.crashes.Merge(crash)
-		c.event(now, timeline.KindQuarantine, 0, "a peer reported a crash of the upstream beside %s", crash.Instance)
+		c.noteQuarantine(now)
+		c.event(now, timeline.KindQuarantine, 0, "a peer reported a crash of the upstream beside %s%s", crash.Instance, listFingerprints(crash.Fingerprints))
 		c.gossip(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{cr}}, nil)
 	}
 	c.mergeProgress(now, sets.GetMoves())
--- /dev/null
+++ b/process/control/quarantine.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
+)
+
+// maxListedFingerprints bounds the fingerprints of one event. An upstream may crash with
+// many requests in flight.
+const maxListedFingerprints = 8
+
+// listFingerprints returns fingerprints as the end of a sentence for the timeline.
+func listFingerprints(list []uint64) string {
+	if len(list) == 0 {
+		return ""
+	}
+	var text []string
+	for _, fp := range list[:min(len(list), maxListedFingerprints)] {
+		text = append(text, fmt.Sprintf("%016x", fp))
+	}
+	if n := len(list) - maxListedFingerprints; n > 0 {
+		text = append(text, fmt.Sprintf("%d more", n))
+	}
+	return ": " + strings.Join(text, ", ")
+}
+
+// noteQuarantine adds to the timeline which requests are quarantined since the last call,
+// and which no longer are.
+func (c *core) noteQuarantine(now time.Time) {
+	d := &c.decisions
+	blocked := d.crashes.Blocked()
+	var begun, ended []uint64
+	for fp := range blocked {
+		if _, ok := d.quarantined[fp]; !ok {
+			begun = append(begun, fp)
+		}
+	}
+	for fp := range d.quarantined {
+		if _, ok := blocked[fp]; !ok {
+			ended = append(ended, fp)
+		}
+	}
+	if len(begun) > 0 {
+		slices.Sort(begun)
+		c.metrics.Add("quarantine.begun", int64(len(begun)))
+		c.event(now, timeline.KindQuarantine, 0, "quarantine begins%s", listFingerprints(begun))
+	}
+	if len(ended) > 0 {
+		slices.Sort(ended)
+		c.event(now, timeline.KindQuarantine, 0, "quarantine ends%s", listFingerprints(ended))
+	}
+	if len(begun)+len(ended) > 0 {
+		d.quarantined = blocked
+	}
+}
--- a/process/control/recorder.go
+++ b/process/control/recorder.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/request/quarantine"
 	"github.com/kingcuppitch/kingcuppitch/version/move"
@@ -86,7 +88,10 @@
 	}
 	r.mu.Unlock()
 	if s.Completed {
-		snap.crashes.Completed(fp, now)
+		if cleared := snap.crashes.Completed(fp, now); cleared > 0 {
+			r.control.metrics.Add("quarantine.cleared", int64(cleared))
+			r.control.events.Add(now, timeline.KindQuarantine, 0, fmt.Sprintf("request %016x of route %s completed here and is cleared of %d crashes", fp, call.Route, cleared))
+		}
 	}
 	if checkCrash {
 		time.AfterFunc(crashGatherPeriod, r.checkCrash)
@@ -165,6 +170,8 @@
 	for fp := range r.inFlight {
 		fps = append(fps, fp)
 	}
+	slices.Sort(fps)
+	fps = slices.Compact(fps)
 	r.control.send(crashReported{quarantine.Crash{
 		ID: name + "@" + now.UTC().Format(time.RFC3339Nano), Instance: name, At: now, Fingerprints: fps,
 	}})
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -137,15 +137,20 @@
 	p.crashes = append(p.crashes, incident{c.ID, c.At})
 }
 
-// term returns when the quarantine begins and ends. It begins immediately if from
-// is zero, and there is none if until is zero.
-func (p *suspect) term() (from, until time.Time) {
-	var at []time.Time
+// uncleared returns the times of the crashes after the last completion.
+func (p *suspect) uncleared() (at []time.Time) {
 	for _, c := range p.crashes {
 		if c.at.After(p.completed) {
 			at = append(at, c.at)
 		}
 	}
+	return at
+}
+
+// term returns when the quarantine begins and ends. It begins immediately if from
+// is zero, and there is none if until is zero.
+func (p *suspect) term() (from, until time.Time) {
+	at := p.uncleared()
 	if len(at) < 2 {
 		return from, until
 	}
@@ -207,22 +212,25 @@
 }
 
 // Completed records a completion, which clears the fingerprint of the crashes up
-// to the given time.
-func (s *Set) Completed(fingerprint uint64, at time.Time) {
+// to the given time. It returns the number of crashes of which it is cleared now.
+func (s *Set) Completed(fingerprint uint64, at time.Time) (cleared int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.suspects[fingerprint]
 	if p == nil {
 		s.rememberCompletion(fingerprint, at)
-		return
+		return 0
 	}
 	if at.After(p.completed) {
+		cleared = len(p.uncleared())
 		p.completed = at
+		cleared -= len(p.uncleared())
 		_, blocked := s.Until(fingerprint)
 		if blocked || s.pending[fingerprint] {
 			s.publish([]uint64{fingerprint})
 		}
 	}
+	return cleared
 }
 
 // Quarantined reports whether the fingerprint must not run.
@@ -241,6 +249,15 @@
 	return until, ok
 }
 
+// Blocked returns the quarantined fingerprints and the deadlines of their quarantines.
+// The caller must not modify the map.
+func (s *Set) Blocked() map[uint64]time.Time {
+	if m := s.blocked.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
 // Crashes returns the retained crashes, the oldest first. The caller must not
 // modify their fingerprints.
 func (s *Set) Crashes() []Crash {
