Keep a request from servers that it crashes for one caller only

What callers saw: a GET of one path crashed each server of a service that ran it for another service, once a second, and was never refused; requests that must not be repeated were lost with the servers.

Cause: the fingerprint of a request is a hash of method, path and body. It leaves out the caller, so each completion for another caller cleared the request of the crashes before.

Why it works: the fingerprint contains the caller (service and tenant) in 24 of its bits, and the host. A completion clears the request of its own caller. The other bits are equal for all callers: a request that was in flight at two crashes that no single caller explains, and has not completed for any caller since, is refused for all. With the caller alone in the key, a request that crashes servers whoever sends it would take two servers for each service. The wire is unchanged. Return times use the same key, and tell callers of other hosts apart now.

Until all daemons have this release, those of two releases do not recognise each other's fingerprints.

--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -17,12 +17,10 @@
 	"crypto/rand"
 	"fmt"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -246,21 +244,13 @@
 	if !snap.Serving {
 		return config.Route{}, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNotReady, Detail: "this daemon has no current configuration", RetryAt: now.Add(defaultRetryAfter)}
 	}
-	rt, ok := snap.Table.Match(hostName(r.Host), r.Method, r.URL.Path)
+	rt, ok := snap.Table.Match(request.HostName(r.Host), r.Method, r.URL.Path)
 	if !ok {
 		return rt, &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonNoRoute, Status: http.StatusNotFound, Detail: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
 	}
 	return rt, nil
 }
 
-// hostName returns a host without its port, in lower case.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
-
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, rt config.Route, snap *control.Snapshot, now time.Time) (*request.Call, error) {
 	deadline := now.Add(time.Duration(rt.AnswerWithin))
 	if text := r.Header.Get(e.headers.Timeout); text != "" {
@@ -306,7 +296,8 @@
 		if call.Header.Get(n.ID) == "" {
 			call.Header.Set(n.ID, rand.Text())
 		}
-		call.Header.Set(n.CallerService, *e.service.Load())
+		call.Caller = *e.service.Load()
+		call.Header.Set(n.CallerService, call.Caller)
 	}
 	return call, nil
 }
--- a/request/host/host.go
+++ b/request/host/host.go
@@ -228,13 +228,14 @@
 		}
 	}()
 	h.metrics.Add("host.calls", 1)
+	if n := h.headers.CallerService; n != "" && call.Caller == "" {
+		call.Caller = call.Header.Get(n)
+	}
 	snap := h.view.Snapshot()
 	if err = h.check(snap, call); err != nil {
 		return nil, h.countRefusal(err)
 	}
-	if n := h.headers.CallerService; n != "" {
-		h.origins.observe(call.Route, call.Header.Get(n))
-	}
+	h.origins.observe(call.Route, call.Caller)
 	h.startCapacity(call)
 	order := admission.Order{Class: call.Class, Nested: call.Nested, Returning: call.Returning, Tenant: call.Tenant}
 	ticket, err := h.limiter.Acquire(ctx, order, snap.ShedOrder(time.Now()), h.startBy(call, time.Now()))
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -10,6 +10,11 @@
 // earlier crashes, because a request that completes was merely in flight at the
 // same time as the one that crashes the upstream.
 //
+// A fingerprint contains the caller, because a request may crash upstreams for one caller
+// and complete for another. A completion therefore clears only the caller's own request.
+// The same request is quarantined for all callers if it was in flight at two crashes
+// that no single caller explains, and has not completed for any caller since.
+//
 // A frequent request may be in flight at two crashes by chance, and the report of
 // its next completion may still be in transit. Therefore a request that completed
 // within the minute before its first crash is quarantined only 3 seconds after
@@ -43,6 +48,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/request"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 )
 
@@ -64,10 +70,11 @@
 	// expire.
 	MaxAhead = time.Minute
 	// maxRecent bounds each of two generations of completions that are retained
-	// in case a later crash report contains their fingerprint. At 260 calls per
-	// second and daemon they cover more than half a minute, which is how late a
-	// report may arrive without a completed request being quarantined.
-	maxRecent = 8192
+	// in case a later crash report contains their fingerprint, two for each
+	// request. At 260 calls per second and daemon they cover more than half a
+	// minute, which is how late a report may arrive without a completed request
+	// being quarantined.
+	maxRecent = 16384
 )
 
 const (
@@ -103,8 +110,9 @@
 // Set holds merged crash reports. The zero value is ready to use. It is safe for
 // concurrent use, and Quarantined takes no lock.
 type Set struct {
-	mu       sync.Mutex
-	crashes  map[string]Crash
+	mu      sync.Mutex
+	crashes map[string]Crash
+	// suspects holds the fingerprints of the crashes and their requestKeys.
 	suspects map[uint64]*suspect
 	// recent and older hold completions of fingerprints that are not suspects.
 	recent, older map[uint64]time.Time
@@ -115,7 +123,21 @@
 	blocked atomic.Pointer[map[uint64]time.Time]
 }
 
-// suspect is the state of a fingerprint that was in flight at a retained crash.
+// requestKey returns the key of the same request of any caller.
+func requestKey(fingerprint uint64) uint64 { return fingerprint &^ request.CallerBits }
+
+// keys returns the fingerprints of a crash and their requestKeys.
+func (c Crash) keys() []uint64 {
+	list := slices.Clone(c.Fingerprints)
+	for _, fp := range c.Fingerprints {
+		list = append(list, requestKey(fp))
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// suspect is the state of a fingerprint, or of a requestKey, that was in flight at a
+// retained crash.
 type suspect struct {
 	crashes   []incident
 	completed time.Time
@@ -125,40 +147,52 @@
 type incident struct {
 	id string
 	at time.Time
+	// fingerprints lists those of the suspect at the crash, one for each caller.
+	fingerprints []uint64
 }
 
-func (p *suspect) add(c Crash) {
-	for i := range p.crashes {
-		if p.crashes[i].id == c.ID {
-			p.crashes[i].at = c.At
-			return
+// add adds a crash at which the suspect with the given key was in flight.
+func (p *suspect) add(key uint64, c Crash) {
+	in := incident{id: c.ID, at: c.At}
+	for _, fp := range c.Fingerprints {
+		if fp == key || requestKey(fp) == key {
+			in.fingerprints = append(in.fingerprints, fp)
 		}
 	}
-	p.crashes = append(p.crashes, incident{c.ID, c.At})
+	p.crashes = slices.DeleteFunc(p.crashes, func(old incident) bool { return old.id == c.ID })
+	p.crashes = append(p.crashes, in)
 }
 
-// uncleared returns the times of the crashes after the last completion.
-func (p *suspect) uncleared() (at []time.Time) {
-	for _, c := range p.crashes {
-		if c.at.After(p.completed) {
-			at = append(at, c.at)
+// uncleared returns the crashes after the last completion, the earliest first.
+func (p *suspect) uncleared() (list []incident) {
+	for _, in := range p.crashes {
+		if in.at.After(p.completed) {
+			list = append(list, in)
 		}
 	}
-	return at
+	slices.SortFunc(list, func(a, b incident) int { return a.at.Compare(b.at) })
+	return list
+}
+
+// explainedByCaller reports whether the request of one known caller was in flight at all of
+// the crashes.
+func explainedByCaller(list []incident) bool {
+	return slices.ContainsFunc(list[0].fingerprints, func(fp uint64) bool {
+		return fp != requestKey(fp) && !slices.ContainsFunc(list, func(in incident) bool { return !slices.Contains(in.fingerprints, fp) })
+	})
 }
 
-// term returns when the quarantine begins and ends. It begins immediately if from
-// is zero, and there is none if until is zero.
-func (p *suspect) term() (from, until time.Time) {
-	at := p.uncleared()
-	if len(at) < 2 {
+// term returns when the quarantine of the suspect with the given key begins and ends. It
+// begins immediately if from is zero, and there is none if until is zero.
+func (p *suspect) term(key uint64) (from, until time.Time) {
+	list := p.uncleared()
+	if len(list) < 2 || key == requestKey(key) && explainedByCaller(list) {
 		return from, until
 	}
-	slices.SortFunc(at, time.Time.Compare)
-	if at[0].Sub(p.completed) < knownGoodPeriod {
-		from = at[1].Add(knownGoodDelay)
+	if list[0].at.Sub(p.completed) < knownGoodPeriod {
+		from = list[1].at.Add(knownGoodDelay)
 	}
-	return from, at[len(at)-1].Add(quarantineTerms[min(len(at)-2, len(quarantineTerms)-1)])
+	return from, list[len(list)-1].at.Add(quarantineTerms[min(len(list)-2, len(quarantineTerms)-1)])
 }
 
 // Merge adds a crash report. A report of a known crash is joined with the earlier
@@ -183,16 +217,16 @@
 		s.pending = make(map[uint64]bool)
 	}
 	s.crashes[c.ID] = c
-	for _, fp := range c.Fingerprints {
-		p := s.suspects[fp]
+	for _, key := range c.keys() {
+		p := s.suspects[key]
 		if p == nil {
-			p = &suspect{completed: s.lastCompletion(fp)}
-			s.suspects[fp] = p
+			p = &suspect{completed: s.lastCompletion(key)}
+			s.suspects[key] = p
 		}
-		p.add(c)
+		p.add(key, c)
 	}
 	s.enforceLimits()
-	s.publish(c.Fingerprints)
+	s.publish(c.keys())
 }
 
 // joinReports returns the join of two reports of one crash: the earlier time and
@@ -216,21 +250,29 @@
 func (s *Set) Completed(fingerprint uint64, at time.Time) (cleared int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.suspects[fingerprint]
+	cleared = s.complete(fingerprint, at)
+	if key := requestKey(fingerprint); key != fingerprint {
+		s.complete(key, at)
+	}
+	return cleared
+}
+
+// complete records the completion of a fingerprint or a requestKey.
+func (s *Set) complete(key uint64, at time.Time) (cleared int) {
+	p := s.suspects[key]
 	if p == nil {
-		s.rememberCompletion(fingerprint, at)
+		s.rememberCompletion(key, at)
 		return 0
 	}
-	if at.After(p.completed) {
-		cleared = len(p.uncleared())
-		p.completed = at
-		cleared -= len(p.uncleared())
-		_, blocked := s.Until(fingerprint)
-		if blocked || s.pending[fingerprint] {
-			s.publish([]uint64{fingerprint})
-		}
+	if !at.After(p.completed) {
+		return 0
 	}
-	return cleared
+	before := len(p.uncleared())
+	p.completed = at
+	if _, blocked := (*s.blocked.Load())[key]; blocked || s.pending[key] {
+		s.publish([]uint64{key})
+	}
+	return before - len(p.uncleared())
 }
 
 // Quarantined reports whether the fingerprint must not run.
@@ -246,11 +288,15 @@
 		return time.Time{}, false
 	}
 	until, ok = (*m)[fingerprint]
+	if shared, blocked := (*m)[requestKey(fingerprint)]; blocked && shared.After(until) {
+		return shared, true
+	}
 	return until, ok
 }
 
 // Blocked returns the quarantined fingerprints and the deadlines of their quarantines.
-// The caller must not modify the map.
+// One without request.CallerBits is quarantined for all callers. The caller must not modify the
+// map.
 func (s *Set) Blocked() map[uint64]time.Time {
 	if m := s.blocked.Load(); m != nil {
 		return *m
@@ -267,14 +313,22 @@
 }
 
 // Completions returns the completions of fingerprints that were in flight at
-// retained crashes, for exchange with other hosts.
+// retained crashes, for exchange with other hosts. That of a request by a caller that was
+// not in flight has no request.CallerBits.
 func (s *Set) Completions() []Completion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Completion
+	newest := make(map[uint64]time.Time)
 	for fp, p := range s.suspects {
-		if !p.completed.IsZero() {
+		if key := requestKey(fp); fp != key && !p.completed.IsZero() {
 			out = append(out, Completion{fp, p.completed})
+			newest[key] = later(newest[key], p.completed)
+		}
+	}
+	for key, p := range s.suspects {
+		if key == requestKey(key) && p.completed.After(newest[key]) {
+			out = append(out, Completion{key, p.completed})
 		}
 	}
 	slices.SortFunc(out, func(a, b Completion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -313,43 +367,43 @@
 // forget removes a crash and updates its suspects and their quarantine.
 func (s *Set) forget(c Crash) {
 	delete(s.crashes, c.ID)
-	for _, fp := range c.Fingerprints {
-		p := s.suspects[fp]
-		p.crashes = slices.DeleteFunc(p.crashes, func(i incident) bool { return i.id == c.ID })
+	for _, key := range c.keys() {
+		p := s.suspects[key]
+		p.crashes = slices.DeleteFunc(p.crashes, func(in incident) bool { return in.id == c.ID })
 		if len(p.crashes) == 0 {
-			delete(s.suspects, fp)
+			delete(s.suspects, key)
 			if !p.completed.IsZero() {
-				s.rememberCompletion(fp, p.completed)
+				s.rememberCompletion(key, p.completed)
 			}
 		}
 	}
-	s.publish(c.Fingerprints)
+	s.publish(c.keys())
 }
 
 func compareCrashes(a, b Crash) int {
 	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID))
 }
 
-// publish recomputes the quarantine of the given fingerprints, and removes all
-// fingerprints whose deadline has passed.
-func (s *Set) publish(fingerprints []uint64) {
+// publish recomputes the quarantine of the given keys, and removes all whose deadline has
+// passed.
+func (s *Set) publish(keys []uint64) {
 	next := make(map[uint64]time.Time)
 	if m := s.blocked.Load(); m != nil {
 		maps.Copy(next, *m)
 	}
-	for _, fp := range fingerprints {
-		delete(next, fp)
-		delete(s.pending, fp)
-		p := s.suspects[fp]
+	for _, key := range keys {
+		delete(next, key)
+		delete(s.pending, key)
+		p := s.suspects[key]
 		if p == nil {
 			continue
 		}
-		switch from, until := p.term(); {
+		switch from, until := p.term(key); {
 		case until.IsZero():
 		case s.now.Before(from):
-			s.pending[fp] = true
+			s.pending[key] = true
 		default:
-			next[fp] = until
+			next[key] = until
 		}
 	}
 	maps.DeleteFunc(next, func(_ uint64, until time.Time) bool { return !s.now.Before(until) })
@@ -358,20 +412,21 @@
 
 // rememberCompletion retains a completion in case a late crash report contains
 // its fingerprint.
-func (s *Set) rememberCompletion(fp uint64, at time.Time) {
-	if !at.After(s.lastCompletion(fp)) {
+func (s *Set) rememberCompletion(key uint64, at time.Time) {
+	if !at.After(s.lastCompletion(key)) {
 		return
 	}
 	if len(s.recent) >= maxRecent || s.recent == nil {
 		s.older, s.recent = s.recent, make(map[uint64]time.Time)
 	}
-	s.recent[fp] = at
+	s.recent[key] = at
 }
 
-func (s *Set) lastCompletion(fp uint64) time.Time {
-	at := s.recent[fp]
-	if o := s.older[fp]; o.After(at) {
-		return o
+func (s *Set) lastCompletion(key uint64) time.Time { return later(s.recent[key], s.older[key]) }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return at
+	return a
 }
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kingcuppitch/kingcuppitch/internal/trace"
+	"github.com/kingcuppitch/kingcuppitch/request"
 	"pgregory.net/rapid"
 )
 
@@ -289,6 +290,9 @@
 // TestOrder guards against a result that depends on the order of reports, on
 // duplicates, or on reports that contain only some of the requests in flight.
 func TestOrder(t *testing.T) {
+	// Two requests, one of them of two callers, beside those of unknown callers.
+	const callerA, callerB = 1 << 40, 2 << 40
+	known := []uint64{1, 2, 3, 4, 5, 1 | callerA, 1 | callerB, 2 | callerA}
 	rapid.Check(t, func(t *rapid.T) {
 		var events []event
 		for i := range rapid.IntRange(1, 12).Draw(t, "events") {
@@ -297,9 +301,9 @@
 				// Two reports of the same crash may differ in the time and in the
 				// fingerprints.
 				e.Crash = fmt.Sprint(i / 2)
-				e.Fingerprints = rapid.SliceOfNDistinct(rapid.Uint64Range(1, 5), 1, 4, rapid.ID).Draw(t, "fingerprints")
+				e.Fingerprints = rapid.SliceOfNDistinct(rapid.SampledFrom(known), 1, 4, rapid.ID).Draw(t, "fingerprints")
 			} else {
-				e.Completed = rapid.Uint64Range(1, 5).Draw(t, "completed")
+				e.Completed = rapid.SampledFrom(known).Draw(t, "completed")
 			}
 			events = append(events, e)
 		}
@@ -319,7 +323,7 @@
 		if got, want := b.Completions(), a.Completions(); !reflect.DeepEqual(got, want) {
 			t.Fatalf("got completions %v, want %v", got, want)
 		}
-		for fp := range uint64(6) {
+		for _, fp := range append([]uint64{0, 2 | callerB}, known...) {
 			got, _ := b.Until(fp)
 			if want, _ := a.Until(fp); !got.Equal(want) {
 				t.Fatalf("fingerprint %d: got quarantine until %v, want %v", fp, got, want)
@@ -364,6 +368,57 @@
 	check("after the grace period", poison, turnedBad)
 }
 
+// TestCallers guards against a request that is cleared, or refused, because of what the
+// same request did for another caller.
+func TestCallers(t *testing.T) {
+	fingerprints := make(map[string]uint64)
+	for _, name := range []string{"a", "b", "c", ""} {
+		call := request.Call{Method: "GET", Path: "/slots/17", Caller: name}
+		fingerprints[name] = call.Fingerprint()
+	}
+	// Each step is a crash with the given callers' requests in flight, or a completion.
+	type step struct {
+		crash     []string
+		completed string
+	}
+	crash := func(callers ...string) step { return step{crash: callers} }
+	completed := func(caller string) step { return step{completed: caller} }
+	for _, tt := range []struct {
+		name  string
+		steps []step
+		want  []string
+	}{
+		{"the request of another caller completes", []step{completed("b"), crash("a"), completed("b"), crash("a")}, []string{"a"}},
+		{"it completes after the second crash", []step{crash("a"), crash("a"), completed("b")}, []string{"a"}},
+		{"it completes for the caller itself", []step{crash("a"), completed("a"), crash("a")}, nil},
+		{"another caller's is in flight once", []step{crash("a", "b"), crash("a")}, []string{"a"}},
+		{"it crashes upstreams for each caller", []step{crash("a"), crash("b")}, []string{"", "a", "b", "c"}},
+		{"it crashes them for two callers and completes for a third", []step{crash("a"), crash("b"), completed("c")}, nil},
+		{"callers are not known", []step{crash(""), crash("")}, []string{"", "a", "b", "c"}},
+	} {
+		var s Set
+		now := epoch
+		for i, st := range tt.steps {
+			now = now.Add(time.Second)
+			if st.crash == nil {
+				s.Completed(fingerprints[st.completed], now)
+				continue
+			}
+			c := Crash{ID: fmt.Sprint(i), At: now}
+			for _, name := range st.crash {
+				c.Fingerprints = append(c.Fingerprints, fingerprints[name])
+			}
+			s.Merge(c)
+		}
+		s.Expire(now.Add(knownGoodDelay))
+		for name, fp := range fingerprints {
+			if got, want := s.Quarantined(fp), slices.Contains(tt.want, name); got != want {
+				t.Errorf("%s: request of caller %q: got quarantined %v, want %v", tt.name, name, got, want)
+			}
+		}
+	}
+}
+
 // TestDeadline guards against a quarantine that never ends, against one that a
 // duplicate of an old report renews, and against further crashes that do not
 // extend it.
--- a/request/request.go
+++ b/request/request.go
@@ -18,7 +18,9 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -196,6 +198,9 @@
 	// Tenant is the name of the tenant whose key the caller presented; it may be
 	// empty.
 	Tenant string
+	// Caller is the service beside the daemon at which the call arrived. It is empty
+	// unless upstreams are told of it.
+	Caller string
 	// KnownLimit and KnownCapacity are the learned limit and the capacity of the
 	// instance that the entry tells a daemon that has restarted; zero means nothing.
 	KnownLimit    int
@@ -213,9 +218,16 @@
 	return c.Deadline
 }
 
-// Fingerprint returns a hash of the method, path and body of the call. It is
-// computed on first use and cached, since one call needs it several times and a
-// body may be large; method, path and body must not change afterwards.
+// CallerBits masks the bits of a fingerprint that identify the caller; they are zero if it
+// is not known. The others are equal for the same request of all callers.
+const CallerBits uint64 = (1<<24 - 1) << callerShift
+
+const callerShift = 40
+
+// Fingerprint identifies a call that may come again: by the method, host, path and body,
+// and by the caller, because an upstream may treat the same request of another service or
+// tenant differently. It is computed on first use and cached, since one call needs it
+// several times and a body may be large; none of these may change afterwards.
 func (c *Call) Fingerprint() uint64 {
 	if c.hasFingerprint {
 		return c.fingerprint
@@ -223,12 +235,25 @@
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(c.Method)
-	_, _ = d.WriteString("\n" + c.Path + "\n")
+	_, _ = d.WriteString("\n" + HostName(c.Host) + c.Path + "\n")
 	_, _ = d.Write(c.Body)
-	c.fingerprint, c.hasFingerprint = d.Sum64(), true
+	c.fingerprint, c.hasFingerprint = d.Sum64()&^CallerBits, true
+	if c.Caller != "" || c.Tenant != "" {
+		d.Reset()
+		_, _ = d.WriteString(c.Caller + "\n" + c.Tenant)
+		c.fingerprint |= d.Sum64()&CallerBits | 1<<callerShift
+	}
 	return c.fingerprint
 }
 
+// HostName returns a host without its port, in lower case.
+func HostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // Load is the load of an instance, which its host reports with each answer.
 type Load struct {
 	InFlight int
