Log how old the read of the log is by which a daemon serves

Their lines tell that they serve and from where they caught up, but not by a read of what age, nor when they read the log again; a reader that is late is not seen at all.

The line on serving tells the newest known read. New are a line with the pause after a read that did not make the daemon current, and a line and the counter control.lateReads when a reader that serves has heard of no read for longer than other daemons rely on one.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -660,7 +660,9 @@
 			// The log does not hold what this daemon waits for, or the daemon could
 			// not use it. Without a pause, reads that do not wait would follow each
 			// other at once.
-			if !c.pause(jitter(pause)) {
+			wait := jitter(pause)
+			c.events.Add(time.Now(), timeline.KindLog, c.view.Load().State.Offset, fmt.Sprintf("the daemon is not current after a read of the log; reading it again in %v", wait.Round(time.Millisecond)))
+			if !c.pause(wait) {
 				return
 			}
 			pause = min(2*pause, logRetryMax)
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -841,7 +841,7 @@
 	clear(c.peerOffsets)
 	c.rely(now.Add(c.relyPeriod()))
 	c.dirty = true
-	c.event(now, timeline.KindVersion, c.state.Version, "serving version %d, caught up with %s", c.state.Version, source)
+	c.event(now, timeline.KindVersion, c.state.Version, "serving version %d, caught up with %s%s", c.state.Version, source, c.lastHeard(now))
 }
 
 // onFetch returns the records from an offset, or the state if the records are no
--- a/process/control/logend.go
+++ b/process/control/logend.go
@@ -83,6 +83,10 @@
 // noteRead notes that a read of this daemon found the end of the log.
 func (c *core) noteRead(at time.Time, offset int64) {
 	self := c.table.Self()
+	if gap := at.Sub(c.logEnds.newest.at); c.serving && c.isReader() && !c.logEnds.newest.at.IsZero() && gap > c.relyPeriod() {
+		c.metrics.Add("control.lateReads", 1)
+		c.event(at, timeline.KindLog, c.state.Offset, "this reader heard of no read of the log for %v", gap.Round(time.Millisecond))
+	}
 	c.logEnds.reads++
 	c.logEnds.newest = logEnd{offset: offset, at: at, reader: self.Name, read: readID{self.Incarnation, c.logEnds.reads}}
 	if c.isReader() {
