End the pauses of an outage of the store with the outage

Cause: failed reads of the log raise a pause to 2 s. The daemon begins to serve some milliseconds after the first read that succeeds, when it has the reports of moves. The loop that reads the log saw a daemon that did not serve yet, and waited for that pause, up to 3 s, before it read on.

Two more paths have the same cause: the loop that enters the directory waited up to 6 s after the return, so that no peer knew the daemon; and a daemon could serve by a read of any age when the reports came late, and relied on peers from its start and not from the read.

Why it works: the pause after a read that did not make the daemon current is apart from that of failures, is bounded by the wait of a read, and ends when the daemon begins to serve. The first call that succeeds, of the log or the directory, wakes the other loop. A daemon serves by a recent read only, and relies on peers from that read on.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -242,6 +242,9 @@
 	cancel          context.CancelFunc
 	wg              sync.WaitGroup
 	viewChanged     notifier
+	// storeAnswers wakes the loops that wait after a failed call to the log or the
+	// directory, which may be one store, when a call of another loop succeeds again.
+	storeAnswers notifier
 	// viewPublishedAt is when the actor published the last view. viewTimerSet is
 	// set while a timer for the next one runs.
 	viewPublishedAt time.Time
@@ -553,21 +556,23 @@
 // directoryLoop enters the daemon in the directory and contacts the daemons listed
 // there until a member is known.
 func (c *control) directoryLoop() {
-	entered := false
+	entered, failed := false, false
 	pause := directoryRetryMin
 	var listedOnce sync.Once
 	for {
+		answers := c.storeAnswers.wait()
 		ctx, cancel := context.WithTimeout(c.ctx, directoryTimeout)
+		var err error
 		if !entered {
-			err := c.directory.Enter(ctx, c.self)
+			err = c.directory.Enter(ctx, c.self)
 			entered = err == nil
 			if err != nil {
 				c.logPlatformFailure("enter the directory", err)
 			}
 		}
 		if entered && len(c.view.Load().Members) <= 1 {
-			list, err := c.directory.List(ctx)
-			if err != nil {
+			var list []membership.Member
+			if list, err = c.directory.List(ctx); err != nil {
 				c.logPlatformFailure("list the directory", err)
 			}
 			var wg sync.WaitGroup
@@ -581,7 +586,12 @@
 			listedOnce.Do(func() { close(c.directoryListed) })
 		}
 		cancel()
-		if !c.pause(jitter(pause)) {
+		if err == nil && failed {
+			pause = directoryRetryMin
+			c.storeAnswers.notify()
+		}
+		failed = err != nil
+		if !c.pauseOr(jitter(pause), answers) {
 			return
 		}
 		if entered && len(c.view.Load().Members) > 1 {
@@ -625,7 +635,10 @@
 // tailLoop reads the log continuously while this daemon is a reader, and once
 // whenever the core requests it.
 func (c *control) tailLoop() {
-	pause := logRetryMin
+	// retry is the pause after a failed read, and recheck that after a read which did not
+	// make the daemon current. A pause that has grown in an outage ends with it: the
+	// daemon may begin to serve while it waits, and must not miss the next change.
+	retry, recheck := logRetryMin, logRetryMin
 	following := false
 	for c.ctx.Err() == nil {
 		if !c.readsLog() {
@@ -643,32 +656,35 @@
 				continue
 			}
 		}
+		answers := c.storeAnswers.wait()
 		// The first read does not wait for a record: the peers hear of it at once, and
 		// those that miss the reader before need not read the log themselves.
 		current, err := c.readOnce(following)
 		if err != nil {
 			following = false
 			c.send(logFailed{err: err})
-			if !c.pause(jitter(pause)) {
+			if !c.pauseOr(jitter(retry), answers) {
 				return
 			}
-			pause = min(2*pause, logRetryMax)
+			retry = min(2*retry, logRetryMax)
 			continue
 		}
+		if retry > logRetryMin {
+			retry = logRetryMin
+			c.storeAnswers.notify()
+		}
 		following = c.readsLog()
 		if following && (!current || !c.view.Load().Serving) {
 			// The log does not hold what this daemon waits for, or the daemon could
 			// not use it. Without a pause, reads that do not wait would follow each
 			// other at once.
-			wait := jitter(pause)
-			c.events.Add(time.Now(), timeline.KindLog, c.view.Load().State.Offset, fmt.Sprintf("the daemon is not current after a read of the log; reading it again in %v", wait.Round(time.Millisecond)))
-			if !c.pause(wait) {
+			if !c.pauseUntilServing(jitter(recheck)) {
 				return
 			}
-			pause = min(2*pause, logRetryMax)
+			recheck = min(2*recheck, pollPeriod(c.applyWithin))
 			continue
 		}
-		pause = logRetryMin
+		recheck = logRetryMin
 	}
 }
 
@@ -748,6 +764,35 @@
 	}
 }
 
+// pauseOr waits for d or until the channel is closed, and reports false if the daemon stops
+// in the meantime.
+func (c *control) pauseOr(d time.Duration, end <-chan struct{}) bool {
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-end:
+	case <-time.After(d):
+	}
+	return true
+}
+
+// pauseUntilServing waits for d, or until the daemon begins to serve, and reports false if
+// the daemon stops in the meantime.
+func (c *control) pauseUntilServing(d time.Duration) bool {
+	began := c.view.Load().Serving
+	c.events.Add(time.Now(), timeline.KindLog, c.view.Load().State.Offset, fmt.Sprintf("the daemon is not current after a read of the log; reading it again within %v", d.Round(time.Millisecond)))
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		changed := c.viewChanged.wait()
+		if !began && c.view.Load().Serving {
+			break
+		}
+		if !c.pauseOr(time.Until(end), changed) {
+			return false
+		}
+	}
+	return true
+}
+
 func jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
--- a/process/control/core.go
+++ b/process/control/core.go
@@ -214,8 +214,10 @@
 	// before it may be older than the pause, so they don't make the daemon serve
 	// again.
 	pausedUntil time.Time
-	// caughtUp says that the last read reached the end of the log.
+	// caughtUp says that the last read reached the end of the log, and caughtUpAt when
+	// the newest such read was made.
 	caughtUp     bool
+	caughtUpAt   time.Time
 	logReachable bool
 	// logFirst is the oldest offset that the log retains and logNext the next one
 	// to be appended.
@@ -453,7 +455,8 @@
 		}
 		c.caughtUp = c.state.Offset >= ev.next-1
 		if c.caughtUp {
-			c.noteRead(latest(ev.asked, ev.endAt), ev.next-1)
+			c.caughtUpAt = latest(ev.asked, ev.endAt)
+			c.noteRead(c.caughtUpAt, ev.next-1)
 		}
 	}
 	switch {
@@ -487,7 +490,9 @@
 		// There is no configuration yet. One without routes is one, too.
 		return
 	}
-	c.startServing(now, "the log")
+	// Peers may not know this daemon yet and tell it nothing, so it relies on them for
+	// the usual time after the read and not after the start.
+	c.startServing(now, c.caughtUpAt, "the log")
 }
 
 // stub returns a snapshot record without its state, to be forwarded to peers. With
@@ -818,7 +823,7 @@
 			return
 		}
 	}
-	c.startServing(now, "peers of "+strconv.Itoa(len(c.peerOffsets))+" availability zones")
+	c.startServing(now, now, "peers of "+strconv.Itoa(len(c.peerOffsets))+" availability zones")
 }
 
 // askZones exchanges with a peer of each zone that has not reported its offset, if the
@@ -836,10 +841,12 @@
 	}
 }
 
-func (c *core) startServing(now time.Time, source string) {
+// startServing begins to serve the state, which was current at the given time according to
+// source.
+func (c *core) startServing(now, current time.Time, source string) {
 	c.serving = true
 	clear(c.peerOffsets)
-	c.rely(now.Add(c.relyPeriod()))
+	c.rely(current.Add(c.relyPeriod()))
 	c.dirty = true
 	c.event(now, timeline.KindVersion, c.state.Version, "serving version %d, caught up with %s%s", c.state.Version, source, c.lastHeard(now))
 }
--- a/process/control/moves.go
+++ b/process/control/moves.go
@@ -152,6 +152,10 @@
 	for _, r := range ev.reports {
 		c.onReport(now, r)
 	}
+	if now.Sub(c.caughtUpAt) > c.relyPeriod() {
+		// The log may hold changes by now that have to be in force. The next read serves.
+		c.caughtUp = false
+	}
 	c.serveIfCurrent(now)
 }
 
