--- a/process/control/control.go
+++ b/process/control/control.go
@@ -779,11 +779,11 @@
 // pauseUntilServing waits for d, or until the daemon begins to serve, and reports false if
 // the daemon stops in the meantime.
 func (c *control) pauseUntilServing(d time.Duration) bool {
-	began := c.view.Load().Serving
+	served := c.view.Load().Serving
 	c.events.Add(time.Now(), timeline.KindLog, c.view.Load().State.Offset, fmt.Sprintf("the daemon is not current after a read of the log; reading it again within %v", d.Round(time.Millisecond)))
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		changed := c.viewChanged.wait()
-		if !began && c.view.Load().Serving {
+		if !served && c.view.Load().Serving {
 			break
 		}
 		if !c.pauseOr(time.Until(end), changed) {
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -126,12 +126,19 @@
 // requestKey returns the key of the same request of any caller.
 func requestKey(fingerprint uint64) uint64 { return fingerprint &^ request.CallerBits }
 
-// keys returns the fingerprints of a crash and their requestKeys.
-func (c Crash) keys() []uint64 {
-	list := slices.Clone(c.Fingerprints)
+// callers returns the fingerprints of a crash by requestKey. Each lists the callers whose
+// request was in flight.
+func (c Crash) callers() map[uint64][]uint64 {
+	m := make(map[uint64][]uint64)
 	for _, fp := range c.Fingerprints {
-		list = append(list, requestKey(fp))
+		m[requestKey(fp)] = append(m[requestKey(fp)], fp)
 	}
+	return m
+}
+
+// keys returns the fingerprints of a crash and their requestKeys.
+func (c Crash) keys() []uint64 {
+	list := slices.AppendSeq(slices.Clone(c.Fingerprints), maps.Keys(c.callers()))
 	slices.Sort(list)
 	return slices.Compact(list)
 }
@@ -147,19 +154,14 @@
 type incident struct {
 	id string
 	at time.Time
-	// fingerprints lists those of the suspect at the crash, one for each caller.
+	// fingerprints lists those of the callers whose request was in flight. It is set for
+	// requestKeys only.
 	fingerprints []uint64
 }
 
-// add adds a crash at which the suspect with the given key was in flight.
-func (p *suspect) add(key uint64, c Crash) {
-	in := incident{id: c.ID, at: c.At}
-	for _, fp := range c.Fingerprints {
-		if fp == key || requestKey(fp) == key {
-			in.fingerprints = append(in.fingerprints, fp)
-		}
-	}
-	p.crashes = slices.DeleteFunc(p.crashes, func(old incident) bool { return old.id == c.ID })
+// add adds a crash, or replaces what is known of it.
+func (p *suspect) add(in incident) {
+	p.crashes = slices.DeleteFunc(p.crashes, func(old incident) bool { return old.id == in.id })
 	p.crashes = append(p.crashes, in)
 }
 
@@ -217,16 +219,17 @@
 		s.pending = make(map[uint64]bool)
 	}
 	s.crashes[c.ID] = c
-	for _, key := range c.keys() {
+	callers, keys := c.callers(), c.keys()
+	for _, key := range keys {
 		p := s.suspects[key]
 		if p == nil {
 			p = &suspect{completed: s.lastCompletion(key)}
 			s.suspects[key] = p
 		}
-		p.add(key, c)
+		p.add(incident{c.ID, c.At, callers[key]})
 	}
 	s.enforceLimits()
-	s.publish(c.keys())
+	s.publish(keys)
 }
 
 // joinReports returns the join of two reports of one crash: the earlier time and
@@ -367,7 +370,8 @@
 // forget removes a crash and updates its suspects and their quarantine.
 func (s *Set) forget(c Crash) {
 	delete(s.crashes, c.ID)
-	for _, key := range c.keys() {
+	keys := c.keys()
+	for _, key := range keys {
 		p := s.suspects[key]
 		p.crashes = slices.DeleteFunc(p.crashes, func(in incident) bool { return in.id == c.ID })
 		if len(p.crashes) == 0 {
@@ -377,7 +381,7 @@
 			}
 		}
 	}
-	s.publish(c.keys())
+	s.publish(keys)
 }
 
 func compareCrashes(a, b Crash) int {
