--- a/request/host/host.go
+++ b/request/host/host.go
@@ -361,7 +361,7 @@
 	case snap.Quarantined(call.Fingerprint()):
 		return &request.Refusal{
 			Outcome: request.NotRun, Reason: request.ReasonQuarantined, Status: http.StatusUnprocessableEntity,
-			Detail: "the request was in flight when upstream instances crashed",
+			Detail: fmt.Sprintf("request %016x was in flight when upstream instances crashed", call.Fingerprint()),
 		}
 	}
 	return nil
