soak: a late answer does not name a rate limit again after its end

The check was wrong. It forgets a limit when the server's behaviour is set back. An answer that the server had written before reached a caller after that, and the check took its limit as in force for the rest of the run.

--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -169,12 +169,24 @@
 	entry := &node{name: "d-1"}
 	ch.recordStatement(entry, limited, longAgo)
 	ch.limitEnded("i-1")
-	for range 18 {
-		ch.checkStatement(&attempt{entry: entry}, standin.Run{Server: &standin.Server{ID: "i-1"}, At: time.Now()})
+	runs := func() {
+		for range 18 {
+			ch.checkStatement(&attempt{entry: entry}, standin.Run{Server: &standin.Server{ID: "i-1"}, At: time.Now()})
+		}
 	}
+	runs()
+	// An answer from before the end arrives late.
+	ch.recordStatement(entry, limited, longAgo)
+	runs()
 	if len(ch.violations) > 0 {
 		t.Errorf("limit ended: got violations %v, want none", ch.violations)
 	}
+	ch.limitBegins("i-1")
+	ch.recordStatement(entry, limited, longAgo)
+	runs()
+	if len(ch.violations) != 1 {
+		t.Errorf("limit named again: got violations %v, want one", ch.violations)
+	}
 }
 
 // fakeProcess is a placeholder for a running daemon.
