--- a/process/control/control.go
+++ b/process/control/control.go
@@ -678,7 +678,9 @@
 			// The log does not hold what this daemon waits for, or the daemon could
 			// not use it. Without a pause, reads that do not wait would follow each
 			// other at once.
-			if !c.pauseUntilServing(jitter(recheck)) {
+			wait := jitter(recheck)
+			c.events.Add(time.Now(), timeline.KindLog, c.view.Load().State.Offset, fmt.Sprintf("the daemon is not current after a read of the log; reading it again within %v", wait.Round(time.Millisecond)))
+			if !c.pauseUntilServing(wait) {
 				return
 			}
 			recheck = min(2*recheck, pollPeriod(c.applyWithin))
@@ -755,14 +757,7 @@
 }
 
 // pause waits for d and reports false if the daemon stops in the meantime.
-func (c *control) pause(d time.Duration) bool {
-	select {
-	case <-c.ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
+func (c *control) pause(d time.Duration) bool { return c.pauseOr(d, nil) }
 
 // pauseOr waits for d or until the channel is closed, and reports false if the daemon stops
 // in the meantime.
@@ -780,7 +775,6 @@
 // the daemon stops in the meantime.
 func (c *control) pauseUntilServing(d time.Duration) bool {
 	served := c.view.Load().Serving
-	c.events.Add(time.Now(), timeline.KindLog, c.view.Load().State.Offset, fmt.Sprintf("the daemon is not current after a read of the log; reading it again within %v", d.Round(time.Millisecond)))
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		changed := c.viewChanged.wait()
 		if !served && c.view.Load().Serving {
--- a/process/control/decisions.go
+++ b/process/control/decisions.go
@@ -200,9 +200,9 @@
 
 func (c *core) onCrash(now time.Time, rnd float64, crash quarantine.Crash) {
 	c.decisions.crashes.Merge(crash)
-	c.noteQuarantine(now)
 	c.metrics.Add("control.crashes", 1)
 	c.event(now, timeline.KindUpstream, 0, "upstream beside %s crashed with %d requests in flight%s", crash.Instance, len(crash.Fingerprints), listFingerprints(crash.Fingerprints))
+	c.noteQuarantine(now)
 	c.gossipOwn(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{crashToWire(crash)}})
 }
 
@@ -227,8 +227,8 @@
 			continue
 		}
 		d.crashes.Merge(crash)
-		c.noteQuarantine(now)
 		c.event(now, timeline.KindQuarantine, 0, "a peer reported a crash of the upstream beside %s%s", crash.Instance, listFingerprints(crash.Fingerprints))
+		c.noteQuarantine(now)
 		c.gossip(rnd, &wirev1.ExchangeRequest{Crashes: []*wirev1.Crash{cr}}, nil)
 	}
 	c.mergeProgress(now, sets.GetMoves())
--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -332,7 +332,12 @@
 			delete(newest, rec.Zone.Name)
 		}
 	}
-	state, err := fold.FromNewest(slices.Collect(maps.Values(newest)), end).Encode()
+	return listingOf(slices.Collect(maps.Values(newest)), end)
+}
+
+// listingOf returns the newest state of a compacted log that ends at the given offset.
+func listingOf(kept []fold.RetainedRecord, end int64) log.Entry {
+	state, err := fold.FromNewest(kept, end).Encode()
 	if err != nil {
 		panic(err)
 	}
@@ -343,6 +348,18 @@
 	return log.Entry{Offset: end, Data: data}
 }
 
+// retained returns the records that a compacted log keeps.
+func retained(entries ...log.Entry) (kept []fold.RetainedRecord) {
+	for _, e := range entries {
+		rec, err := record.Decode(e.Data)
+		if err != nil {
+			panic(err)
+		}
+		kept = append(kept, fold.RetainedRecord{Offset: e.Offset, Record: rec})
+	}
+	return kept
+}
+
 // deliver hands an event to a daemon once its CPU is free and has spent the given
 // time on it.
 func (f *fleet) deliver(name string, ev any, cost time.Duration, then func(reply any)) {
--- a/process/control/moves_test.go
+++ b/process/control/moves_test.go
@@ -100,19 +100,7 @@
 // TestStartReadsReports guards against a daemon that starts after the end of a move
 // and sends requests to the version that was taken back.
 func TestStartReadsReports(t *testing.T) {
-	var kept []fold.RetainedRecord
-	for _, e := range timedRecords(t) {
-		rec, err := record.Decode(e.Data)
-		if err != nil {
-			t.Fatal(err)
-		}
-		kept = append(kept, fold.RetainedRecord{Offset: e.Offset, Record: rec})
-	}
-	state, err := fold.FromNewest(kept, 2).Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	snapshot := entryOf(t, 2, record.Record{ID: "newest", Kind: record.KindSnapshot, Snapshot: &record.Snapshot{UpTo: 2, State: state}})
+	snapshot := listingOf(retained(timedRecords(t)...), 2)
 	c := platformCore("d1", "a")
 	_, actions := c.handle(recordsArrived{entries: []log.Entry{snapshot}, first: 1, next: 3, asked: epoch}, epoch, 0)
 	if c.serving || len(find[readReports](actions)) != 1 {
--- a/process/control/outage_test.go
+++ b/process/control/outage_test.go
@@ -9,29 +9,9 @@
 
 	"github.com/kingcuppitch/kingcuppitch/connection/log"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
-	"github.com/kingcuppitch/kingcuppitch/version/fold"
 	"github.com/kingcuppitch/kingcuppitch/version/record"
 )
 
-// listingOf returns the newest state of a log that holds the given records.
-func listingOf(t *testing.T, entries ...log.Entry) log.Entry {
-	t.Helper()
-	var kept []fold.RetainedRecord
-	for _, e := range entries {
-		rec, err := record.Decode(e.Data)
-		if err != nil {
-			t.Fatal(err)
-		}
-		kept = append(kept, fold.RetainedRecord{Offset: e.Offset, Record: rec})
-	}
-	end := entries[len(entries)-1].Offset
-	state, err := fold.FromNewest(kept, end).Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return entryOf(t, end, record.Record{ID: "newest", Kind: record.KindSnapshot, Snapshot: &record.Snapshot{UpTo: end, State: state}})
-}
-
 // failingStore is a log, a directory and a store of reports that can be down.
 type failingStore struct {
 	log.Log
@@ -125,7 +105,7 @@
 	t.Parallel()
 	const outage, daemons = 6 * time.Second, 16
 	first := timedRecords(t)[0]
-	listing := listingOf(t, first)
+	listing := listingOf(retained(first), first.Offset)
 	change := entryOf(t, 2, record.Record{ID: "c2", Kind: record.KindReplace, Replace: announcedConfig()})
 	var wg sync.WaitGroup
 	for range daemons {
@@ -165,7 +145,7 @@
 // TestReportsAfterOldRead guards against a daemon that serves an old configuration because
 // the reports of moves arrive long after its last read of the log.
 func TestReportsAfterOldRead(t *testing.T) {
-	listing := listingOf(t, timedRecords(t)...)
+	listing := listingOf(retained(timedRecords(t)...), 2)
 	c := platformCore("d1", "a")
 	c.handle(recordsArrived{entries: []log.Entry{listing}, first: 1, next: 3, asked: epoch}, epoch, 0)
 	now := epoch.Add(compactedApplyWithin)
--- a/process/control/quarantine.go
+++ b/process/control/quarantine.go
@@ -33,27 +33,23 @@
 func (c *core) noteQuarantine(now time.Time) {
 	d := &c.decisions
 	blocked := d.crashes.Blocked()
-	var begun, ended []uint64
-	for fp := range blocked {
-		if _, ok := d.quarantined[fp]; !ok {
-			begun = append(begun, fp)
-		}
-	}
-	for fp := range d.quarantined {
-		if _, ok := blocked[fp]; !ok {
-			ended = append(ended, fp)
-		}
-	}
-	if len(begun) > 0 {
-		slices.Sort(begun)
+	if begun := keysWithout(blocked, d.quarantined); len(begun) > 0 {
 		c.metrics.Add("quarantine.begun", int64(len(begun)))
 		c.event(now, timeline.KindQuarantine, 0, "quarantine begins%s", listFingerprints(begun))
 	}
-	if len(ended) > 0 {
-		slices.Sort(ended)
+	if ended := keysWithout(d.quarantined, blocked); len(ended) > 0 {
 		c.event(now, timeline.KindQuarantine, 0, "quarantine ends%s", listFingerprints(ended))
 	}
-	if len(begun)+len(ended) > 0 {
-		d.quarantined = blocked
+	d.quarantined = blocked
+}
+
+// keysWithout returns the keys of a that b lacks, sorted.
+func keysWithout(a, b map[uint64]time.Time) (list []uint64) {
+	for fp := range a {
+		if _, ok := b[fp]; !ok {
+			list = append(list, fp)
+		}
 	}
+	slices.Sort(list)
+	return list
 }
--- a/process/control/versions_test.go
+++ b/process/control/versions_test.go
@@ -98,22 +98,11 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			kept := []fold.RetainedRecord{{Offset: 1, Record: record.Record{ID: "c", Kind: record.KindReplace, Replace: announcedConfig()}}}
-			for _, e := range tt.orders {
-				rec, err := record.Decode(e.Data)
-				if err != nil {
-					t.Fatal(err)
-				}
-				kept = append(kept, fold.RetainedRecord{Offset: e.Offset, Record: rec})
-			}
-			state, err := fold.FromNewest(kept, 4).Encode()
-			if err != nil {
-				t.Fatal(err)
-			}
 			c := platformCore("d1", "a")
 			next := testMember("d2", "a")
 			next.Version = "v2"
 			c.table.Merge(epoch, []membership.Member{next})
-			listing := entryOf(t, 4, record.Record{ID: "newest", Kind: record.KindSnapshot, Snapshot: &record.Snapshot{UpTo: 4, State: state}})
+			listing := listingOf(append(kept, retained(tt.orders...)...), 4)
 			actions := readLogTo(c, epoch, listing)
 			if c.serving || len(find[readReports](actions)) != 1 {
 				t.Fatalf("got serving %t and actions %v, want a read of the reports first", c.serving, actions)
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -126,23 +126,20 @@
 // requestKey returns the key of the same request of any caller.
 func requestKey(fingerprint uint64) uint64 { return fingerprint &^ request.CallerBits }
 
-// callers returns the fingerprints of a crash by requestKey: one for each caller whose
-// request was in flight.
-func (c Crash) callers() map[uint64][]uint64 {
+// keys returns the fingerprints of a crash and their requestKeys. Those of a requestKey are
+// its fingerprints: one for each caller whose request was in flight.
+func (c Crash) keys() map[uint64][]uint64 {
 	m := make(map[uint64][]uint64)
 	for _, fp := range c.Fingerprints {
-		m[requestKey(fp)] = append(m[requestKey(fp)], fp)
+		key := requestKey(fp)
+		m[key] = append(m[key], fp)
+		if fp != key {
+			m[fp] = nil
+		}
 	}
 	return m
 }
 
-// keys returns the fingerprints of a crash and their requestKeys.
-func (c Crash) keys() []uint64 {
-	list := slices.AppendSeq(slices.Clone(c.Fingerprints), maps.Keys(c.callers()))
-	slices.Sort(list)
-	return slices.Compact(list)
-}
-
 // suspect is the state of a fingerprint, or of a requestKey, that was in flight at a
 // retained crash.
 type suspect struct {
@@ -219,17 +216,17 @@
 		s.pending = make(map[uint64]bool)
 	}
 	s.crashes[c.ID] = c
-	callers, keys := c.callers(), c.keys()
-	for _, key := range keys {
+	keys := c.keys()
+	for key, fingerprints := range keys {
 		p := s.suspects[key]
 		if p == nil {
 			p = &suspect{completed: s.lastCompletion(key)}
 			s.suspects[key] = p
 		}
-		p.add(incident{c.ID, c.At, callers[key]})
+		p.add(incident{c.ID, c.At, fingerprints})
 	}
 	s.enforceLimits()
-	s.publish(keys)
+	s.publish(slices.Collect(maps.Keys(keys))...)
 }
 
 // joinReports returns the join of two reports of one crash: the earlier time and
@@ -270,12 +267,16 @@
 	if !at.After(p.completed) {
 		return 0
 	}
-	before := len(p.uncleared())
+	for _, in := range p.crashes {
+		if in.at.After(p.completed) && !in.at.After(at) {
+			cleared++
+		}
+	}
 	p.completed = at
 	if _, blocked := (*s.blocked.Load())[key]; blocked || s.pending[key] {
-		s.publish([]uint64{key})
+		s.publish(key)
 	}
-	return before - len(p.uncleared())
+	return cleared
 }
 
 // Quarantined reports whether the fingerprint must not run.
@@ -350,7 +351,7 @@
 			s.forget(c)
 		}
 	}
-	s.publish(slices.Collect(maps.Keys(s.pending)))
+	s.publish(slices.Collect(maps.Keys(s.pending))...)
 }
 
 // enforceLimits removes the oldest crashes beyond the limits.
@@ -370,7 +371,7 @@
 func (s *Set) forget(c Crash) {
 	delete(s.crashes, c.ID)
 	keys := c.keys()
-	for _, key := range keys {
+	for key := range keys {
 		p := s.suspects[key]
 		p.crashes = slices.DeleteFunc(p.crashes, func(in incident) bool { return in.id == c.ID })
 		if len(p.crashes) == 0 {
@@ -380,7 +381,7 @@
 			}
 		}
 	}
-	s.publish(keys)
+	s.publish(slices.Collect(maps.Keys(keys))...)
 }
 
 func compareCrashes(a, b Crash) int {
@@ -389,7 +390,7 @@
 
 // publish recomputes the quarantine of the given keys, and removes all whose deadline has
 // passed.
-func (s *Set) publish(keys []uint64) {
+func (s *Set) publish(keys ...uint64) {
 	next := make(map[uint64]time.Time)
 	if m := s.blocked.Load(); m != nil {
 		maps.Copy(next, *m)
