Do not take an answer for whole whose connection was reset during the upload

Callers saw the first part of an answer as a complete 200: the upstream answered a long upload at once, without a length, and reset the connection while the upload was still being written to it.

Cause: the end of the connection is that of such a body. The system reports a reset to one call only. The request is written beside the reading of the response, so the write got ECONNRESET, its result was not looked at, and the read returned the end of the stream. The same holds if the upstream closes the connection before it has received all: the end of the stream comes first, the reset answers the next bytes.

Fix: connections to instances report a reset to the read, from the state of the connection, whichever call the system told. A body that ends with its connection is complete only once the request is written and the instance has acknowledged all of it; a failed write or a reset before that makes the answer truncated (502 unknown, or an abort if its first part is already on its way). Only answers whose end is that of the connection are affected.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -4,9 +4,11 @@
 // Each exchange uses a connection exclusively. The result says whether a byte of the
 // request may have reached the instance, which decides whether the request counts as
 // not run. A response is accepted only if it carries the id of the request; a
-// response to an earlier, abandoned request is skipped. A connection is reused only
-// after a complete response with no further bytes after it. The bytes read from an
-// instance are bounded, because a faulty instance may write without end.
+// response to an earlier, abandoned request is skipped. A response whose end is that of
+// its connection is complete only if the instance has received the whole request and the
+// connection was not reset. A connection is reused only after a complete response with no
+// further bytes after it. The bytes read from an instance are bounded, because a faulty
+// instance may write without end.
 //
 // # Usage
 //
@@ -39,6 +41,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/kingcuppitch/kingcuppitch/internal/tcp"
 )
 
 const (
@@ -135,7 +138,7 @@
 
 // conn is one connection. It is owned by one exchange or is in the idle list.
 type conn struct {
-	net.Conn
+	tcp.Conn
 	// lr bounds the bytes that br reads.
 	lr   *io.LimitedReader
 	br   *bufio.Reader
@@ -167,8 +170,9 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	lr := &io.LimitedReader{R: nc, N: math.MaxInt64}
-	return &conn{Conn: nc, lr: lr, br: bufio.NewReaderSize(lr, bufferSize)}
+	tc := tcp.Conn{Conn: nc}
+	lr := &io.LimitedReader{R: tc, N: math.MaxInt64}
+	return &conn{Conn: tc, lr: lr, br: bufio.NewReaderSize(lr, bufferSize)}
 }
 
 // Do sends a request and reads the header of its response. When ctx is done, the
@@ -358,13 +362,9 @@
 	if c.used.Before(usedSince) || !c.idleUntil.IsZero() && now.After(c.idleUntil) {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return errors.Is(err, errors.ErrUnsupported)
 	}
 	noData := false
 	err = raw.Read(func(fd uintptr) bool {
@@ -403,7 +403,10 @@
 		stop()
 		return res, err
 	}
-	hres.Body = &responseBody{ReadCloser: hres.Body, pool: p, conn: c, remaining: p.limits.Body, stop: stop, written: written, reusable: !hres.Close}
+	hres.Body = &responseBody{
+		ReadCloser: hres.Body, pool: p, conn: c, remaining: p.limits.Body, ctx: ctx, stop: stop, written: written,
+		reusable: !hres.Close, endsWithConn: hres.ContentLength < 0 && len(hres.TransferEncoding) == 0 && hres.Body != http.NoBody,
+	}
 	if hres.ContentLength == 0 && !hres.Close {
 		// There is no body. Reading the EOF here lets Close reuse the connection.
 		_, _ = hres.Body.Read(nil)
@@ -469,11 +472,17 @@
 	conn *conn
 	// remaining is the number of bytes that may still be read from the body.
 	remaining int64
+	ctx       context.Context
 	stop      func() bool
-	written   chan error
-	reusable  bool
-	atEOF     bool
-	once      sync.Once
+	// written receives the result of writing the request; wrote is set once that is known
+	// to have succeeded.
+	written  chan error
+	wrote    bool
+	reusable bool
+	// endsWithConn means that the end of the connection is that of the body.
+	endsWithConn bool
+	atEOF        bool
+	once         sync.Once
 }
 
 // Read implements io.Reader.
@@ -482,12 +491,30 @@
 	if b.remaining -= int64(n); b.remaining < 0 {
 		return 0, ErrTooLong
 	}
-	if errors.Is(err, io.EOF) {
-		b.atEOF = true
+	if !errors.Is(err, io.EOF) || b.atEOF {
+		return n, err
+	}
+	if b.endsWithConn {
+		if err := b.awaitRequest(); err != nil {
+			return n, fmt.Errorf("the connection of the response ended before the request was received: %w", err)
+		}
 	}
+	b.atEOF = true
 	return n, err
 }
 
+// awaitRequest waits until the instance has received the whole request.
+func (b *responseBody) awaitRequest() error {
+	if !b.wrote {
+		if err := <-b.written; err != nil {
+			b.written <- err
+			return err
+		}
+		b.wrote = true
+	}
+	return b.conn.AwaitDelivery(b.ctx)
+}
+
 // Close implements io.Closer.
 func (b *responseBody) Close() error {
 	b.once.Do(b.release)
@@ -498,14 +525,13 @@
 	// If stop returns false, the end of the context has set the deadline of the
 	// connection.
 	intact := b.stop()
-	wrote := false
 	select {
 	case err := <-b.written:
-		wrote = err == nil
+		b.wrote = err == nil
 	default:
 		// The instance responded before it had received the whole request.
 	}
-	if !b.atEOF || !b.reusable || !intact || !wrote || b.conn.br.Buffered() > 0 {
+	if !b.atEOF || !b.reusable || !intact || !b.wrote || b.conn.br.Buffered() > 0 {
 		b.pool.drop(b.conn)
 		return
 	}
--- a/request/entry/cut_test.go
+++ b/request/entry/cut_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"crypto/rand"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/kingcuppitch/kingcuppitch/request"
 )
 
 // cutProxy returns a proxy that ends each connection after a number of bytes from the
@@ -106,3 +109,77 @@
 		}
 	}
 }
+
+// serveDuringUpload answers each request with a text, in which {id} stands for the request
+// id, while its body is still being written. It then reads some bytes of the body and
+// resets the connection.
+func serveDuringUpload(t *testing.T, text string, taken int64, pause time.Duration) netip.AddrPort {
+	ln := listenUnique(t)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(answerWithin))
+				br := bufio.NewReader(c)
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				raw(text)(c, r, nil)
+				_, _ = io.CopyN(io.Discard, br, taken)
+				time.Sleep(pause)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// TestAnswerResetDuringUpload guards against a part of an answer that reaches the caller
+// as the whole, because the upstream reset the connection while the request was still
+// being written to it and the reset was reported to the write. A whole answer, which has
+// a length or its last chunk, must reach the caller all the same.
+func TestAnswerResetDuringUpload(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
+	upload, long := strings.Repeat("x", request.MaxBody), strings.Repeat("0123456789abcdef", request.MaxBody/8)
+	for _, tt := range []struct{ name, text, whole string }{
+		{"no length", head + "\r\nhello", ""},
+		{"no length, streamed", head + "\r\n" + long, ""},
+		{"length", head + "Content-Length: 11\r\n\r\nhello", ""},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", ""},
+		{"whole with length", head + "Content-Length: 5\r\n\r\nhello", "hello"},
+		{"whole in chunks", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			runLocalAndForwarded(t, func(t *testing.T, local bool) {
+				for _, taken := range []int64{0, 8 << 10, request.MaxBody / 2} {
+					for _, pause := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond} {
+						addr, wrong := serveDuringUpload(t, tt.text, taken, pause), 0
+						for range 5 {
+							// A second call could use a connection that is reset between two calls.
+							m := newMesh(t, meshOptions{local: local}, addr)
+							got := m.call(t, http.MethodPost, "/reserve/1", upload)
+							delivered := got.err == nil && got.status == http.StatusOK
+							if delivered != (tt.whole != "") || delivered && got.body != tt.whole {
+								wrong++
+							}
+							if got.err == nil && !delivered && (got.status != http.StatusBadGateway || got.outcome() != request.Unknown) {
+								t.Errorf("got %d %s %s, want 502 unknown", got.status, got.outcome(), got.reason())
+							}
+							m.close()
+						}
+						if wrong > 0 {
+							t.Errorf("pause %v, %d bytes of the upload read: %d of 5 answers wrong", pause, taken, wrong)
+						}
+					}
+				}
+			})
+		})
+	}
+}
