--- a/connection/log/log_test.go
+++ b/connection/log/log_test.go
@@ -42,6 +42,7 @@
 		}, ErrUnknown, 0},
 		{"noOffset", respondWith(201, `{}`), ErrUnknown, 0},
 		{"notJSON", respondWith(201, `{"offset":`), ErrUnknown, 0},
+		{"status000", respondRaw("HTTP/1.1 000 X\r\nContent-Length: 12\r\n\r\n{\"offset\":7}"), ErrUnknown, 0},
 		{"lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, ErrUnknown, 0},
 		{"cut", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
@@ -72,6 +73,18 @@
 	}
 }
 
+// respondRaw writes a response as it stands and closes the connection.
+func respondRaw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}
+}
+
 // TestReadPage guards against a page that is truncated or belongs to another read,
 // and is accepted as the records from the offset on.
 func TestReadPage(t *testing.T) {
@@ -98,6 +111,7 @@
 		{"gap", respondWith(200, page("5", "7")), 0, ErrUnavailable},
 		{"cut", respondWith(200, page("5", "6")[:40]), 0, ErrUnavailable},
 		{"outage", respondWith(503, ""), 0, ErrUnavailable},
+		{"status000", respondRaw("HTTP/1.1 000 X\r\n\r\n" + page("5", "6")), 0, ErrUnavailable},
 		{"expired", respondWith(410, `{"first":8,"next":9,"records":[]}`), 0, ErrExpired},
 	} {
 		lg := newTestLog(t, c.answer)
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/status"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
 	"github.com/kingcuppitch/kingcuppitch/request"
@@ -147,26 +149,36 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), healthProbeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address.String()+u.HealthPath, nil)
+	ans, err := askHealth(ctx, "http://"+a.Address.String()+u.HealthPath, a.ID, d.platform.Headers())
 	if err != nil {
-		return ans
+		d.logger.Warn("ignoring what is malformed in a health answer", "instance", a.ID, "error", err)
+	}
+	return ans
+}
+
+// askHealth asks an upstream with an id for its health. The error describes what could not
+// be read in its answer.
+func askHealth(ctx context.Context, url, id string, names request.Headers) (ans healthResult, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return ans, nil
 	}
 	res, err := healthTransport.RoundTrip(req)
 	if err != nil {
-		return ans
+		return ans, nil
 	}
 	_ = res.Body.Close()
-	names := d.platform.Headers()
-	id := res.Header.Get(names.InstanceID)
-	if id != "" && id != a.ID {
-		// Another upstream uses the address now.
-		return healthResult{conclusive: true}
+	if !status.IsFinal(res.StatusCode) {
+		return ans, fmt.Errorf("status %q", res.Status)
 	}
-	ans.idConfirmed = id != ""
-	if ans.statement, err = names.Statement(res.Header); err != nil {
-		d.logger.Warn("ignoring malformed statement in a health answer", "instance", a.ID, "error", err)
+	got := res.Header.Get(names.InstanceID)
+	if got != "" && got != id {
+		// Another upstream uses the address now.
+		return healthResult{conclusive: true}, nil
 	}
-	if ms, err := strconv.ParseFloat(res.Header.Get(names.ColdFor), 64); err == nil && ms > 0 && ms < maxColdMs {
+	ans.idConfirmed = got != ""
+	ans.statement, err = names.Statement(res.Header)
+	if ms, coldErr := strconv.ParseFloat(res.Header.Get(names.ColdFor), 64); coldErr == nil && ms > 0 && ms < maxColdMs {
 		ans.coldUntil = time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
 	}
 	switch res.StatusCode {
@@ -175,7 +187,7 @@
 	case http.StatusServiceUnavailable:
 		ans.conclusive = true
 	}
-	return ans
+	return ans, err
 }
 
 // restoreFromPeers puts the upstream that peers remember back in use after a restart of
