Refuse answers in whose head the name of a field is none

Callers got an answer in whose head the name of a field held a blank: without that field, or with a body that was not the server's, such as the text of the chunks where the line was "Transfer-Encoding : chunked". Daemons also used such answers of the store, the log, the usage service and the health check.

Cause: net/http accepts blanks in the name of a field of a response and keeps the field under that name, so it does not describe the body. It joins a line that begins with a blank to the field before it. Names with control bytes, without a name or without a colon it refuses.

Fix: package field reads the head beside net/http, on connections to instances and to the usage service, and finds each line that does not begin with the name of a field, in interim responses too. Such an answer is refused as 502 unknown with reason answerMismatch, as one with a malformed status is. RFC 9112 allows that for folded lines as well. The clients that use an http.Transport look for such names in the header; there a folded line is still joined to the one before it.

--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -41,6 +41,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/kingcuppitch/kingcuppitch/internal/field"
 	"github.com/kingcuppitch/kingcuppitch/internal/tcp"
 )
 
@@ -64,7 +65,7 @@
 )
 
 // ErrMismatch means that a response on a connection belongs to another request or to none,
-// as one with a malformed status.
+// as one with a malformed status or field.
 var ErrMismatch = errors.New("response from the instance does not match the request")
 
 // Exchange describes one request to an instance.
@@ -139,9 +140,10 @@
 // conn is one connection. It is owned by one exchange or is in the idle list.
 type conn struct {
 	tcp.Conn
-	// lr bounds the bytes that br reads.
+	// lr bounds the bytes that br reads, and head checks the heads among them.
 	lr   *io.LimitedReader
 	br   *bufio.Reader
+	head field.Head
 	used time.Time
 	// idleUntil is the time from which the idle connection is not reused, because
 	// the instance may close it; zero means that the instance announced no timeout.
@@ -172,7 +174,9 @@
 func newConn(nc net.Conn) *conn {
 	tc := tcp.Conn{Conn: nc}
 	lr := &io.LimitedReader{R: tc, N: math.MaxInt64}
-	return &conn{Conn: tc, lr: lr, br: bufio.NewReaderSize(lr, bufferSize)}
+	c := &conn{Conn: tc, lr: lr}
+	c.br = bufio.NewReaderSize(io.TeeReader(lr, &c.head), bufferSize)
+	return c
 }
 
 // Do sends a request and reads the header of its response. When ctx is done, the
@@ -422,13 +426,17 @@
 	for range maxSkipped {
 		// The start of the body may arrive in the same buffer as the header.
 		c.lr.N = int64(limits.Head) + bufferSize
+		c.head.Begin(c.br)
 		if text, malformed := c.hasMalformedStatus(); malformed {
 			return nil, fmt.Errorf("status %q: %w", text, ErrMismatch)
 		}
 		res, err := http.ReadResponse(c.br, req)
+		line, malformed := c.head.Malformed()
 		switch {
 		case err != nil && c.lr.N <= 0:
 			return nil, fmt.Errorf("response header exceeds %d bytes: %w", limits.Head, ErrTooLong)
+		case malformed:
+			return nil, fmt.Errorf("field line %q: %w", line, ErrMismatch)
 		case err != nil:
 			return nil, err
 		case res.StatusCode == http.StatusSwitchingProtocols:
--- a/connection/log/log.go
+++ b/connection/log/log.go
@@ -27,6 +27,7 @@
 	"strconv"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/field"
 	"github.com/kingcuppitch/kingcuppitch/version/era"
 	"github.com/rotisserie/eris"
 )
@@ -135,7 +136,7 @@
 	return offset, nil
 }
 
-// do sends a request. If there is no response in time, it closes all idle
+// do sends a request. A response with a malformed field is none. If there is no response in time, it closes all idle
 // connections: if the network path lost the state of one connection, it has often
 // lost that of the others too.
 func (l *httpLog) do(req *http.Request) (*http.Response, error) {
@@ -143,7 +144,14 @@
 	if err != nil && req.Context().Err() != nil {
 		l.client.CloseIdleConnections()
 	}
-	return res, err
+	if err != nil {
+		return nil, err
+	}
+	if name, malformed := field.Malformed(res.Header); malformed {
+		_ = res.Body.Close()
+		return nil, fmt.Errorf("field %q in the response", name)
+	}
+	return res, nil
 }
 
 // Read implements Log.
--- a/connection/log/log_test.go
+++ b/connection/log/log_test.go
@@ -43,6 +43,8 @@
 		{"noOffset", respondWith(201, `{}`), ErrUnknown, 0},
 		{"notJSON", respondWith(201, `{"offset":`), ErrUnknown, 0},
 		{"status000", respondRaw("HTTP/1.1 000 X\r\nContent-Length: 12\r\n\r\n{\"offset\":7}"), ErrUnknown, 0},
+		{"malformedField", respondRaw("HTTP/1.1 201 X\r\nX A: b\r\nContent-Length: 12\r\n\r\n{\"offset\":7}"), ErrUnknown, 0},
+		{"malformedFieldOfRefusal", respondRaw("HTTP/1.1 503 X\r\nX A: b\r\n\r\n"), ErrUnknown, 0},
 		{"lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, ErrUnknown, 0},
 		{"cut", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
@@ -112,6 +114,7 @@
 		{"cut", respondWith(200, page("5", "6")[:40]), 0, ErrUnavailable},
 		{"outage", respondWith(503, ""), 0, ErrUnavailable},
 		{"status000", respondRaw("HTTP/1.1 000 X\r\n\r\n" + page("5", "6")), 0, ErrUnavailable},
+		{"malformedField", respondRaw("HTTP/1.1 200 X\r\nX A: b\r\n\r\n" + page("5", "6")), 0, ErrUnavailable},
 		{"expired", respondWith(410, `{"first":8,"next":9,"records":[]}`), 0, ErrExpired},
 	} {
 		lg := newTestLog(t, c.answer)
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/field"
 	"github.com/kingcuppitch/kingcuppitch/internal/status"
 	"github.com/kingcuppitch/kingcuppitch/process/membership"
 	"github.com/kingcuppitch/kingcuppitch/process/timeline"
@@ -171,6 +172,9 @@
 	if !status.IsFinal(res.StatusCode) {
 		return ans, fmt.Errorf("status %q", res.Status)
 	}
+	if name, malformed := field.Malformed(res.Header); malformed {
+		return ans, fmt.Errorf("field %q", name)
+	}
 	got := res.Header.Get(names.InstanceID)
 	if got != "" && got != id {
 		// Another upstream uses the address now.
--- a/process/daemon/health_test.go
+++ b/process/daemon/health_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 		{"status 099", "HTTP/1.1 099 X\r\n" + fields + "\r\n", false},
 		{"status 600", "HTTP/1.1 600 X\r\n" + fields + "\r\n", false},
 		{"status 000 before another", "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "\r\n", false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX A: b\r\n" + fields + "\r\n", false},
+		{"blank after the name of the id", "HTTP/1.1 200 OK\r\n" + strings.Replace(fields, "Instance-Id:", "Instance-Id :", 1) + "\r\n", false},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: b\r\n" + fields + "\r\n", false},
 		{"cut head", "HTTP/1.1 200 OK\r\n" + fields, false},
 	} {
 		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/request/entry/status_test.go
+++ b/request/entry/status_test.go
@@ -86,11 +86,11 @@
 	})
 }
 
-// statusOfPeer returns a proxy function for peers that replaces the status 299 of their
-// answers over HTTP/2.
-func statusOfPeer(t *testing.T, status string) func(netip.AddrPort) netip.AddrPort {
-	// A literal value of a field, with its length and no Huffman code.
-	old, replacement := []byte("\x03299"), append([]byte{byte(len(status))}, status...)
+// rewritePeer returns a proxy function for peers that replaces a text in the headers of
+// their answers over HTTP/2. It finds only a whole name or value of a field that is not
+// shorter in Huffman code.
+func rewritePeer(t *testing.T, text, by string) func(netip.AddrPort) netip.AddrPort {
+	old, replacement := append([]byte{byte(len(text))}, text...), append([]byte{byte(len(by))}, by...)
 	relay := func(to, from net.Conn) {
 		defer func() { _ = to.Close() }()
 		for {
@@ -141,7 +141,7 @@
 func TestMalformedStatusOfPeer(t *testing.T) {
 	for _, status := range append([]string{"299"}, malformedStatuses...) {
 		up := newUpstream(t, raw("HTTP/1.1 299 X\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nok"))
-		m := newMesh(t, meshOptions{peerProxy: statusOfPeer(t, status)}, up.addr())
+		m := newMesh(t, meshOptions{peerProxy: rewritePeer(t, "299", status)}, up.addr())
 		got := m.call(t, http.MethodPost, "/reserve/1", "x")
 		if status == "299" {
 			if got.status != 299 || got.outcome() != request.Ran {
