Deliver a whole answer in whose trailer the name of a field is none

A caller whose call was forwarded to another daemon waited until its deadline and got a 502, or lost the end of a long answer, although the answer of the upstream was whole: in its trailer the name of a field held a blank. Without forwarding, the answer arrived.

Cause: net/http accepts blanks in the names of a trailer too. Its HTTP/2 server leaves such names out when it writes a trailer, and if none is left it does not end the stream.

Evidence: TestMalformedTrailer fails on the code before in the forwarded case, for a short and a long answer, with each trailer that has only such names; it passes there if another name is in the trailer, and in the local case.

Fix: a trailer is passed on without the names that are none. The body is whole, since its last chunk has arrived, so the answer is delivered.

--- a/request/entry/field_test.go
+++ b/request/entry/field_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/kingcuppitch/kingcuppitch/request"
@@ -71,6 +72,29 @@
 	})
 }
 
+// TestMalformedTrailer guards against a whole answer that does not reach the caller because
+// the name of a field in its trailer is none. The line itself is not passed on.
+func TestMalformedTrailer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("0123456789abcdef", request.MaxBody/8)
+	runLocalAndForwarded(t, func(t *testing.T, local bool) {
+		for _, body := range []string{"ok", long} {
+			for _, line := range []string{"X B: c\r\n", "X-B : c\r\n", "X B: c\r\nX-Sum: 9\r\n"} {
+				up := newUpstream(t, raw(fmt.Sprintf("%s%x\r\n%s\r\n0\r\n%s\r\n", head, len(body), body, line)))
+				m := newMesh(t, meshOptions{local: local}, up.addr())
+				got := m.call(t, http.MethodPost, "/reserve/1", "x")
+				if got.err != nil || got.status != http.StatusOK || got.body != body {
+					t.Errorf("%q: got %d, %d bytes, %s %v, want the whole answer", line, got.status, len(got.body), got.reason(), got.err)
+				}
+				if _, sum := got.trailer["X-Sum"]; sum != strings.Contains(line, "X-Sum") || len(got.trailer) > 1 {
+					t.Errorf("%q: got trailer %q", line, got.trailer)
+				}
+				m.close()
+			}
+		}
+	})
+}
+
 // TestMalformedFieldOfPeer guards against an answer of another daemon in which the name of
 // a field is none and that reaches the caller as an answer.
 func TestMalformedFieldOfPeer(t *testing.T) {
--- a/request/wire.go
+++ b/request/wire.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"net/url"
@@ -13,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/kingcuppitch/kingcuppitch/internal/field"
 	"github.com/kingcuppitch/kingcuppitch/version/config"
 )
 
@@ -274,9 +276,13 @@
 }
 
 // TrailerOf returns a function that returns the trailer of a response, which is
-// available once the body has been read.
+// available once the body has been read. It leaves out names that are none: an HTTP/2
+// server that writes no other does not end the answer.
 func TrailerOf(res *http.Response) func() http.Header {
-	return func() http.Header { return res.Trailer }
+	return func() http.Header {
+		maps.DeleteFunc(res.Trailer, func(name string, _ []string) bool { return !field.IsName(name) })
+		return res.Trailer
+	}
 }
 
 // EncodeLoad writes a load report into a header.
