--- a/connection/instance/instance.go
+++ b/connection/instance/instance.go
@@ -436,7 +436,7 @@
 		case err != nil && c.lr.N <= 0:
 			return nil, fmt.Errorf("response header exceeds %d bytes: %w", limits.Head, ErrTooLong)
 		case malformed:
-			return nil, fmt.Errorf("field line %q: %w", line, ErrMismatch)
+			return nil, fmt.Errorf("malformed field line %q: %w", line, ErrMismatch)
 		case err != nil:
 			return nil, err
 		case res.StatusCode == http.StatusSwitchingProtocols:
@@ -482,8 +482,8 @@
 	remaining int64
 	ctx       context.Context
 	stop      func() bool
-	// written receives the result of writing the request; wrote is set once that is known
-	// to have succeeded.
+	// written receives the result of writing the request. wrote is set once that is known
+	// to be success.
 	written  chan error
 	wrote    bool
 	reusable bool
@@ -511,11 +511,12 @@
 	return n, err
 }
 
-// awaitRequest waits until the instance has received the whole request.
+// awaitRequest waits until the instance has received the whole request. It returns an error
+// if the connection breaks before.
 func (b *responseBody) awaitRequest() error {
 	if !b.wrote {
 		if err := <-b.written; err != nil {
-			b.written <- err
+			b.written <- err // for the next read
 			return err
 		}
 		b.wrote = true
--- a/connection/log/log.go
+++ b/connection/log/log.go
@@ -136,9 +136,9 @@
 	return offset, nil
 }
 
-// do sends a request. A response with a malformed field is none. If there is no response in time, it closes all idle
-// connections: if the network path lost the state of one connection, it has often
-// lost that of the others too.
+// do sends a request. A response with a malformed name of a field is an error. If there
+// is no response in time, do closes all idle connections: if the network path lost the
+// state of one connection, it has often lost that of the others too.
 func (l *httpLog) do(req *http.Request) (*http.Response, error) {
 	res, err := l.client.Do(req)
 	if err != nil && req.Context().Err() != nil {
@@ -149,7 +149,7 @@
 	}
 	if name, malformed := field.Malformed(res.Header); malformed {
 		_ = res.Body.Close()
-		return nil, fmt.Errorf("field %q in the response", name)
+		return nil, fmt.Errorf("malformed name %q of a field", name)
 	}
 	return res, nil
 }
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -1,7 +1,7 @@
-// Package field finds names of header fields that are none. net/http accepts blanks in
-// the name of a field, which it then does not take for the field that was meant: with
-// "Content-Length : 5", a response has no length. It also joins a line that begins with a
-// blank to the field before it.
+// Package field finds malformed names of header fields in responses. net/http accepts
+// blanks in the name of a field and does not take it for the field without them: a
+// response with "Content-Length : 5" has no length. It also joins a line that begins with
+// a blank to the field before it.
 //
 // # Usage
 //
@@ -13,8 +13,8 @@
 //		return errMalformed
 //	}
 //
-// In a header that was read by other means, such as an http.Transport, Malformed finds the
-// names that net/http accepts and that are none.
+// The header of a response that was read in another way, such as by an http.Transport, is
+// checked with Malformed, which does not find joined lines.
 package field
 
 import (
@@ -41,7 +41,7 @@
 	return text != ""
 }
 
-// Malformed returns a name in h that is not the name of a field.
+// Malformed returns a malformed name in h. The result is false if there is none.
 func Malformed(h http.Header) (name string, found bool) {
 	for name := range h {
 		if !IsName(name) {
@@ -70,7 +70,7 @@
 // another reader parses them. The zero value checks nothing until Begin.
 type Head struct {
 	part part
-	// line holds the beginning of the line up to the byte that is malformed.
+	// line holds the current line up to its name, or up to the first malformed byte.
 	line []byte
 }
 
@@ -82,8 +82,8 @@
 	_, _ = h.Write(held)
 }
 
-// Malformed returns the beginning of a line of the current head that does not begin with
-// the name of a field. The result is false if there is none, as far as the head was read.
+// Malformed returns the beginning of the first line of the current head that does not begin
+// with the name of a field and a colon. The result is false if there is none so far.
 func (h *Head) Malformed() (line string, malformed bool) {
 	if h.part != partMalformed {
 		return "", false
--- a/internal/field/field_test.go
+++ b/internal/field/field_test.go
@@ -9,9 +9,8 @@
 	"testing/iotest"
 )
 
-// TestHead guards against a name of a field that is none and is not found, against one
-// that is found where there is none, and against a head whose check depends on how it
-// arrives.
+// TestHead guards against a malformed name that is not found, against a valid one that is
+// taken for malformed, and against a result that depends on how the head arrives.
 func TestHead(t *testing.T) {
 	for _, tt := range []struct {
 		head, line string
@@ -59,8 +58,7 @@
 	}
 }
 
-// FuzzHead guards against a name that net/http accepts and that is none, in a head in
-// which no line is found.
+// FuzzHead guards against a malformed name that net/http accepts and Head does not find.
 func FuzzHead(f *testing.F) {
 	f.Add("A: b\r\n")
 	f.Add("A : b\r\nC: d\n")
@@ -82,7 +80,7 @@
 	})
 }
 
-// TestMalformed guards against names that net/http accepts and that are none.
+// TestMalformed guards against malformed names that net/http accepts.
 func TestMalformed(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,13 +1,16 @@
 // Package tcp tells a reset of a TCP connection from an orderly end.
 //
-// The system reports a reset to one call only. If a write runs beside the read, it may
-// be the write; the read then sees the end of the stream, as after an orderly close. A
-// response whose end is that of its connection would be taken for complete. Likewise
-// the end of the stream is no sign that the peer has received what was written: a
-// process that closes its connection answers all further bytes with a reset.
+// The system reports a reset to one call only, which may be a write that runs beside the
+// read. The read then sees the end of the stream, as after an orderly close, and a
+// response whose end is that of its connection seems to be complete. Conn reports the
+// reset to the read too.
 //
-// A connection must not be half closed by this side, since its state is then the same
-// after an orderly end.
+// The end of the stream does not show either that the peer has received all that was
+// written: once a process has closed its connection, further bytes cause a reset, which
+// may come after the read. AwaitDelivery waits for the one or the other.
+//
+// This side must not half close a Conn, since the state that marks a reset is then also
+// reached by an orderly close.
 //
 // # Usage
 //
@@ -33,8 +36,8 @@
 	// stateClosed is the state of a connection that was reset, in the numbering of the
 	// system.
 	stateClosed = 7
-	// firstPoll and lastPoll are the first and the longest pause between two looks at a
-	// connection whose peer has not acknowledged all bytes.
+	// firstPoll and lastPoll are the first and the longest pause between two checks whether
+	// the peer has acknowledged all bytes.
 	firstPoll = 200 * time.Microsecond
 	lastPoll  = 10 * time.Millisecond
 )
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -152,13 +152,13 @@
 	defer cancel()
 	ans, err := askHealth(ctx, "http://"+a.Address.String()+u.HealthPath, a.ID, d.platform.Headers())
 	if err != nil {
-		d.logger.Warn("ignoring what is malformed in a health answer", "instance", a.ID, "error", err)
+		d.logger.Warn("ignoring the malformed part of a health answer", "instance", a.ID, "error", err)
 	}
 	return ans
 }
 
-// askHealth asks an upstream with an id for its health. The error describes what could not
-// be read in its answer.
+// askHealth sends one health probe to the upstream with an id. The error describes what is
+// malformed in the answer; without an answer it is nil.
 func askHealth(ctx context.Context, url, id string, names request.Headers) (ans healthResult, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -170,10 +170,10 @@
 	}
 	_ = res.Body.Close()
 	if !status.IsFinal(res.StatusCode) {
-		return ans, fmt.Errorf("status %q", res.Status)
+		return ans, fmt.Errorf("malformed status %q", res.Status)
 	}
 	if name, malformed := field.Malformed(res.Header); malformed {
-		return ans, fmt.Errorf("field %q", name)
+		return ans, fmt.Errorf("malformed name %q of a field", name)
 	}
 	got := res.Header.Get(names.InstanceID)
 	if got != "" && got != id {
--- a/process/daemon/health_test.go
+++ b/process/daemon/health_test.go
@@ -13,7 +13,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request"
 )
 
-// TestBrokenHealthAnswer guards against a health answer that is none and that says
+// TestBrokenHealthAnswer guards against a broken health answer from which the daemon learns
 // something about the upstream: that it leaves, what it can take, or that it is healthy.
 func TestBrokenHealthAnswer(t *testing.T) {
 	const fields = "Instance-Id: i-1\r\nCold-Ms: 500\r\nRate-Limit: 3\r\nLeaving: 1\r\nContent-Length: 0\r\n"
@@ -52,7 +52,7 @@
 		cancel()
 		_ = l.Close()
 		if usable := got != (healthResult{}); usable != tt.usable || tt.usable && (err != nil || !got.idConfirmed || !got.statement.Leaving || got.statement.RateLimit != 3 || got.coldUntil.IsZero()) {
-			t.Errorf("%s: got %+v, %v, want an answer that is used: %v", tt.name, got, err, tt.usable)
+			t.Errorf("%s: got %+v, %v, want it used: %v", tt.name, got, err, tt.usable)
 		}
 	}
 }
--- a/request/entry/field_test.go
+++ b/request/entry/field_test.go
@@ -9,7 +9,7 @@
 	"github.com/kingcuppitch/kingcuppitch/request"
 )
 
-// malformedLines are lines of a head in which the name of a field is none.
+// malformedLines are lines of a head without a valid name of a field.
 var malformedLines = []string{
 	"X A: b", "X-A : b", "X-A\t: b", " X-A: b", "\tX-A: b", "X-A\x00: b", "\x01X-A: b", "X\x1fA: b", "X\x7fA: b", "X\rA: b",
 	"Content-Length : 1", " Content-Length: 1", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked", ": b", " : b", "X-A",
@@ -17,7 +17,7 @@
 
 // TestMalformedFieldOfUpstream guards against an answer in whose head the name of a field
 // holds a blank or a control byte, and that reaches the caller as an answer: without the
-// field, or with a body whose framing the field was to describe.
+// field, or with a body that has another framing than the server meant.
 func TestMalformedFieldOfUpstream(t *testing.T) {
 	const status, id, body = "HTTP/1.1 200 OK\r\n", "Request-Id: {id}\r\n", "2\r\nok\r\n0\r\n\r\n"
 	runLocalAndForwarded(t, func(t *testing.T, local bool) {
@@ -73,7 +73,7 @@
 }
 
 // TestMalformedTrailer guards against a whole answer that does not reach the caller because
-// the name of a field in its trailer is none. The line itself is not passed on.
+// the name of a field in its trailer is malformed. The line itself is not passed on.
 func TestMalformedTrailer(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
 	long := strings.Repeat("0123456789abcdef", request.MaxBody/8)
@@ -95,8 +95,8 @@
 	})
 }
 
-// TestMalformedFieldOfPeer guards against an answer of another daemon in which the name of
-// a field is none and that reaches the caller as an answer.
+// TestMalformedFieldOfPeer guards against an answer of another daemon with a malformed name
+// of a field that reaches the caller as an answer.
 func TestMalformedFieldOfPeer(t *testing.T) {
 	const name = "x~~~~"
 	for _, by := range []string{name, "x ~~~", "x~~~ ", " x~~~", "x\t~~~", "x\x00~~~", "x\x7f~~~", "X~~~~", "x:~~~", ""} {
--- a/request/wire.go
+++ b/request/wire.go
@@ -276,8 +276,8 @@
 }
 
 // TrailerOf returns a function that returns the trailer of a response, which is
-// available once the body has been read. It leaves out names that are none: an HTTP/2
-// server that writes no other does not end the answer.
+// available once the body has been read. Malformed names are left out: the HTTP/2 server
+// of net/http does not end an answer whose trailer has no valid name.
 func TrailerOf(res *http.Response) func() http.Header {
 	return func() http.Header {
 		maps.DeleteFunc(res.Trailer, func(name string, _ []string) bool { return !field.IsName(name) })
