--- a/connection/instance/cut_test.go
+++ b/connection/instance/cut_test.go
@@ -22,8 +22,9 @@
 	partOfAChunk = cutHead + "Transfer-Encoding: chunked\r\n\r\n50\r\nwhole"
 )
 
-// answerEarly returns a server that answers while it reads the upload. It reads at most
-// taken bytes of the upload before and after the answer, and then ends the connection.
+// answerEarly returns a server that answers before it has read the whole upload. It reads
+// some bytes of the upload before the answer and some after it, and ends the connection
+// after a pause.
 func answerEarly(text string, before, after int64, pause time.Duration, end func(*net.TCPConn)) func(int, net.Conn, *bufio.Reader) {
 	return func(_ int, c net.Conn, br *bufio.Reader) {
 		r, err := http.ReadRequest(br)
@@ -47,8 +48,8 @@
 // closeOrderly ends a connection as most servers do.
 func closeOrderly(c *net.TCPConn) { _ = c.Close() }
 
-// whole is more bytes than any upload has.
-const whole = 1 << 30
+// wholeUpload is more bytes than any upload has.
+const wholeUpload = 1 << 30
 
 // TestAnswerCutDuringUpload guards against a part of an answer that is taken for the
 // whole, because the reset of its connection was reported to the write of the request
@@ -107,8 +108,8 @@
 		{"length, close", withLength, 0, 0, closeOrderly},
 		{"chunks, reset", inChunks, 0, 0, reset},
 		{"chunks, close in the upload", inChunks, 8 << 10, 8 << 10, closeOrderly},
-		{"close after the upload", untilClose, whole, 0, closeOrderly},
-		{"answer, rest of the upload, close", untilClose, 8 << 10, whole, closeOrderly},
+		{"close after the upload", untilClose, wholeUpload, 0, closeOrderly},
+		{"answer, rest of the upload, close", untilClose, 8 << 10, wholeUpload, closeOrderly},
 		{"answer, half close, rest of the upload", untilClose, 8 << 10, 0, halfClose},
 	} {
 		for _, size := range []int{32 << 10, 1 << 20, 16 << 20} {
